--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+import { Command } from 'commander';
+import { addDecideCommand } from './decide-command.js';
+import { addExplainCommand } from './explain-command.js';
+import { addOperatorCommands } from './operator-commands.js';
+import { addRehearseCommand } from './rehearse-command.js';
+import { addRunCommands } from './run-commands.js';
+
+const program = new Command('ledgehill').description('a router fleet that books new model servers onto a shared time line').version('0.1.0');
+
+addRunCommands(program);
+addOperatorCommands(program);
+addExplainCommand(program);
+addDecideCommand(program);
+addRehearseCommand(program);
+
+await program.parseAsync();
--- /dev/null
+++ b/src/common/checked.ts
@@ -0,0 +1,18 @@
+import { Either, Left, Right } from 'purify-ts';
+import { ValidationError, type Schema } from 'yup';
+import type { Fault } from './fault.js';
+
+const faultsOf = (error: ValidationError): readonly Fault[] =>
+  error.inner.length === 0
+    ? [{ path: error.path ?? '', message: error.message }]
+    : error.inner.flatMap((innerError) => faultsOf(innerError));
+
+/** Checks a value against a schema and lists every fault by path. */
+export const checked = <T>(schema: Schema<T>, value: unknown): Either<readonly Fault[], T> => {
+  try {
+    return Right(schema.validateSync(value, { abortEarly: false, strict: true }));
+  } catch (thrown) {
+    if (thrown instanceof ValidationError) return Left(faultsOf(thrown));
+    throw thrown;
+  }
+};
--- /dev/null
+++ b/src/control/keeping/recover.ts
@@ -0,0 +1,33 @@
+import type { KeptRecord } from '../log/kept-record.js';
+import type { ControlView } from '../machine/control-view.js';
+import { restingRoleOf, withEntries } from '../machine/roles.js';
+
+const recoveredRecord = (view: ControlView, record: KeptRecord): ControlView => {
+  switch (record.type) {
+    case 'identity':
+      return { ...view, identity: record.identity };
+    case 'offer':
+      return { ...view, offer: record.offer };
+    case 'vote':
+      return { ...view, term: record.term, votedFor: record.votedFor };
+    case 'entries':
+      return withEntries(view, record.entries);
+    case 'image':
+      return { ...view, image: record.image, entries: [], commit: record.image.index, state: record.image.state };
+  }
+};
+
+/** The view that a disk gives back. What was committed shows again once a leader says so. */
+export const recoveredView = (start: ControlView, records: readonly KeptRecord[]): ControlView => {
+  const view = records.reduce(recoveredRecord, start);
+  return { ...view, role: restingRoleOf(view) };
+};
+
+/** All that must be kept of a view, for the head of a new file. */
+export const imageRecordsOf = (view: ControlView): readonly KeptRecord[] => [
+  { type: 'identity', identity: view.identity },
+  ...(view.offer === undefined ? [] : [{ type: 'offer' as const, offer: view.offer }]),
+  { type: 'vote', term: view.term, votedFor: view.votedFor },
+  { type: 'image', image: view.image },
+  ...(view.entries.length === 0 ? [] : [{ type: 'entries' as const, entries: view.entries }]),
+];
--- /dev/null
+++ b/src/control/log/command.ts
@@ -0,0 +1,20 @@
+import type { Micros } from '../../common/micros.js';
+import type { Setup } from '../../setup/document/setup.js';
+import type { Member } from '../members/member.js';
+
+/** What an entry of the log asks for. */
+export type Command =
+  | { readonly type: 'start-term' }
+  | { readonly type: 'members'; readonly members: readonly Member[] }
+  | {
+      readonly type: 'setup';
+      readonly proposal: string;
+      /** The revision that must still be the newest; 0 for none. */
+      readonly expected: number;
+      readonly setup: Setup;
+      readonly atUs: Micros;
+    }
+  /** Ends the doubt about a proposal: unless it is decided by then, it never will be taken. */
+  | { readonly type: 'void'; readonly proposal: string }
+  | { readonly type: 'claim'; readonly key: string; readonly exchange: string; readonly atUs: Micros }
+  | { readonly type: 'release'; readonly key: string; readonly exchange: string; readonly atUs: Micros };
--- /dev/null
+++ b/src/control/log/kept-record.ts
@@ -0,0 +1,11 @@
+import type { ControlImage } from './control-image.js';
+import type { LogEntry } from './log-entry.js';
+
+/** What the control machine keeps on disk; it speaks of nothing before that is synced. */
+export type KeptRecord =
+  | { readonly type: 'identity'; readonly identity: string }
+  | { readonly type: 'offer'; readonly offer: string }
+  | { readonly type: 'vote'; readonly term: number; readonly votedFor?: string }
+  /** Entries from the first one's index on; whatever stood there before is gone. */
+  | { readonly type: 'entries'; readonly entries: readonly LogEntry[] }
+  | { readonly type: 'image'; readonly image: ControlImage };
--- /dev/null
+++ b/src/control/log/log-entry.ts
@@ -0,0 +1,8 @@
+import type { Command } from './command.js';
+
+/** One entry of the control log. */
+export type LogEntry = {
+  readonly index: number;
+  readonly term: number;
+  readonly command: Command;
+};
--- /dev/null
+++ b/src/control/machine/answer.ts
@@ -0,0 +1,12 @@
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { ProposalOutcome } from '../state/proposal-outcome.js';
+import type { Outcome } from '../state/outcome.js';
+
+/** What an asker is told. */
+export type Answer =
+  | { readonly type: 'applied'; readonly outcome: Outcome }
+  | { readonly type: 'record'; readonly record?: SetupRecord; readonly outcome?: ProposalOutcome }
+  /** Nothing was begun; another machine may lead. */
+  | { readonly type: 'not-leader'; readonly leader?: string }
+  /** The entry stands in a log and may yet be taken. */
+  | { readonly type: 'undecided' };
--- /dev/null
+++ b/src/control/machine/control-effect.ts
@@ -0,0 +1,16 @@
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { KeptRecord } from '../log/kept-record.js';
+import type { Member } from '../members/member.js';
+import type { Answer } from './answer.js';
+import type { ControlMessage } from './message.js';
+import type { Role } from './role.js';
+
+/** What the control machine wants done. All that is to be kept is synced before anything else happens. */
+export type ControlEffect =
+  | { readonly type: 'keep'; readonly record: KeptRecord }
+  | { readonly type: 'send'; readonly to: string; readonly message: ControlMessage }
+  | { readonly type: 'sendTo'; readonly address: string; readonly message: ControlMessage }
+  | { readonly type: 'answer'; readonly ask: string; readonly answer: Answer }
+  | { readonly type: 'taken'; readonly record: SetupRecord }
+  | { readonly type: 'role'; readonly role: Role; readonly term: number; readonly leader: string | undefined }
+  | { readonly type: 'members'; readonly members: readonly Member[] };
--- /dev/null
+++ b/src/control/machine/founding.ts
@@ -0,0 +1,104 @@
+import { withEntry } from '../../common/maps.js';
+import type { LogEntry } from '../log/log-entry.js';
+import type { Member } from '../members/member.js';
+import { andThen, stepped, type ControlStep } from './control-step.js';
+import type { ControlView } from './control-view.js';
+import { membersOf } from './log-reading.js';
+import type { ControlMessage } from './message.js';
+import { electionMoment, restingRoleOf, withRole } from './roles.js';
+import { rejoinSpanUs, heartbeatSpanUs } from './timing.js';
+
+type Hello = Extract<ControlMessage, { readonly type: 'hello' | 'helloBack' }>;
+
+const isFounded = (view: ControlView): boolean => membersOf(view).length > 0;
+
+/** Another address of the same core; it asks to join, or to be known where it now is. */
+export const soughtLeader = (view: ControlView): ControlStep => {
+  const addresses = new Set([...view.seeds, ...membersOf(view).map((member) => member.address)]);
+  addresses.delete(view.address);
+  return stepped(
+    { ...view, heartbeatUs: view.atUs + rejoinSpanUs / 2 },
+    ...[...addresses].map((address) => ({
+      type: 'sendTo' as const,
+      address,
+      message: { type: 'join' as const, identity: view.identity, address: view.address },
+    })),
+  );
+};
+
+export const soughtSeeds = (view: ControlView): ControlStep =>
+  stepped(
+    { ...view, heartbeatUs: view.atUs + heartbeatSpanUs * 2 },
+    ...view.seeds
+      .filter((address) => address !== view.address)
+      .map((address) => ({
+        type: 'sendTo' as const,
+        address,
+        message: { type: 'hello' as const, identity: view.identity, address: view.address, founded: false, offer: view.offer },
+      })),
+  );
+
+const memberOf = (text: string): Member => {
+  const [identity = '', address = ''] = text.split('@');
+  return { identity, address, voter: true };
+};
+
+const founded = (view: ControlView, offer: string, chance: number): ControlStep => {
+  const entry: LogEntry = { index: 1, term: 0, command: { type: 'members', members: offer.split(',').map(memberOf) } };
+  const foundedView: ControlView = { ...view, entries: [entry], electionUs: electionMoment(view, chance) };
+  return andThen(stepped(foundedView, { type: 'keep', record: { type: 'entries', entries: [entry] } }), (keptView) =>
+    withRole(keptView, { role: restingRoleOf(keptView) }),
+  );
+};
+
+/** A core is founded once, when all seeds are empty and all have bound themselves to the same members. */
+const weighed = (view: ControlView, chance: number): ControlStep => {
+  if (isFounded(view) || !view.seeds.includes(view.address)) return stepped(view);
+  const hellos = withEntry(view.hellos, view.address, { identity: view.identity, offer: view.offer });
+  const seen = view.seeds.flatMap((address) => {
+    const hello = hellos.get(address);
+    return hello === undefined ? [] : [{ address, ...hello }];
+  });
+  if (seen.length < view.seeds.length) return stepped(view);
+  const offer = seen
+    .map(({ identity, address }) => `${identity}@${address}`)
+    .sort()
+    .join(',');
+  if (view.offer === undefined)
+    return andThen(stepped({ ...view, offer }, { type: 'keep', record: { type: 'offer', offer } }), (offeredView) =>
+      weighed(offeredView, chance),
+    );
+  const boundOffer = view.offer;
+  return seen.every((hello) => hello.offer === boundOffer) ? founded(view, boundOffer, chance) : stepped(view);
+};
+
+export const onHello = (view: ControlView, message: Hello, chance: number): ControlStep => {
+  const heardView: ControlView = message.founded
+    ? view
+    : { ...view, hellos: withEntry(view.hellos, message.address, { identity: message.identity, offer: message.offer }) };
+  const weighedStep = weighed(heardView, chance);
+  const joinStep = andThen(weighedStep, (weighedView) =>
+    message.founded && !isFounded(weighedView)
+      ? stepped(weighedView, {
+          type: 'sendTo',
+          address: message.address,
+          message: { type: 'join', identity: view.identity, address: view.address },
+        })
+      : stepped(weighedView),
+  );
+  return message.type === 'helloBack'
+    ? joinStep
+    : andThen(joinStep, (answeringView) =>
+        stepped(answeringView, {
+          type: 'sendTo',
+          address: message.address,
+          message: {
+            type: 'helloBack',
+            identity: answeringView.identity,
+            address: answeringView.address,
+            founded: isFounded(answeringView),
+            offer: answeringView.offer,
+          },
+        }),
+      );
+};
--- /dev/null
+++ b/src/control/state/apply.ts
@@ -0,0 +1,110 @@
+import { withEntry } from '../../common/maps.js';
+import type { Micros } from '../../common/micros.js';
+import { positionOf } from '../../decision/ring/position.js';
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { WarmupEpoch } from '../../setup/document/warmup-epoch.js';
+import type { Command } from '../log/command.js';
+import type { Claim } from './claim.js';
+import type { ControlState } from './control-state.js';
+import type { Outcome } from './outcome.js';
+import type { ProposalOutcome } from './proposal-outcome.js';
+
+export const claimKeepUs: Micros = 900_000_000;
+export const mostClaims = 100_000;
+const mostProposals = 512;
+const mostEpochs = 8;
+const shelfCount = 512;
+
+/** The state after a command, and what it came to. */
+export type Applied = {
+  readonly state: ControlState;
+  readonly outcome: Outcome;
+};
+
+const epochsAfter = (former: SetupRecord | undefined, epoch: WarmupEpoch): readonly WarmupEpoch[] => {
+  const formerEpochs = former?.epochs ?? [];
+  const newestEpoch = formerEpochs[formerEpochs.length - 1];
+  return newestEpoch !== undefined && JSON.stringify(newestEpoch.warmup) === JSON.stringify(epoch.warmup)
+    ? formerEpochs
+    : [...formerEpochs, epoch].slice(-mostEpochs);
+};
+
+const withProposal = (state: ControlState, proposal: string, outcome: ProposalOutcome): Applied => {
+  const proposals = new Map([...state.proposals].slice(-(mostProposals - 1)));
+  proposals.set(proposal, outcome);
+  return { state: { ...state, proposals }, outcome: { type: 'proposal', outcome } };
+};
+
+const applySetup = (state: ControlState, command: Extract<Command, { readonly type: 'setup' }>): Applied => {
+  const knownOutcome = state.proposals.get(command.proposal);
+  if (knownOutcome !== undefined) return { state, outcome: { type: 'proposal', outcome: knownOutcome } };
+  const newestRevision = state.record?.revision ?? 0;
+  if (command.expected !== newestRevision)
+    return withProposal(state, command.proposal, { type: 'lost-race', revision: newestRevision });
+  const record: SetupRecord = {
+    revision: newestRevision + 1,
+    takenAtUs: state.clockUs,
+    setup: command.setup,
+    epochs: epochsAfter(state.record, { sinceUs: state.clockUs, warmup: command.setup.warmup }),
+  };
+  return withProposal({ ...state, record }, command.proposal, { type: 'taken', revision: record.revision });
+};
+
+const applyVoid = (state: ControlState, proposal: string): Applied => {
+  const knownOutcome = state.proposals.get(proposal);
+  return knownOutcome === undefined
+    ? withProposal(state, proposal, { type: 'void', revision: state.record?.revision ?? 0 })
+    : { state, outcome: { type: 'proposal', outcome: knownOutcome } };
+};
+
+const shelfOf = (key: string): number => positionOf(key) % shelfCount;
+
+const withShelf = (state: ControlState, shelf: number, claims: ReadonlyMap<string, Claim>): ControlState => ({
+  ...state,
+  shelves: withEntry(state.shelves, shelf, claims),
+  claimCount: state.claimCount + claims.size - (state.shelves.get(shelf)?.size ?? 0),
+});
+
+const freshClaims = (state: ControlState, shelf: number): ReadonlyMap<string, Claim> =>
+  new Map([...(state.shelves.get(shelf) ?? [])].filter(([, claim]) => claim.atUs + claimKeepUs > state.clockUs));
+
+const applyClaim = (state: ControlState, command: Extract<Command, { readonly type: 'claim' }>): Applied => {
+  const shelf = shelfOf(command.key);
+  const claims = freshClaims(state, shelf);
+  const heldClaim = claims.get(command.key);
+  if (heldClaim !== undefined)
+    return {
+      state: withShelf(state, shelf, claims),
+      outcome: { type: 'claimed', won: heldClaim.exchange === command.exchange, holder: heldClaim.exchange },
+    };
+  if (state.claimCount >= mostClaims) return { state: withShelf(state, shelf, claims), outcome: { type: 'claims-full' } };
+  return {
+    state: withShelf(state, shelf, withEntry(claims, command.key, { exchange: command.exchange, atUs: state.clockUs })),
+    outcome: { type: 'claimed', won: true, holder: command.exchange },
+  };
+};
+
+const applyRelease = (state: ControlState, command: Extract<Command, { readonly type: 'release' }>): Applied => {
+  const shelf = shelfOf(command.key);
+  const keptClaims = new Map(
+    [...freshClaims(state, shelf)].filter(([key, claim]) => key !== command.key || claim.exchange !== command.exchange),
+  );
+  return { state: withShelf(state, shelf, keptClaims), outcome: { type: 'done' } };
+};
+
+/** Applies one command; it asks nothing but the state, so all core machines come to the same. */
+export const applyCommand = (state: ControlState, command: Command): Applied => {
+  switch (command.type) {
+    case 'start-term':
+    case 'members':
+      return { state, outcome: { type: 'done' } };
+    case 'setup':
+      return applySetup({ ...state, clockUs: Math.max(state.clockUs, command.atUs) }, command);
+    case 'void':
+      return applyVoid(state, command.proposal);
+    case 'claim':
+      return applyClaim({ ...state, clockUs: Math.max(state.clockUs, command.atUs) }, command);
+    case 'release':
+      return applyRelease({ ...state, clockUs: Math.max(state.clockUs, command.atUs) }, command);
+  }
+};
--- /dev/null
+++ b/src/control/wire/command-guard.ts
@@ -0,0 +1,21 @@
+import { array, boolean, number, object, string } from 'yup';
+import { typed, unionGuard } from '../../common/union.js';
+import { setupSchema } from '../../setup/check/setup-schema.js';
+import type { Command } from '../log/command.js';
+
+const whole = () => number().required().integer();
+
+export const memberSchema = object({
+  identity: string().required(),
+  address: string().required(),
+  voter: boolean().required(),
+}).required();
+
+export const isCommand = unionGuard<Command>({
+  'start-term': object({ type: typed('start-term') }),
+  members: object({ type: typed('members'), members: array(memberSchema).required() }),
+  setup: object({ type: typed('setup'), proposal: string().required(), expected: whole(), setup: setupSchema, atUs: whole() }),
+  void: object({ type: typed('void'), proposal: string().required() }),
+  claim: object({ type: typed('claim'), key: string().required(), exchange: string().required(), atUs: whole() }),
+  release: object({ type: typed('release'), key: string().required(), exchange: string().required(), atUs: whole() }),
+});
--- /dev/null
+++ b/src/control/wire/outcome-guard.ts
@@ -0,0 +1,19 @@
+import { boolean, mixed, number, object, string } from 'yup';
+import { typed, unionGuard } from '../../common/union.js';
+import type { Outcome } from '../state/outcome.js';
+import type { ProposalOutcome } from '../state/proposal-outcome.js';
+
+const revision = () => number().required().integer().min(0);
+
+export const isProposalOutcome = unionGuard<ProposalOutcome>({
+  taken: object({ type: typed('taken'), revision: revision() }),
+  'lost-race': object({ type: typed('lost-race'), revision: revision() }),
+  void: object({ type: typed('void'), revision: revision() }),
+});
+
+export const isOutcome = unionGuard<Outcome>({
+  done: object({ type: typed('done') }),
+  claimed: object({ type: typed('claimed'), won: boolean().required(), holder: string().required() }),
+  'claims-full': object({ type: typed('claims-full') }),
+  proposal: object({ type: typed('proposal'), outcome: mixed(isProposalOutcome).required() }),
+});
--- /dev/null
+++ b/src/decision/machine/effect/reason-type.ts
@@ -0,0 +1,10 @@
+/** Why a server was chosen. */
+export type ReasonType =
+  | 'ring'
+  | 'warm-up'
+  | 'settling'
+  | 'paced-back'
+  | 'handing-over'
+  | 'spill'
+  | 'dark-owner'
+  | 'emergency';
--- /dev/null
+++ b/src/decision/machine/event/decision-event.ts
@@ -0,0 +1,38 @@
+import type { Micros } from '../../../common/micros.js';
+import type { ServerKey } from '../../../servers/list/server-key.js';
+import type { ServerList } from '../../../servers/list/server-list.js';
+import type { SetupRecord } from '../../../setup/document/setup-record.js';
+import type { Prefix } from '../../ring/prefix.js';
+import type { DeliveryError } from './delivery-error.js';
+
+/** What the decision machine hears. `at` is the node's steady time. */
+export type DecisionEvent =
+  | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
+  | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
+  | { readonly type: 'time'; readonly at: Micros; readonly platformUs: Micros }
+  | {
+      readonly type: 'exchange';
+      readonly at: Micros;
+      readonly exchange: string;
+      readonly kind: string;
+      readonly prefix: Prefix;
+      readonly budgetUs?: Micros;
+    }
+  | { readonly type: 'sent'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
+  | { readonly type: 'firstPiece'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
+  | {
+      readonly type: 'failed';
+      readonly at: Micros;
+      readonly exchange: string;
+      readonly attempt: number;
+      readonly sent: boolean;
+      /** How many pieces the caller has been given so far, over all tries. */
+      readonly pieces: number;
+      readonly error: DeliveryError;
+    }
+  | { readonly type: 'done'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
+  | { readonly type: 'abandoned'; readonly at: Micros; readonly exchange: string }
+  | { readonly type: 'dark'; readonly at: Micros; readonly server: ServerKey }
+  | { readonly type: 'light'; readonly at: Micros; readonly server: ServerKey }
+  | { readonly type: 'tick'; readonly at: Micros }
+  | { readonly type: 'drain'; readonly at: Micros };
--- /dev/null
+++ b/src/decision/machine/step/on-delivery.ts
@@ -0,0 +1,75 @@
+import type { DecisionEvent } from '../event/decision-event.js';
+import type { DecisionView } from '../view/decision-view.js';
+import type { ExchangeView } from '../view/exchange-view.js';
+import { andThen, overAll, still, type DecisionStep } from './decision-step.js';
+import { withExchange, withoutExchange, withoutServer } from './exchange-changes.js';
+import { landed, unfollowed } from './flights.js';
+import { giveUp } from './give-up.js';
+import { withTry } from './retry-allowance.js';
+import { route } from './route.js';
+import { warmed } from './warmth.js';
+
+type Attempted = Extract<DecisionEvent, { readonly type: 'sent' | 'firstPiece' | 'done' | 'failed' }>;
+type Failed = Extract<DecisionEvent, { readonly type: 'failed' }>;
+
+/** The exchange that an event of a try speaks of; late events of former tries speak of none. */
+const current = (view: DecisionView, event: Attempted): ExchangeView | undefined => {
+  const exchange = view.exchanges.get(event.exchange);
+  return exchange !== undefined && exchange.server !== undefined && exchange.attempt === event.attempt ? exchange : undefined;
+};
+
+const releaseAll = (view: DecisionView, followers: readonly string[]): DecisionStep => overAll(still(view), followers, route);
+
+export const onSent = (view: DecisionView, event: Attempted): DecisionStep => {
+  const exchange = current(view, event);
+  if (exchange === undefined || exchange.sent) return still(view);
+  const triedView = withTry(view, exchange.rule.service, exchange.nextIsExtra);
+  return still(withExchange(triedView, { ...exchange, sent: true, nextIsExtra: false }));
+};
+
+export const onFirstPiece = (view: DecisionView, event: Attempted): DecisionStep => {
+  const exchange = current(view, event);
+  if (exchange?.server === undefined) return still(view);
+  const landing = landed(warmed(view, exchange.server, exchange.prefix), exchange);
+  const startedExchange = landing.view.exchanges.get(exchange.exchange) ?? exchange;
+  return releaseAll(withExchange(landing.view, { ...startedExchange, started: true }), landing.followers);
+};
+
+export const onDone = (view: DecisionView, event: Attempted): DecisionStep => {
+  const exchange = current(view, event);
+  if (exchange?.server === undefined) return still(view);
+  const landing = landed(warmed(view, exchange.server, exchange.prefix), exchange);
+  const endedExchange = landing.view.exchanges.get(exchange.exchange) ?? exchange;
+  return releaseAll(withoutExchange(landing.view, endedExchange), landing.followers);
+};
+
+/** What to do after a broken try: nothing left means try elsewhere; else the rule of the kind decides. */
+export const onFailed = (view: DecisionView, event: Failed): DecisionStep => {
+  const exchange = current(view, event);
+  if (exchange === undefined) return still(view);
+  const wasSent = event.sent || exchange.sent;
+  const wasStarted = event.pieces > 0 || exchange.started;
+  const landing = landed(view, exchange);
+  const landedExchange = { ...(landing.view.exchanges.get(exchange.exchange) ?? exchange), sent: wasSent, started: wasStarted };
+  const releaseFollowers = (step: DecisionStep): DecisionStep => andThen(step, (nextView) => releaseAll(nextView, landing.followers));
+  const mayRun = !wasSent || (exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable));
+  if (!mayRun) return releaseFollowers(giveUp(withExchange(landing.view, landedExchange), landedExchange, 'outcome-unknown'));
+  const freedView = withoutServer(landing.view, landedExchange);
+  const freedExchange = freedView.exchanges.get(exchange.exchange) ?? landedExchange;
+  const retriedView = withExchange(freedView, {
+    ...freedExchange,
+    fromPiece: event.pieces,
+    nextIsExtra: wasSent || exchange.nextIsExtra,
+    holdUntilUs: wasStarted ? view.atUs : freedExchange.holdUntilUs,
+  });
+  return releaseFollowers(route(retriedView, exchange.exchange));
+};
+
+export const onAbandoned = (view: DecisionView, exchangeName: string): DecisionStep => {
+  const exchange = view.exchanges.get(exchangeName);
+  if (exchange === undefined) return still(view);
+  const freedView = unfollowed(view, exchange);
+  const landing = landed(freedView, freedView.exchanges.get(exchangeName) ?? exchange);
+  const endedExchange = landing.view.exchanges.get(exchangeName) ?? exchange;
+  return releaseAll(withoutExchange(landing.view, endedExchange), landing.followers);
+};
--- /dev/null
+++ b/src/decision/machine/step/on-exchange.ts
@@ -0,0 +1,54 @@
+import type { ErrorType } from '../../../common/error-type.js';
+import { heated } from '../../hotness/hotness.js';
+import { positionOf } from '../../ring/position.js';
+import type { DecisionEvent } from '../event/decision-event.js';
+import type { DecisionView } from '../view/decision-view.js';
+import { stepped, type DecisionStep } from './decision-step.js';
+import { withExchange } from './exchange-changes.js';
+import { retryAfterUs } from './give-up.js';
+import { route } from './route.js';
+
+type Arrival = Extract<DecisionEvent, { readonly type: 'exchange' }>;
+
+const refused = (view: DecisionView, event: Arrival, error: ErrorType): DecisionStep =>
+  stepped(view, { type: 'refuse', exchange: event.exchange, error, retryAfterUs });
+
+/** Admission by tier, and the first choice of a server. */
+export const onExchange = (view: DecisionView, event: Arrival): DecisionStep => {
+  if (view.draining) return refused(view, event, 'draining');
+  const setup = view.record?.setup;
+  if (setup === undefined || view.list === undefined) return refused(view, event, 'not-ready');
+  const rule = setup.rules.find((knownRule) => knownRule.kind === event.kind);
+  if (rule === undefined) return refused(view, event, 'unknown-kind');
+  const tierPlace = setup.tiers.findIndex((tier) => tier.name === rule.tier);
+  const tier = setup.tiers[tierPlace];
+  if (tier === undefined) return refused(view, event, 'unknown-kind');
+  const position = positionOf(event.prefix);
+  const isModel = view.stage.services.get(rule.service)?.type === 'model';
+  const touch = { prefix: event.prefix, position, service: rule.service, tierPlace, weight: tier.weight, atUs: view.atUs };
+  const heatedView = isModel ? { ...view, hotness: heated(view.hotness, touch) } : view;
+  if (view.exchanges.size >= Math.max(1, Math.floor(setup.pressure.slots * tier.share)))
+    return refused(heatedView, event, 'over-pressure');
+  return route(
+    withExchange(heatedView, {
+      exchange: event.exchange,
+      rule,
+      tierPlace,
+      prefix: event.prefix,
+      position,
+      dueUs: view.atUs + Math.min(rule.budgetUs, event.budgetUs ?? rule.budgetUs),
+      attempt: 0,
+      tried: [],
+      server: undefined,
+      deliveredUs: 0,
+      sent: false,
+      started: false,
+      fromPiece: 0,
+      nextIsExtra: false,
+      leads: undefined,
+      follows: undefined,
+      holdUntilUs: undefined,
+    }),
+    event.exchange,
+  );
+};
--- /dev/null
+++ b/src/decision/machine/step/on-list.ts
@@ -0,0 +1,26 @@
+import { withoutEntry } from '../../../common/maps.js';
+import type { ServerList } from '../../../servers/list/server-list.js';
+import { serverKeyOf } from '../../../servers/list/server-key.js';
+import type { DecisionView } from '../view/decision-view.js';
+import { still, type DecisionStep } from './decision-step.js';
+import { restage } from './restage.js';
+
+/** Merges a certain lower bound of the platform's time; it never goes back. */
+export const withPlatformUs = (view: DecisionView, platformUs: number): DecisionView => ({
+  ...view,
+  offsetUs: Math.max(view.offsetUs ?? Number.NEGATIVE_INFINITY, platformUs - view.atUs),
+});
+
+/** New weights mean that a server remembers nothing, though its links stay good. */
+const withoutOldWeights = (view: DecisionView, list: ServerList): DecisionView => ({
+  ...view,
+  warmth: list.servers.reduce((warmth, server) => {
+    const formerServer = view.list?.servers.find((listed) => serverKeyOf(listed) === serverKeyOf(server));
+    return formerServer !== undefined && formerServer.weights !== server.weights ? withoutEntry(warmth, serverKeyOf(server)) : warmth;
+  }, view.warmth),
+});
+
+export const onList = (view: DecisionView, list: ServerList): DecisionStep => {
+  if (view.list !== undefined && list.version <= view.list.version) return still(view);
+  return restage({ ...withPlatformUs(withoutOldWeights(view, list), list.atUs), list });
+};
--- /dev/null
+++ b/src/decision/machine/step/place.ts
@@ -0,0 +1,155 @@
+import type { ServerKey } from '../../../servers/list/server-key.js';
+import { flightKeyOf } from '../../flight/flight.js';
+import { scheduleOf } from '../../hotness/schedule.js';
+import { paceAllows, paceKeyOf } from '../../pace/pace.js';
+import { rangeHolds, type Range } from '../../ring/range.js';
+import { ownersFrom, vnodeIndexAt, type Ring } from '../../ring/ring.js';
+import type { Migration } from '../../timeline/migration.js';
+import type { ServiceStage } from '../../timeline/service-stage.js';
+import type { Reason } from '../effect/reason.js';
+import type { ReasonType } from '../effect/reason-type.js';
+import { platformUsOf, type DecisionView } from '../view/decision-view.js';
+import type { ExchangeView } from '../view/exchange-view.js';
+import type { Placement } from './placement.js';
+import { isCold } from './warmth.js';
+
+type Wish = {
+  readonly server: ServerKey;
+  readonly type: ReasonType;
+  readonly migration: Migration | undefined;
+  readonly range: Range | undefined;
+  readonly takesSlot: boolean;
+};
+
+const rangeIn = (migration: Migration, exchange: ExchangeView): Range | undefined =>
+  migration.ranges.find((range) => rangeHolds(range, exchange.position));
+
+/** The node's own part of the fleet's pace for one range. */
+const spanOf = (view: DecisionView, migration: Migration): number =>
+  migration.warmup.paceUs * (view.record?.setup.fleet.routers ?? 1);
+
+const isUsable = (view: DecisionView, stage: ServiceStage, exchange: ExchangeView, server: ServerKey): boolean =>
+  stage.allowed.has(server) && !view.dark.has(server) && !exchange.tried.includes(server);
+
+const hasFlight = (view: DecisionView, exchange: ExchangeView, server: ServerKey): boolean =>
+  view.flights.has(flightKeyOf(server, exchange.prefix));
+
+const hasPace = (view: DecisionView, range: Range): boolean => paceAllows(view.pace, paceKeyOf(range.to, range), view.atUs);
+
+/** Whether the schedule has come to this opening: one rank further with every slot of the range. */
+const isScheduled = (view: DecisionView, exchange: ExchangeView, migration: Migration, range: Range): boolean => {
+  const slot = Math.floor((platformUsOf(view) - migration.fromUs) / spanOf(view, migration));
+  if (slot < 0) return false;
+  const schedule = scheduleOf(view.hotness, exchange.rule.service, range, view.atUs, migration.warmup.prefixesPerRange);
+  const rank = schedule.indexOf(exchange.prefix);
+  return rank >= 0 && rank <= slot;
+};
+
+const settlingWish = (view: DecisionView, stage: ServiceStage, exchange: ExchangeView, owner: ServerKey): Wish => {
+  const plainWish: Wish = { server: owner, type: 'ring', migration: undefined, range: undefined, takesSlot: false };
+  if (!isCold(view, owner, exchange.prefix)) return plainWish;
+  for (const migration of stage.settling) {
+    const range = rangeIn(migration, exchange);
+    if (range?.to !== owner) continue;
+    if (hasFlight(view, exchange, owner)) return { ...plainWish, type: 'settling', migration, range };
+    if (hasPace(view, range)) return { server: owner, type: 'settling', migration, range, takesSlot: true };
+    if (range.from !== undefined && isUsable(view, stage, exchange, range.from))
+      return { server: range.from, type: 'paced-back', migration, range, takesSlot: false };
+  }
+  return plainWish;
+};
+
+const pendingWish = (
+  view: DecisionView,
+  stage: ServiceStage,
+  exchange: ExchangeView,
+  owner: ServerKey,
+  bound: number,
+): Wish | undefined => {
+  for (const migration of stage.pending) {
+    const range = rangeIn(migration, exchange);
+    if (range === undefined || !isUsable(view, stage, exchange, range.to)) continue;
+    if (range.from !== owner && !(migration.type === 'join' && stage.joining.some((server) => server === range.from))) continue;
+    if ((view.pressure.get(range.to) ?? 0) >= bound) continue;
+    const cold = isCold(view, range.to, exchange.prefix);
+    if (migration.type === 'join') {
+      const isDue = cold && !hasFlight(view, exchange, range.to) && hasPace(view, range);
+      if (isDue && isScheduled(view, exchange, migration, range))
+        return { server: range.to, type: 'warm-up', migration, range, takesSlot: true };
+      continue;
+    }
+    if (!cold) return { server: range.to, type: 'handing-over', migration, range, takesSlot: false };
+    if (!hasFlight(view, exchange, range.to) && hasPace(view, range))
+      return { server: range.to, type: 'handing-over', migration, range, takesSlot: true };
+  }
+  return undefined;
+};
+
+const pressureBoundOf = (view: DecisionView, usable: readonly ServerKey[]): number => {
+  const figures = view.record?.setup.pressure;
+  if (figures === undefined || usable.length === 0) return 1;
+  const total = usable.reduce((sum, server) => sum + (view.pressure.get(server) ?? 0), 0);
+  return Math.max(figures.floor, Math.ceil((figures.factor * (total + 1)) / usable.length));
+};
+
+const ringRangeOf = (ring: Ring, exchange: ExchangeView): Reason['range'] => {
+  const ownIndex = vnodeIndexAt(ring, exchange.position);
+  const ownVnode = ring.vnodes[ownIndex];
+  const previousVnode = ring.vnodes[(ownIndex + ring.vnodes.length - 1) % Math.max(1, ring.vnodes.length)];
+  return ownVnode === undefined || previousVnode === undefined
+    ? undefined
+    : { after: previousVnode.position, upTo: ownVnode.position };
+};
+
+/** Chooses the server for an exchange by the ring, its migrations, the pace and the pressure. */
+export const place = (view: DecisionView, exchange: ExchangeView): Placement | undefined => {
+  const stage = view.stage.services.get(exchange.rule.service);
+  if (stage === undefined) return undefined;
+  const owners = ownersFrom(stage.ring, exchange.position);
+  const usable = owners.filter((server) => isUsable(view, stage, exchange, server));
+  const bound = pressureBoundOf(view, usable);
+  const pressureOf = (server: ServerKey): number => view.pressure.get(server) ?? 0;
+  const placed = (wish: Wish): Placement => ({
+    server: wish.server,
+    slot:
+      wish.takesSlot && wish.migration !== undefined && wish.range !== undefined
+        ? { paceKey: paceKeyOf(wish.range.to, wish.range), spanUs: spanOf(view, wish.migration) }
+        : undefined,
+    reason: {
+      type: wish.type,
+      kind: exchange.rule.kind,
+      tier: exchange.rule.tier,
+      service: exchange.rule.service,
+      position: exchange.position,
+      range: wish.range === undefined ? ringRangeOf(stage.ring, exchange) : { after: wish.range.after, upTo: wish.range.upTo },
+      owners: owners.slice(0, 4),
+      migration: wish.migration?.name,
+      commitUs: wish.migration?.commitUs,
+      cold: stage.type === 'model' && isCold(view, wish.server, exchange.prefix),
+      pressure: pressureOf(wish.server),
+      pressureBound: bound,
+    },
+  });
+  const plain = (server: ServerKey, type: ReasonType): Placement =>
+    placed({ server, type, migration: undefined, range: undefined, takesSlot: false });
+
+  const firstOwner = owners[0];
+  const nearestOwner = usable[0];
+  if (firstOwner === undefined || nearestOwner === undefined) {
+    const joiningServer = stage.joining
+      .filter((server) => isUsable(view, stage, exchange, server))
+      .sort((left, right) => pressureOf(left) - pressureOf(right))[0];
+    return joiningServer === undefined ? undefined : plain(joiningServer, 'emergency');
+  }
+  if (stage.type === 'web') {
+    const calmestServer = [...usable].sort((left, right) => pressureOf(left) - pressureOf(right))[0] ?? nearestOwner;
+    return plain(calmestServer, calmestServer === firstOwner ? 'ring' : 'spill');
+  }
+  const migrationWish = nearestOwner === firstOwner ? pendingWish(view, stage, exchange, firstOwner, bound) : undefined;
+  if (migrationWish !== undefined) return placed(migrationWish);
+  const ringWish = settlingWish(view, stage, exchange, nearestOwner);
+  if (pressureOf(ringWish.server) < bound)
+    return placed(nearestOwner === firstOwner || ringWish.type !== 'ring' ? ringWish : { ...ringWish, type: 'dark-owner' });
+  const spillServer = usable.find((server) => pressureOf(server) < bound) ?? nearestOwner;
+  return plain(spillServer, 'spill');
+};
--- /dev/null
+++ b/src/decision/machine/step/placement.ts
@@ -0,0 +1,11 @@
+import type { Micros } from '../../../common/micros.js';
+import type { ServerKey } from '../../../servers/list/server-key.js';
+import type { PaceKey } from '../../pace/pace.js';
+import type { Reason } from '../effect/reason.js';
+
+/** Where an exchange is to go, and the slot that this takes. */
+export type Placement = {
+  readonly server: ServerKey;
+  readonly reason: Reason;
+  readonly slot: { readonly paceKey: PaceKey; readonly spanUs: Micros } | undefined;
+};
--- /dev/null
+++ b/src/decision/machine/step/restage.ts
@@ -0,0 +1,56 @@
+import { serverKeyOf } from '../../../servers/list/server-key.js';
+import { stageAt } from '../../timeline/stage.js';
+import type { Migration } from '../../timeline/migration.js';
+import type { Decision } from '../effect/decision.js';
+import { platformUsOf, type DecisionView } from '../view/decision-view.js';
+import { still, type DecisionStep } from './decision-step.js';
+
+const bookedDecision = (service: string, migration: Migration): readonly Decision[] =>
+  migration.key === undefined
+    ? []
+    : [
+        {
+          type: 'booked',
+          server: migration.key,
+          service,
+          sinceUs: migration.fromUs,
+          entryUs: migration.commitUs,
+          ranges: migration.ranges.length,
+        },
+      ];
+
+/** Derives the stage anew from setup, list and time, and tells what changed on the time line. */
+export const restage = (view: DecisionView): DecisionStep => {
+  if (view.record === undefined || view.list === undefined) return still(view);
+  const stage = stageAt(view.record, view.list, platformUsOf(view));
+  const pendingJoins = [...stage.services.values()].flatMap((serviceStage) =>
+    serviceStage.pending
+      .filter((migration) => migration.type === 'join')
+      .map((migration) => ({ service: serviceStage.service, migration })),
+  );
+  const joining = new Map(
+    pendingJoins.flatMap(({ service, migration }) =>
+      migration.key === undefined ? [] : [[migration.key, { service, entryUs: migration.commitUs }] as const],
+    ),
+  );
+  const bookedDecisions = pendingJoins
+    .filter(({ migration }) => migration.key !== undefined && view.joining.get(migration.key)?.entryUs !== migration.commitUs)
+    .flatMap(({ service, migration }) => bookedDecision(service, migration));
+  const endedDecisions = [...view.joining]
+    .filter(([key]) => !joining.has(key))
+    .map(([key, { service, entryUs }]): Decision => {
+      const isInRing = stage.services.get(service)?.ring.vnodes.some((vnode) => vnode.owner === key) ?? false;
+      return isInRing ? { type: 'entered', server: key, service, entryUs } : { type: 'withdrawn', server: key, service };
+    });
+  const listedKeys = new Set(view.list.servers.map(serverKeyOf));
+  return {
+    view: {
+      ...view,
+      stage,
+      joining,
+      warmth: new Map([...view.warmth].filter(([key]) => listedKeys.has(key))),
+      dark: new Set([...view.dark].filter((key) => listedKeys.has(key))),
+    },
+    effects: [...endedDecisions, ...bookedDecisions],
+  };
+};
--- /dev/null
+++ b/src/decision/machine/step/retry-allowance.ts
@@ -0,0 +1,20 @@
+import { withEntry } from '../../../common/maps.js';
+import { mayTryAgain } from '../../retry/retry-budget.js';
+import { triesAfter, windowUs } from '../../retry/tries.js';
+import type { DecisionView } from '../view/decision-view.js';
+
+/** Whether this node may make one more extra try to a service now. */
+export const hasRetryAllowance = (view: DecisionView, service: string): boolean => {
+  const setup = view.record?.setup;
+  if (setup === undefined || view.startedUs === undefined) return false;
+  const isJustStarted = view.atUs < view.startedUs + windowUs;
+  return mayTryAgain(view.tries.get(service) ?? [], view.atUs, {
+    fraction: setup.retry.fraction,
+    constant: isJustStarted ? 0 : setup.retry.fleetExtra / setup.fleet.routers,
+  });
+};
+
+export const withTry = (view: DecisionView, service: string, isExtra: boolean): DecisionView => ({
+  ...view,
+  tries: withEntry(view.tries, service, triesAfter(view.tries.get(service) ?? [], view.atUs, isExtra)),
+});
--- /dev/null
+++ b/src/decision/machine/step/route.ts
@@ -0,0 +1,68 @@
+import { flightKeyOf } from '../../flight/flight.js';
+import { paceTaken } from '../../pace/pace.js';
+import type { Decision } from '../effect/decision.js';
+import type { DecisionView } from '../view/decision-view.js';
+import type { ExchangeView } from '../view/exchange-view.js';
+import { stepped, still, type DecisionStep } from './decision-step.js';
+import { withExchange, withPressure } from './exchange-changes.js';
+import { withFlight } from './flights.js';
+import { giveUp } from './give-up.js';
+import { place } from './place.js';
+import type { Placement } from './placement.js';
+import { hasRetryAllowance } from './retry-allowance.js';
+
+const held = (view: DecisionView, exchange: ExchangeView, placement: Placement, leader: string): DecisionStep => {
+  const flightKey = flightKeyOf(placement.server, exchange.prefix);
+  const flight = view.flights.get(flightKey);
+  const untilUs = exchange.holdUntilUs ?? Math.min(exchange.dueUs, view.atUs + (view.record?.setup.flight.boundUs ?? 0));
+  const heldView = withExchange(view, { ...exchange, holdUntilUs: untilUs, follows: flightKey });
+  return stepped(
+    flight === undefined
+      ? heldView
+      : withFlight(heldView, flightKey, { ...flight, followers: [...flight.followers, exchange.exchange] }),
+    { type: 'hold', exchange: exchange.exchange, behind: leader, server: placement.server, untilUs, reason: placement.reason },
+  );
+};
+
+const delivered = (view: DecisionView, exchange: ExchangeView, placement: Placement): DecisionStep => {
+  const flightKey = flightKeyOf(placement.server, exchange.prefix);
+  const leads = placement.reason.cold && !view.flights.has(flightKey);
+  const attempt = exchange.attempt + 1;
+  const deliveredView = withExchange(withPressure(view, placement.server, 1), {
+    ...exchange,
+    attempt,
+    server: placement.server,
+    tried: [...exchange.tried, placement.server],
+    deliveredUs: view.atUs,
+    sent: false,
+    leads: leads ? flightKey : undefined,
+  });
+  const pacedView =
+    placement.slot === undefined
+      ? deliveredView
+      : { ...deliveredView, pace: paceTaken(view.pace, placement.slot.paceKey, view.atUs, placement.slot.spanUs) };
+  const decision: Decision = {
+    type: 'deliver',
+    exchange: exchange.exchange,
+    attempt,
+    server: placement.server,
+    fromPiece: exchange.fromPiece,
+    extra: exchange.nextIsExtra,
+    reason: placement.reason,
+  };
+  return stepped(leads ? withFlight(pacedView, flightKey, { leader: exchange.exchange, followers: [] }) : pacedView, decision);
+};
+
+/** Sends an exchange on its way: to a server, behind a prefill, or back with an error. */
+export const route = (view: DecisionView, exchangeName: string): DecisionStep => {
+  const exchange = view.exchanges.get(exchangeName);
+  if (exchange === undefined || exchange.server !== undefined || exchange.follows !== undefined) return still(view);
+  const placement = place(view, exchange);
+  if (placement === undefined) return giveUp(view, exchange, 'no-server');
+  if (exchange.nextIsExtra && !hasRetryAllowance(view, exchange.rule.service)) return giveUp(view, exchange, 'outcome-unknown');
+  const flight = view.flights.get(flightKeyOf(placement.server, exchange.prefix));
+  const mayWait = exchange.holdUntilUs === undefined || view.atUs < exchange.holdUntilUs;
+  return placement.reason.cold && flight !== undefined && mayWait
+    ? held(view, exchange, placement, flight.leader)
+    : delivered(view, exchange, placement);
+};
--- /dev/null
+++ b/src/decision/machine/step/step.ts
@@ -0,0 +1,59 @@
+import type { DecisionEvent } from '../event/decision-event.js';
+import { platformUsOf, type DecisionView } from '../view/decision-view.js';
+import { still, type DecisionStep } from './decision-step.js';
+import { onAbandoned, onDone, onFailed, onFirstPiece, onSent } from './on-delivery.js';
+import { onExchange } from './on-exchange.js';
+import { onList, withPlatformUs } from './on-list.js';
+import { onTick } from './on-tick.js';
+import { restage } from './restage.js';
+
+const onTime = (view: DecisionView): DecisionStep =>
+  platformUsOf(view) >= view.stage.nextChangeUs ? restage(view) : still(view);
+
+const onEvent = (view: DecisionView, event: DecisionEvent): DecisionStep => {
+  switch (event.type) {
+    case 'setup':
+      return view.record !== undefined && event.record.revision <= view.record.revision
+        ? still(view)
+        : restage({ ...view, record: event.record });
+    case 'list':
+      return onList(view, event.list);
+    case 'time':
+      return onTime(withPlatformUs(view, event.platformUs));
+    case 'exchange':
+      return onExchange(view, event);
+    case 'sent':
+      return onSent(view, event);
+    case 'firstPiece':
+      return onFirstPiece(view, event);
+    case 'done':
+      return onDone(view, event);
+    case 'failed':
+      return onFailed(view, event);
+    case 'abandoned':
+      return onAbandoned(view, event.exchange);
+    case 'dark':
+      return still({ ...view, dark: new Set([...view.dark, event.server]) });
+    case 'light':
+      return still({ ...view, dark: new Set([...view.dark].filter((key) => key !== event.server)) });
+    case 'tick':
+      return onTick(view);
+    case 'drain':
+      return still({ ...view, draining: true });
+  }
+};
+
+/** The decision machine: one event in, a new view and its decisions out; no clock, no chance, no I/O. */
+export const stepDecision = (view: DecisionView, event: DecisionEvent): DecisionStep => {
+  const nowView: DecisionView = {
+    ...view,
+    atUs: Math.max(view.atUs, event.at),
+    startedUs: view.startedUs ?? event.at,
+  };
+  if (event.type !== 'tick' && platformUsOf(nowView) >= nowView.stage.nextChangeUs) {
+    const staged = restage(nowView);
+    const step = onEvent(staged.view, event);
+    return { view: step.view, effects: [...staged.effects, ...step.effects] };
+  }
+  return onEvent(nowView, event);
+};
--- /dev/null
+++ b/src/decision/machine/view/decision-view.ts
@@ -0,0 +1,54 @@
+import type { Micros } from '../../../common/micros.js';
+import type { ServerKey } from '../../../servers/list/server-key.js';
+import type { ServerList } from '../../../servers/list/server-list.js';
+import type { SetupRecord } from '../../../setup/document/setup-record.js';
+import type { Flight, FlightKey } from '../../flight/flight.js';
+import type { Hotness } from '../../hotness/hotness.js';
+import type { Pace } from '../../pace/pace.js';
+import type { Tries } from '../../retry/tries.js';
+import type { Prefix } from '../../ring/prefix.js';
+import type { Stage } from '../../timeline/stage.js';
+import type { ExchangeView } from './exchange-view.js';
+
+/** The whole view of the decision machine. */
+export type DecisionView = {
+  readonly atUs: Micros;
+  readonly startedUs: Micros | undefined;
+  /** Platform time less steady time, the least that is certain; it only grows. */
+  readonly offsetUs: Micros | undefined;
+  readonly record: SetupRecord | undefined;
+  readonly list: ServerList | undefined;
+  readonly stage: Stage;
+  readonly joining: ReadonlyMap<ServerKey, { readonly service: string; readonly entryUs: Micros }>;
+  readonly hotness: Hotness;
+  readonly warmth: ReadonlyMap<ServerKey, ReadonlyMap<Prefix, Micros>>;
+  readonly pace: Pace;
+  readonly flights: ReadonlyMap<FlightKey, Flight>;
+  readonly exchanges: ReadonlyMap<string, ExchangeView>;
+  readonly pressure: ReadonlyMap<ServerKey, number>;
+  readonly dark: ReadonlySet<ServerKey>;
+  readonly tries: ReadonlyMap<string, Tries>;
+  readonly draining: boolean;
+};
+
+export const startDecisionView: DecisionView = {
+  atUs: 0,
+  startedUs: undefined,
+  offsetUs: undefined,
+  record: undefined,
+  list: undefined,
+  stage: { services: new Map(), nextChangeUs: Number.POSITIVE_INFINITY },
+  joining: new Map(),
+  hotness: new Map(),
+  warmth: new Map(),
+  pace: new Map(),
+  flights: new Map(),
+  exchanges: new Map(),
+  pressure: new Map(),
+  dark: new Set(),
+  tries: new Map(),
+  draining: false,
+};
+
+/** The platform's time at this view's moment. */
+export const platformUsOf = (view: DecisionView): Micros => view.atUs + (view.offsetUs ?? 0);
--- /dev/null
+++ b/src/decision/timeline/migration-type.ts
@@ -0,0 +1,2 @@
+/** The changes of a ring; each is a migration. */
+export type MigrationType = 'join' | 'leave' | 'rebalance';
--- /dev/null
+++ b/src/decision/timeline/stage.ts
@@ -0,0 +1,125 @@
+import type { Micros } from '../../common/micros.js';
+import type { ListedServer } from '../../servers/list/listed-server.js';
+import type { ServerList } from '../../servers/list/server-list.js';
+import type { Service } from '../../setup/document/service.js';
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { Warmup } from '../../setup/document/warmup.js';
+import { previewRanges } from '../ring/preview.js';
+import { ringOf, type Ring } from '../ring/ring.js';
+import type { Booking } from './booking.js';
+import { bookingsOf, warmupAt } from './bookings.js';
+import type { Migration } from './migration.js';
+import type { ServiceStage } from './service-stage.js';
+
+/** How all services stand at a moment, and when that next changes by itself. */
+export type Stage = {
+  readonly services: ReadonlyMap<string, ServiceStage>;
+  readonly nextChangeUs: Micros;
+};
+
+const goneAt = (server: ListedServer, record: SetupRecord): Micros =>
+  server.state === 'leaving' && server.leavingAtUs !== undefined
+    ? server.leavingAtUs + record.setup.leaving.graceUs
+    : Number.POSITIVE_INFINITY;
+
+const ringOfBookings = (bookings: readonly Booking[], warmup: Warmup): Ring =>
+  ringOf(
+    bookings.map((booking) => ({ key: booking.key, id: booking.server.id })),
+    warmup.vnodes,
+  );
+
+const isUp = (booking: Booking): boolean => booking.server.state === 'up';
+
+const joinOf = (booking: Booking, others: readonly Booking[], warmup: Warmup): Migration => {
+  const before = ringOfBookings(others, warmup);
+  const after = ringOfBookings([...others, booking], warmup);
+  return {
+    type: 'join',
+    name: `join ${booking.server.id}`,
+    key: booking.key,
+    fromUs: booking.sinceUs,
+    commitUs: booking.entryUs,
+    settledUs: booking.entryUs + booking.warmup.settleUs,
+    ranges: previewRanges(before, after),
+    warmup: booking.warmup,
+  };
+};
+
+const leaveOf = (booking: Booking, staying: readonly Booking[], record: SetupRecord, warmup: Warmup): Migration => {
+  const commitUs = goneAt(booking.server, record);
+  return {
+    type: 'leave',
+    name: `leave ${booking.server.id}`,
+    key: booking.key,
+    fromUs: booking.server.leavingAtUs ?? commitUs,
+    commitUs,
+    settledUs: commitUs,
+    ranges: previewRanges(ringOfBookings([...staying, booking], warmup), ringOfBookings(staying, warmup)),
+    warmup,
+  };
+};
+
+const rebalanceOf = (entered: readonly Booking[], record: SetupRecord, platformUs: Micros): Migration | undefined => {
+  const currentEpoch = record.epochs.findLast((epoch) => epoch.sinceUs <= platformUs);
+  const earlierEpoch = currentEpoch && record.epochs[record.epochs.indexOf(currentEpoch) - 1];
+  if (currentEpoch === undefined || earlierEpoch === undefined) return undefined;
+  if (currentEpoch.warmup.vnodes === earlierEpoch.warmup.vnodes) return undefined;
+  const warmup = currentEpoch.warmup;
+  const commitUs = currentEpoch.sinceUs + Math.min(warmup.boundUs, warmup.prefixesPerRange * warmup.paceUs);
+  if (platformUs >= commitUs + warmup.settleUs) return undefined;
+  return {
+    type: 'rebalance',
+    name: `rebalance to ${warmup.vnodes} vnodes`,
+    key: undefined,
+    fromUs: currentEpoch.sinceUs,
+    commitUs,
+    settledUs: commitUs + warmup.settleUs,
+    ranges: previewRanges(ringOfBookings(entered, earlierEpoch.warmup), ringOfBookings(entered, warmup)),
+    warmup,
+  };
+};
+
+const serviceStageAt = (service: Service, record: SetupRecord, list: ServerList, platformUs: Micros): ServiceStage => {
+  const bookings = bookingsOf(record, list.servers, service.name, service.type);
+  const present = bookings.filter((booking) => platformUs < goneAt(booking.server, record));
+  const entered = present.filter((booking) => booking.entryUs <= platformUs);
+  const booked = present.filter((booking) => booking.entryUs > platformUs && isUp(booking));
+  const rebalance = rebalanceOf(entered, record, platformUs);
+  const epochWarmup = warmupAt(record, platformUs);
+  const earlierWarmup = record.epochs[record.epochs.findLastIndex((epoch) => epoch.sinceUs <= platformUs) - 1]?.warmup;
+  const ringWarmup = rebalance !== undefined && platformUs < rebalance.commitUs && earlierWarmup !== undefined ? earlierWarmup : epochWarmup;
+  const pendingJoins = booked.map((booking, index) => joinOf(booking, [...entered, ...booked.slice(0, index)], ringWarmup));
+  const pendingLeaves = entered
+    .filter((booking) => !isUp(booking))
+    .map((booking) => leaveOf(booking, entered.filter(isUp), record, ringWarmup));
+  const pendingRebalance = rebalance !== undefined && platformUs < rebalance.commitUs ? [rebalance] : [];
+  const settledRebalance = rebalance !== undefined && platformUs >= rebalance.commitUs ? [rebalance] : [];
+  const settlingJoins = entered
+    .filter((booking) => booking.entryUs > booking.sinceUs && platformUs < booking.entryUs + booking.warmup.settleUs)
+    .map((booking) => joinOf(booking, entered.filter((other) => other.key !== booking.key), ringWarmup));
+  return {
+    service: service.name,
+    type: service.type,
+    ring: ringOfBookings(entered, ringWarmup),
+    pending: service.type === 'web' ? [] : [...pendingJoins, ...pendingLeaves, ...pendingRebalance],
+    settling: service.type === 'web' ? [] : [...settlingJoins, ...settledRebalance],
+    joining: booked.map((booking) => booking.key),
+    allowed: new Set(present.map((booking) => booking.key)),
+  };
+};
+
+const changesOf = (stage: ServiceStage, list: ServerList, record: SetupRecord): readonly Micros[] => [
+  ...stage.pending.map((migration) => migration.commitUs),
+  ...stage.settling.map((migration) => migration.settledUs),
+  ...list.servers.filter((server) => server.service === stage.service).map((server) => goneAt(server, record)),
+];
+
+/** The stage of the time line at a moment of the platform's time: a pure function of setup, list and moment. */
+export const stageAt = (record: SetupRecord, list: ServerList, platformUs: Micros): Stage => {
+  const stages = record.setup.services.map((service) => serviceStageAt(service, record, list, platformUs));
+  const laterChanges = stages.flatMap((stage) => changesOf(stage, list, record)).filter((changeUs) => changeUs > platformUs);
+  return {
+    services: new Map(stages.map((stage) => [stage.service, stage])),
+    nextChangeUs: laterChanges.reduce((least, changeUs) => Math.min(least, changeUs), Number.POSITIVE_INFINITY),
+  };
+};
--- /dev/null
+++ b/src/decision/trace/event-schemas.ts
@@ -0,0 +1,45 @@
+import { boolean, number, object, string, type Schema } from 'yup';
+import { typed } from '../../common/union.js';
+import { listSchema } from '../../servers/list/check-list.js';
+import { recordSchema } from '../../setup/check/record-schema.js';
+import type { DecisionEvent } from '../machine/event/decision-event.js';
+
+const at = () => number().required().integer().min(0);
+const name = () => string().required().min(1).max(256);
+const attempt = () => number().required().integer().min(1);
+
+
+
+const deliveryErrors = ['no-link', 'link-lost', 'wrong-service', 'turned-away', 'server-error', 'too-slow', 'bad-stream'] as const;
+
+/** The checked form of each event, by its type. */
+export const eventSchemas: { readonly [T in DecisionEvent['type']]: Schema<DecisionEvent> } = {
+  setup: object({ type: typed('setup'), at: at(), record: recordSchema }).noUnknown(),
+  list: object({ type: typed('list'), at: at(), list: listSchema }).noUnknown(),
+  time: object({ type: typed('time'), at: at(), platformUs: at() }).noUnknown(),
+  exchange: object({
+    type: typed('exchange'),
+    at: at(),
+    exchange: name(),
+    kind: name(),
+    prefix: name(),
+    budgetUs: number().integer().min(1),
+  }).noUnknown(),
+  sent: object({ type: typed('sent'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
+  firstPiece: object({ type: typed('firstPiece'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
+  failed: object({
+    type: typed('failed'),
+    at: at(),
+    exchange: name(),
+    attempt: attempt(),
+    sent: boolean().required(),
+    pieces: at(),
+    error: string().required().oneOf(deliveryErrors),
+  }).noUnknown(),
+  done: object({ type: typed('done'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
+  abandoned: object({ type: typed('abandoned'), at: at(), exchange: name() }).noUnknown(),
+  dark: object({ type: typed('dark'), at: at(), server: name() }).noUnknown(),
+  light: object({ type: typed('light'), at: at(), server: name() }).noUnknown(),
+  tick: object({ type: typed('tick'), at: at() }).noUnknown(),
+  drain: object({ type: typed('drain'), at: at() }).noUnknown(),
+};
--- /dev/null
+++ b/src/disk/disk-ring.ts
@@ -0,0 +1,95 @@
+import { Left, Right, type Either } from 'purify-ts';
+import { typedError, type TypedError } from '../common/typed-error.js';
+import { readRingFile, type FileContent } from './read-file.js';
+import { encodeRecord, firstRecordOffset, paddedLength } from './record-format.js';
+import type { RingFile } from './ring-file.js';
+import { encodeMark, markOffsetOf } from './synced-mark.js';
+
+/** What a ring gave back when it was opened: an image and the records after it. */
+export type Recovered = {
+  readonly image: Buffer | undefined;
+  readonly records: readonly Buffer[];
+};
+
+/** A ring of preallocated files. A record is kept once `append` has ended. */
+export type DiskRing = {
+  readonly recovered: Recovered;
+  /** Appends and syncs one record; when the file is full the image, which holds the record, opens the next file. */
+  readonly append: (record: Uint8Array, image: () => Uint8Array) => Promise<Either<TypedError, void>>;
+  readonly close: () => Promise<void>;
+};
+
+type OpenFile = { readonly file: RingFile; readonly content: FileContent };
+
+const newestOf = (openFiles: readonly OpenFile[]): Either<TypedError, OpenFile | undefined> => {
+  const usedFiles = openFiles.filter(({ content }) => content.generation > 0);
+  const newestFirst = [...usedFiles].sort((left, right) => right.content.generation - left.content.generation);
+  const [newestFile, formerFile] = newestFirst;
+  if (newestFile === undefined || newestFile.content.complete) return Right(newestFile);
+  if (newestFile.content.generation === 1) return Right(undefined);
+  return formerFile?.content.complete && formerFile.content.generation === newestFile.content.generation - 1
+    ? Right(formerFile)
+    : Left(typedError('damaged-disk', `no whole image is left: generation ${newestFile.content.generation} does not hold`));
+};
+
+/** Opens a ring over its files, and recovers what was synced. */
+export const openDiskRing = async (files: readonly RingFile[]): Promise<Either<TypedError, DiskRing>> => {
+  const openFiles: OpenFile[] = [];
+  for (const [index, file] of files.entries()) {
+    const content = readRingFile(await file.read(), `ring file ${index}`);
+    if (content.isLeft()) return Left(content.extract());
+    content.ifRight((readContent) => openFiles.push({ file, content: readContent }));
+  }
+  return newestOf(openFiles).map((newestFile) => {
+    let generation = newestFile?.content.generation ?? 0;
+    let currentFile = newestFile?.file;
+    let sequence = newestFile?.content.payloads.length ?? 0;
+    let offset = newestFile?.content.endOffset ?? firstRecordOffset;
+
+    const mark = async (file: RingFile, syncedSequence: number): Promise<void> =>
+      file.write(markOffsetOf(syncedSequence), encodeMark({ generation, sequence: syncedSequence }));
+
+    const turnOver = async (image: Uint8Array): Promise<Either<TypedError, void>> => {
+      const nextIndex = (currentFile === undefined ? 0 : files.indexOf(currentFile) + 1) % files.length;
+      const nextFile = files[nextIndex];
+      if (nextFile === undefined || firstRecordOffset + paddedLength(image.length) > nextFile.size)
+        return Left(typedError('disk-error', `an image of ${image.length} bytes does not fit into a ring file`));
+      const nextGeneration = generation + 1;
+      await nextFile.write(0, Buffer.alloc(firstRecordOffset));
+      await nextFile.write(0, encodeRecord(nextGeneration, 0, Buffer.from('ledgehill')));
+      await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, image));
+      await nextFile.sync();
+      generation = nextGeneration;
+      currentFile = nextFile;
+      sequence = 1;
+      offset = firstRecordOffset + paddedLength(image.length);
+      await mark(nextFile, 0);
+      return Right(undefined);
+    };
+
+    const append = async (record: Uint8Array, image: () => Uint8Array): Promise<Either<TypedError, void>> => {
+      try {
+        if (currentFile === undefined || offset + paddedLength(record.length) > currentFile.size) return await turnOver(image());
+        await currentFile.write(offset, encodeRecord(generation, sequence, record));
+        await currentFile.sync();
+        await mark(currentFile, sequence);
+        offset += paddedLength(record.length);
+        sequence += 1;
+        return Right(undefined);
+      } catch (thrown) {
+        return Left(typedError('disk-error', thrown instanceof Error ? thrown.message : String(thrown)));
+      }
+    };
+
+    return {
+      recovered: {
+        image: newestFile?.content.payloads[0],
+        records: newestFile?.content.payloads.slice(1) ?? [],
+      },
+      append,
+      close: async () => {
+        for (const file of files) await file.close();
+      },
+    };
+  });
+};
--- /dev/null
+++ b/src/disk/ring-file.ts
@@ -0,0 +1,8 @@
+/** One preallocated file of the ring, as the ring needs it. */
+export type RingFile = {
+  readonly size: number;
+  readonly read: () => Promise<Buffer>;
+  readonly write: (offset: number, bytes: Uint8Array) => Promise<void>;
+  readonly sync: () => Promise<void>;
+  readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/src/process/control-task.ts
@@ -0,0 +1,166 @@
+import { randomBytes } from 'node:crypto';
+import { EitherAsync, type Either } from 'purify-ts';
+import { steadyNow } from '../common/micros.js';
+import type { TypedError } from '../common/typed-error.js';
+import { imageRecordsOf, recoveredView } from '../control/keeping/recover.js';
+import type { KeptRecord } from '../control/log/kept-record.js';
+import type { ControlEffect } from '../control/machine/control-effect.js';
+import type { ControlEvent } from '../control/machine/control-event.js';
+import { startControlView, type ControlView } from '../control/machine/control-view.js';
+import { membersOf } from '../control/machine/log-reading.js';
+import { stepControl } from '../control/machine/step.js';
+import { encodeKept, sequenceKept } from '../control/wire/kept-codec.js';
+import { messageOfPlain, plainMessageOf } from '../control/wire/message-codec.js';
+import type { DiskRing } from '../disk/disk-ring.js';
+import { openRingFolder } from '../disk/open-folder.js';
+import type { Counters } from './counters.js';
+import type { Log } from './log.js';
+import { openMailbox } from './mailbox.js';
+import type { ControlSettings } from './settings/control-settings.js';
+import type { SpreadTask } from './spread-task.js';
+
+/** The task that owns the control machine and its disk. */
+export type ControlTask = {
+  readonly view: () => ControlView;
+  readonly start: () => void;
+  readonly resign: () => Promise<void>;
+  readonly close: () => Promise<void>;
+};
+
+const tickMillis = 25;
+
+const carriesChance = (): number => Math.random();
+
+const bornOn = async (ring: DiskRing, settings: ControlSettings): Promise<Either<TypedError, ControlView>> => {
+  const recovered = [...(ring.recovered.image === undefined ? [] : [ring.recovered.image]), ...ring.recovered.records];
+  const freshView = startControlView(`${settings.node}-${randomBytes(6).toString('hex')}`, settings.partners, settings.seeds);
+  if (recovered.length > 0) return sequenceKept(recovered).map((records) => recoveredView(freshView, records));
+  const kept = await ring.append(new Uint8Array(0), () => encodeKept([{ type: 'identity', identity: freshView.identity }]));
+  return kept.map(() => freshView);
+};
+
+/** Opens the disk and the machine on it. `fail` is called once when the disk can no longer be written. */
+export const openControlTask = (
+  settings: ControlSettings,
+  spread: SpreadTask,
+  log: Log,
+  counters: Counters,
+  fail: (error: TypedError) => void,
+): EitherAsync<TypedError, ControlTask> =>
+  openRingFolder(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }).chain((ring) =>
+    EitherAsync(async ({ liftEither }) => {
+      const bornView = await liftEither(await bornOn(ring, settings));
+      let view = bornView;
+      let hasFailed = false;
+      let syncStartedUs: number | undefined;
+      let tickTimer: NodeJS.Timeout | undefined;
+      const knownAddresses = new Map<string, string>();
+      const askAddresses = new Map<string, string>();
+
+      const addressOf = (identity: string): string | undefined =>
+        membersOf(view).find((member) => member.identity === identity)?.address ?? knownAddresses.get(identity);
+
+      const carryOut = (effect: ControlEffect): void => {
+        switch (effect.type) {
+          case 'keep':
+            return;
+          case 'send': {
+            const address = addressOf(effect.to);
+            if (address !== undefined)
+              spread.send(address, { type: 'control', identity: view.identity, message: plainMessageOf(effect.message) });
+            return;
+          }
+          case 'sendTo':
+            spread.send(effect.address, { type: 'control', identity: view.identity, message: plainMessageOf(effect.message) });
+            return;
+          case 'answer': {
+            const address = askAddresses.get(effect.ask);
+            askAddresses.delete(effect.ask);
+            if (address === undefined) return;
+            const answer =
+              effect.answer.type === 'not-leader' && effect.answer.leader !== undefined
+                ? { ...effect.answer, leader: addressOf(effect.answer.leader) }
+                : effect.answer;
+            spread.send(address, { type: 'answer', ask: effect.ask, answer });
+            return;
+          }
+          case 'taken':
+            counters.count('setups.taken');
+            spread.offerSetup(effect.record);
+            return;
+          case 'role':
+            log.change('role', { role: effect.role, term: effect.term, leader: effect.leader });
+            return;
+          case 'members':
+            log.change('members', { members: effect.members });
+            return;
+        }
+      };
+
+      const keepAll = async (records: readonly KeptRecord[]): Promise<boolean> => {
+        if (records.length === 0) return true;
+        syncStartedUs = steadyNow();
+        const kept = await ring.append(encodeKept(records), () => encodeKept(imageRecordsOf(view)));
+        counters.count('disk.syncs');
+        counters.count('disk.syncUs', steadyNow() - syncStartedUs);
+        syncStartedUs = undefined;
+        kept.ifLeft((error) => {
+          hasFailed = true;
+          fail(error);
+        });
+        return kept.isRight();
+      };
+
+      const mailbox = openMailbox<ControlEvent>(async (events) => {
+        if (hasFailed) return;
+        const effects: ControlEffect[] = [];
+        for (const event of events) {
+          const step = stepControl(view, event);
+          view = step.view;
+          effects.push(...step.effects);
+        }
+        const records = effects.flatMap((effect) => (effect.type === 'keep' ? [effect.record] : []));
+        if (await keepAll(records)) effects.forEach(carryOut);
+      });
+
+      spread.events.on('control', (from, frame) => {
+        knownAddresses.set(frame.identity, from);
+        mailbox.post({
+          type: 'message',
+          at: steadyNow(),
+          chance: carriesChance(),
+          from: frame.identity,
+          message: messageOfPlain(frame.message),
+        });
+      });
+      spread.events.on('ask', (from, { ask, question }) => {
+        askAddresses.set(ask, from);
+        if (askAddresses.size > 10_000) askAddresses.delete(askAddresses.keys().next().value ?? ask);
+        mailbox.post(
+          question.type === 'read'
+            ? { type: 'read', at: steadyNow(), ask, proposal: question.proposal }
+            : { type: 'propose', at: steadyNow(), ask, command: question.command },
+        );
+      });
+      counters.gauge('control.term', () => view.term);
+      counters.gauge('control.commit', () => view.commit);
+      counters.gauge('control.leads', () => (view.role === 'leader' ? 1 : 0));
+      counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : steadyNow() - syncStartedUs));
+
+      return {
+        view: () => view,
+        start: () => {
+          tickTimer = setInterval(() => mailbox.post({ type: 'tick', at: steadyNow(), chance: carriesChance() }), tickMillis);
+        },
+        resign: async () => {
+          mailbox.post({ type: 'resign', at: steadyNow(), chance: carriesChance() });
+          await mailbox.idle();
+        },
+        close: async () => {
+          clearInterval(tickTimer);
+          await mailbox.idle();
+          await ring.close();
+        },
+      };
+    }),
+  );
--- /dev/null
+++ b/src/process/http/http-server.ts
@@ -0,0 +1,48 @@
+import { createServer } from 'node:http';
+import polka from 'polka';
+import { addressParts } from '../../spread/link/address-parts.js';
+import type { Counters } from '../counters.js';
+import { replyError } from './reply.js';
+import { typedError } from '../../common/typed-error.js';
+
+/** The HTTP side of a process. */
+export type HttpServer = {
+  readonly app: polka.Polka;
+  readonly listen: () => Promise<void>;
+  readonly close: () => Promise<void>;
+};
+
+export const openHttpServer = (address: string, counters: Counters): HttpServer => {
+  const server = createServer({ keepAliveTimeout: 30_000, requestTimeout: 60_000, headersTimeout: 10_000 });
+  const app = polka({
+    server,
+    onNoMatch: (_message, response) => replyError(response, 404, typedError('not-found', 'no such path or method')),
+    onError: (_error, _message, response) => replyError(response, 400, typedError('bad-exchange', 'the headers or the path do not hold')),
+  });
+  server.on('clientError', (_error, socket) => {
+    counters.count('http.bad');
+    if (!socket.writable) return;
+    socket.end('HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n');
+  });
+  app.get('/counters', (_message, response) => {
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.end(`${JSON.stringify(counters.read())}\n`);
+  });
+  return {
+    app,
+    listen: () =>
+      new Promise((resolve, reject) => {
+        const { host, port } = addressParts(address);
+        server.once('error', reject);
+        app.listen(port, host, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+      }),
+  };
+};
--- /dev/null
+++ b/src/process/http/platform-paths.ts
@@ -0,0 +1,56 @@
+import { typedError } from '../../common/typed-error.js';
+import { checkList } from '../../servers/list/check-list.js';
+import type { Counters } from '../counters.js';
+import type { SpreadTask } from '../spread-task.js';
+import type { HttpServer } from './http-server.js';
+import { readJsonBody } from './read-body.js';
+import { reply, replyError } from './reply.js';
+
+const mostListBytes = 8 << 20;
+
+/** Why a process is not ready; none when it is. */
+export type Unready = () => string | undefined;
+
+/** What the platform uses: probes, and the list of servers. */
+export const addPlatformPaths = ({ app }: HttpServer, spread: SpreadTask, counters: Counters, unready: Unready): void => {
+  app.get('/live', (_message, response) => reply(response, 200, { live: true }));
+  app.get('/ready', (_message, response) => {
+    const cause = unready();
+    if (cause === undefined) reply(response, 200, { ready: true });
+    else reply(response, 503, { ready: false, cause });
+  });
+  app.get('/platform/list', (_message, response) => {
+    const { list } = spread.view();
+    if (list === undefined) replyError(response, 404, typedError('not-found', 'no list is known yet'));
+    else reply(response, 200, list);
+  });
+  app.put('/platform/list', async (message, response) => {
+    const checkedList = await readJsonBody(message, mostListBytes, 'invalid-list').chain((value) =>
+      Promise.resolve(checkList(value).mapLeft((faults) => typedError('invalid-list', 'the list does not hold', faults))),
+    );
+    checkedList
+      .ifLeft((error) => {
+        counters.count('lists.invalid');
+        replyError(response, error.type === 'oversized-body' ? 413 : 422, error);
+      })
+      .ifRight((list) => {
+        const known = spread.view().list;
+        if (known !== undefined && list.version < known.version) {
+          counters.count('lists.stale');
+          replyError(response, 409, typedError('stale-list', `version ${known.version} is known, ${list.version} came`));
+          return;
+        }
+        spread.offerList(list);
+        reply(response, 200, { version: spread.view().list?.version });
+      });
+  });
+  app.get('/partners', (_message, response) => {
+    const view = spread.view();
+    reply(response, 200, {
+      self: view.self,
+      partners: [...view.partners.values()].map(({ partner, heardUs }) => ({ ...partner, ageUs: view.atUs - heardUs })),
+      revision: view.record?.revision ?? 0,
+      version: view.list?.version ?? 0,
+    });
+  });
+};
--- /dev/null
+++ b/src/process/router/error-status.ts
@@ -0,0 +1,28 @@
+import type { ErrorType } from '../../common/error-type.js';
+
+/** The HTTP status of a refusal: nothing ran and nothing will. */
+export const refusalStatusOf = (error: ErrorType): number => {
+  switch (error) {
+    case 'over-pressure':
+      return 429;
+    case 'unknown-kind':
+    case 'bad-exchange':
+      return 400;
+    case 'oversized-body':
+      return 413;
+    default:
+      return 503;
+  }
+};
+
+/** The HTTP status when the outcome is unknown. */
+export const unknownStatusOf = (error: ErrorType): number => {
+  switch (error) {
+    case 'budget-passed':
+      return 504;
+    case 'repeated-key':
+      return 409;
+    default:
+      return 502;
+  }
+};
--- /dev/null
+++ b/src/process/router/router-task.ts
@@ -0,0 +1,375 @@
+import { randomBytes } from 'node:crypto';
+import type { ServerResponse } from 'node:http';
+import { openJournal } from '../../common/journal.js';
+import { steadyNow } from '../../common/micros.js';
+import { typedError } from '../../common/typed-error.js';
+import type { Decision } from '../../decision/machine/effect/decision.js';
+import type { DecisionEvent } from '../../decision/machine/event/decision-event.js';
+import { stepDecision } from '../../decision/machine/step/step.js';
+import { startDecisionView, type DecisionView } from '../../decision/machine/view/decision-view.js';
+import { prefixOf } from '../../decision/ring/prefix.js';
+import { deliver, type DeliveryEnd } from '../../router/delivery/deliver.js';
+import type { Continuation } from '../../router/exchange/continuation.js';
+import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
+import { openStoryBook, type StoryBook } from '../../router/explain/story-book.js';
+import { openSlab, type Slab } from '../../router/slab/slab.js';
+import { ticketName, type Ticket } from '../../router/slab/ticket.js';
+import { openLinkPool } from '../../servers/link/link-pool.js';
+import { serverKeyOf } from '../../servers/list/server-key.js';
+import { openProber } from '../../servers/probe/prober.js';
+import type { Rule } from '../../setup/document/rule.js';
+import type { Counters } from '../counters.js';
+import { reply, replyError } from '../http/reply.js';
+import type { Log } from '../log.js';
+import type { SpreadTask } from '../spread-task.js';
+import { refusalStatusOf, unknownStatusOf } from './error-status.js';
+import type { RefreshGate } from './refresh-gate.js';
+
+/** The task that owns the decision machine, the continuations and the links to servers. */
+export type RouterTask = {
+  readonly view: () => DecisionView;
+  readonly stories: StoryBook;
+  readonly events: () => readonly DecisionEvent[];
+  /** Takes in an exchange that was checked, and claimed where that is due. */
+  readonly accept: (arrival: Arrival) => void;
+  readonly inFlight: () => number;
+  readonly nextExchange: () => string;
+  readonly drain: () => void;
+  readonly start: () => void;
+  readonly close: () => void;
+};
+
+export type Arrival = {
+  readonly rule: Rule;
+  readonly body: ExchangeBody;
+  readonly response: ServerResponse;
+  readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
+};
+
+const tickMillis = 20;
+const journalLimit = 4096;
+const mostStories = 4096;
+
+export type RouterTaskParts = {
+  readonly node: string;
+  readonly spread: SpreadTask;
+  readonly gate: RefreshGate;
+  readonly log: Log;
+  readonly counters: Counters;
+  /** Frees the key of an exchange that was refused. */
+  readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
+};
+
+export const openRouterTask = ({ node, spread, gate, log, counters, release }: RouterTaskParts): RouterTask => {
+  const boot = randomBytes(4).toString('hex');
+  const slab: Slab<Continuation> = openSlab();
+  const tickets = new Map<string, Ticket>();
+  const stories = openStoryBook(mostStories);
+  const pool = openLinkPool();
+  let madeDecisions: readonly Decision[] = [];
+  let exchangeCount = 0;
+  const journal = openJournal<DecisionView, DecisionEvent>(
+    startDecisionView,
+    (view, event) => {
+      const step = stepDecision(view, event);
+      madeDecisions = step.effects;
+      return step.view;
+    },
+    journalLimit,
+  );
+  const waitingEvents: DecisionEvent[] = [];
+  let isTaking = false;
+  let tickTimer: NodeJS.Timeout | undefined;
+
+  const prober = openProber((key, isLight) => {
+    log.change(isLight ? 'server light' : 'server dark', { server: key });
+    if (!isLight) pool.cut(key);
+    take({ type: isLight ? 'light' : 'dark', at: steadyNow(), server: key });
+  });
+
+  const find = (exchange: string): Continuation | undefined => {
+    const ticket = tickets.get(exchange);
+    return ticket === undefined ? undefined : slab.get(ticket);
+  };
+
+  const end = (continuation: Continuation): void => {
+    continuation.stream.running?.cancel();
+    continuation.stream.running = undefined;
+    tickets.delete(continuation.exchange);
+    slab.free(continuation.ticket);
+  };
+
+  const take = (event: DecisionEvent): void => {
+    waitingEvents.push(event);
+    if (isTaking) return;
+    isTaking = true;
+    for (let nextEvent = waitingEvents.shift(); nextEvent !== undefined; nextEvent = waitingEvents.shift()) {
+      journal.append(nextEvent);
+      madeDecisions.forEach(carryOut);
+    }
+    isTaking = false;
+  };
+
+  const tell = (exchange: string, what: string, facts: object): void => stories.add(exchange, { at: steadyNow(), what, facts });
+
+  const carryOut = (decision: Decision): void => {
+    counters.count(`decisions.${decision.type}`);
+    switch (decision.type) {
+      case 'booked':
+      case 'entered':
+      case 'withdrawn':
+        log.change(decision.type, decision);
+        return;
+      case 'deliver': {
+        tell(decision.exchange, 'deliver', decision);
+        counters.count(`reasons.${decision.reason.type}`);
+        if (decision.extra) counters.count('tries.extra');
+        const continuation = find(decision.exchange);
+        if (continuation !== undefined) startTry(continuation, decision);
+        return;
+      }
+      case 'hold':
+        tell(decision.exchange, 'hold', decision);
+        return;
+      case 'cancel': {
+        tell(decision.exchange, 'cancel', decision);
+        const continuation = find(decision.exchange);
+        if (continuation?.stream.running?.attempt === decision.attempt) continuation.stream.running.cancel();
+        return;
+      }
+      case 'refuse':
+        tell(decision.exchange, 'refuse', decision);
+        withContinuation(decision.exchange, (continuation) => {
+          counters.count(`refused.${decision.error}`);
+          if (continuation.claimedKey !== undefined) release({ key: continuation.claimedKey, exchange: decision.exchange });
+          replyError(
+            continuation.response,
+            refusalStatusOf(decision.error),
+            typedError(decision.error, 'refused: it did not run and will not'),
+            { outcome: 'refused', exchange: decision.exchange },
+            decision.retryAfterUs,
+          );
+        });
+        return;
+      case 'unknown':
+        tell(decision.exchange, 'unknown', decision);
+        withContinuation(decision.exchange, (continuation) => {
+          counters.count(`unknown.${decision.error}`);
+          replyError(
+            continuation.response,
+            unknownStatusOf(decision.error),
+            typedError(decision.error, 'the outcome is unknown: it may have run'),
+            { outcome: 'unknown', exchange: decision.exchange },
+          );
+        });
+        return;
+      case 'breakOff':
+        tell(decision.exchange, 'breakOff', decision);
+        withContinuation(decision.exchange, (continuation) => {
+          counters.count('streams.brokenOff');
+          continuation.response.destroy();
+        });
+        return;
+    }
+  };
+
+  const withContinuation = (exchange: string, use: (continuation: Continuation) => void): void => {
+    const continuation = find(exchange);
+    if (continuation === undefined) return;
+    end(continuation);
+    use(continuation);
+  };
+
+  const startTry = (continuation: Continuation, decision: Extract<Decision, { readonly type: 'deliver' }>): void => {
+    const aborter = new AbortController();
+    continuation.stream.running = { attempt: decision.attempt, cancel: () => aborter.abort() };
+    void runTry(continuation, decision, aborter.signal);
+  };
+
+  const isAllowed = (continuation: Continuation, key: string): boolean =>
+    journal.view().stage.services.get(continuation.rule.service)?.allowed.has(key) ?? false;
+
+  const runTry = async (
+    continuation: Continuation,
+    decision: Extract<Decision, { readonly type: 'deliver' }>,
+    signal: AbortSignal,
+  ): Promise<void> => {
+    const { exchange } = continuation;
+    const { attempt } = decision;
+    const unsent = (error: 'no-link' | 'wrong-service'): void =>
+      take({ type: 'failed', at: steadyNow(), exchange, attempt, sent: false, pieces: continuation.stream.pieces, error });
+    const isFresh = await gate.pass();
+    const server = journal.view().list?.servers.find((listed) => serverKeyOf(listed) === decision.server);
+    if (signal.aborted) return;
+    if (!isFresh || server === undefined || !isAllowed(continuation, decision.server)) {
+      unsent('no-link');
+      return;
+    }
+    const opened = await pool.take(server);
+    if (signal.aborted) {
+      opened.ifRight((link) => pool.giveBack(link));
+      return;
+    }
+    if (opened.isLeft()) {
+      opened.ifLeft((error) => {
+        counters.count('links.refused');
+        tell(exchange, 'no link', { attempt, error });
+        unsent(error.type === 'bad-message' ? 'wrong-service' : 'no-link');
+      });
+      return;
+    }
+    const link = opened.unsafeCoerce();
+    if (gate.isShut() || !link.isOpen() || !isAllowed(continuation, decision.server)) {
+      pool.giveBack(link);
+      unsent('no-link');
+      return;
+    }
+    take({ type: 'sent', at: steadyNow(), exchange, attempt });
+    const ending = await deliver(continuation, link, decision.fromPiece, signal, {
+      piece: (line) => givePiece(continuation, attempt, line, signal),
+      answer: (text) => giveAnswer(continuation, attempt, text, signal),
+    });
+    pool.giveBack(link);
+    if (!signal.aborted) endTry(continuation, attempt, ending);
+  };
+
+  const endTry = (continuation: Continuation, attempt: number, ending: DeliveryEnd): void => {
+    const { exchange } = continuation;
+    switch (ending.type) {
+      case 'done':
+        tell(exchange, 'done', { attempt, pieces: continuation.stream.pieces });
+        counters.count('exchanges.done');
+        continuation.stream.running = undefined;
+        if (continuation.isModel) giveEnd(continuation);
+        end(continuation);
+        take({ type: 'done', at: steadyNow(), exchange, attempt });
+        return;
+      case 'gone':
+        leave(continuation);
+        return;
+      case 'failed':
+        tell(exchange, 'failed', { attempt, ...ending });
+        counters.count(`tries.failed.${ending.error}`);
+        take({
+          type: 'failed',
+          at: steadyNow(),
+          exchange,
+          attempt,
+          sent: true,
+          pieces: continuation.stream.pieces,
+          error: ending.error,
+        });
+        return;
+    }
+  };
+
+  const leave = (continuation: Continuation): void => {
+    if (find(continuation.exchange) === undefined) return;
+    counters.count('exchanges.abandoned');
+    tell(continuation.exchange, 'abandoned', {});
+    end(continuation);
+    take({ type: 'abandoned', at: steadyNow(), exchange: continuation.exchange });
+  };
+
+  const givePiece = async (continuation: Continuation, attempt: number, line: string, signal: AbortSignal): Promise<boolean> => {
+    const { response, stream, exchange } = continuation;
+    if (signal.aborted || response.destroyed) return false;
+    if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-exchange-id': exchange });
+    stream.pieces += 1;
+    const hasRoom = response.write(line);
+    if (stream.pieces === 1) take({ type: 'firstPiece', at: steadyNow(), exchange, attempt });
+    if (!hasRoom)
+      await new Promise<void>((resolve) => {
+        response.once('drain', resolve);
+        response.once('close', resolve);
+      });
+    return !response.destroyed;
+  };
+
+  const giveEnd = ({ response, stream, exchange }: Continuation): void => {
+    if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-exchange-id': exchange });
+    response.end(`${JSON.stringify({ end: true, pieces: stream.pieces })}\n`);
+  };
+
+  const giveAnswer = (continuation: Continuation, attempt: number, text: string, signal: AbortSignal): void => {
+    if (signal.aborted) return;
+    take({ type: 'firstPiece', at: steadyNow(), exchange: continuation.exchange, attempt });
+    reply(continuation.response, 200, { exchange: continuation.exchange, answer: text }, { 'x-exchange-id': continuation.exchange });
+  };
+
+  spread.events.on('setup', (record) => take({ type: 'setup', at: steadyNow(), record }));
+  spread.events.on('time', (platformUs) => take({ type: 'time', at: steadyNow(), platformUs }));
+  spread.events.on('list', (list) => {
+    take({ type: 'list', at: steadyNow(), list });
+    prober.watch(list.servers);
+    pool.keepOnly(new Set(list.servers.map(serverKeyOf)));
+  });
+  counters.gauge('exchanges.inFlight', () => slab.size());
+  counters.gauge('links.open', () => pool.size());
+  counters.gauge('flights', () => journal.view().flights.size);
+  counters.gauge('setup.revision', () => journal.view().record?.revision ?? 0);
+  counters.gauge('list.version', () => journal.view().list?.version ?? 0);
+
+  return {
+    view: journal.view,
+    stories,
+    events: journal.events,
+    inFlight: slab.size,
+    nextExchange: () => {
+      exchangeCount += 1;
+      return `${node}.${boot}.c${exchangeCount}`;
+    },
+    accept: ({ rule, body, response, claimed }) => {
+      const isModel = journal.view().stage.services.get(rule.service)?.type === 'model';
+      const continuation = slab.put((ticket) => ({
+        ticket,
+        exchange: claimed?.exchange ?? `${node}.${boot}.${ticketName(ticket)}`,
+        rule,
+        isModel,
+        body,
+        response,
+        claimedKey: claimed?.key,
+        stream: { pieces: 0, running: undefined },
+      }));
+      const { exchange } = continuation;
+      tickets.set(exchange, continuation.ticket);
+      counters.count(`exchanges.kind.${rule.kind}`);
+      stories.begin({
+        exchange,
+        kind: rule.kind,
+        tier: rule.tier,
+        service: rule.service,
+        setupRevision: journal.view().record?.revision ?? 0,
+        listVersion: journal.view().list?.version ?? 0,
+        steps: [],
+      });
+      response.on('close', () => {
+        if (!response.writableFinished) leave(continuation);
+      });
+      take({
+        type: 'exchange',
+        at: steadyNow(),
+        exchange,
+        kind: rule.kind,
+        prefix: prefixOf(rule.service, isModel ? body.opening : body.text),
+        budgetUs: body.budgetUs,
+      });
+    },
+    drain: () => take({ type: 'drain', at: steadyNow() }),
+    start: () => {
+      tickTimer = setInterval(() => {
+        gate.beat();
+        take({ type: 'tick', at: steadyNow() });
+      }, tickMillis);
+    },
+    close: () => {
+      clearInterval(tickTimer);
+      prober.close();
+      pool.close();
+      for (const continuation of slab.values()) {
+        end(continuation);
+        continuation.response.destroy();
+      }
+    },
+  };
+};
--- /dev/null
+++ b/src/process/settings/check-settings.ts
@@ -0,0 +1,55 @@
+import { readFileSync } from 'node:fs';
+import { Either, Left } from 'purify-ts';
+import { array, number, object, string } from 'yup';
+import { checked } from '../../common/checked.js';
+import { parseJson } from '../../common/json.js';
+import type { Fault } from '../../common/fault.js';
+import { messageOf, typedError, type TypedError } from '../../common/typed-error.js';
+import type { ControlSettings } from './control-settings.js';
+import type { NodeSettings } from './node-settings.js';
+
+const addressForm = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/;
+
+const address = () => string().required().matches(addressForm, '${path} must be IP:port');
+const plainName = () => string().required().matches(/^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/, '${path} must be a plain name');
+
+const nodeFields = {
+  node: plainName(),
+  locality: plainName(),
+  http: address(),
+  partners: address(),
+  seeds: array(address()).required().length(3, 'seeds must be three addresses'),
+};
+
+const routerSchema = object(nodeFields).noUnknown();
+
+const controlSchema = object({
+  ...nodeFields,
+  data: string().required(),
+  ringFiles: number().required().integer().min(2).max(16),
+  ringFileBytes: number()
+    .required()
+    .integer()
+    .min(1 << 20)
+    .max(1 << 30),
+}).noUnknown();
+
+const badSettings = (faults: readonly Fault[]): TypedError =>
+  typedError('bad-settings', faults.map((fault) => `${fault.path || 'settings'}: ${fault.message}`).join('\n'), faults);
+
+export const checkRouterSettings = (value: unknown): Either<TypedError, NodeSettings> => checked(routerSchema, value).mapLeft(badSettings);
+
+export const checkControlSettings = (value: unknown): Either<TypedError, ControlSettings> =>
+  checked(controlSchema, value).mapLeft(badSettings);
+
+const objectSchema = object().required();
+
+/** Reads a settings file, or nothing where none is named. */
+export const readSettingsFile = (path: string | undefined): Either<TypedError, object> => {
+  if (path === undefined) return Either.of({});
+  try {
+    return parseJson(readFileSync(path, 'utf8'), 'bad-settings').chain((value) => checked(objectSchema, value).mapLeft(badSettings));
+  } catch (thrown) {
+    return Left(typedError('bad-settings', `${path}: ${messageOf(thrown)}`));
+  }
+};
--- /dev/null
+++ b/src/process/spread-task-events.ts
@@ -0,0 +1,15 @@
+import type { Micros } from '../common/micros.js';
+import type { ServerList } from '../servers/list/server-list.js';
+import type { SetupRecord } from '../setup/document/setup-record.js';
+import type { Frame } from '../spread/frame/frame.js';
+
+/** What the spread task tells the other tasks of its process. */
+export type SpreadTaskEvents = {
+  readonly setup: [record: SetupRecord];
+  readonly list: [list: ServerList];
+  readonly time: [platformUs: Micros];
+  readonly refreshed: [];
+  readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
+  readonly ask: [from: string, frame: Extract<Frame, { readonly type: 'ask' }>];
+  readonly answer: [frame: Extract<Frame, { readonly type: 'answer' }>];
+};
--- /dev/null
+++ b/src/rehearsal/checker/check-answers.ts
@@ -0,0 +1,28 @@
+import type { History } from '../history/history.js';
+import { pieceText } from '../stand-in/work-text.js';
+import type { Finding } from './finding.js';
+
+/** Every piece must be the next of its own work, in whole answers and in cut-off ones. */
+export const checkAnswers = (history: History): readonly Finding[] =>
+  history.calls.flatMap((call) => {
+    const wrongPlace = call.pieces.findIndex((text, piece) => text !== pieceText(call.work, piece));
+    return [
+      ...(wrongPlace < 0 ? [] : [{ rule: 'own-pieces-in-order', detail: `${call.call} got ${call.pieces[wrongPlace]} as piece ${wrongPlace}` }]),
+      ...(call.end === 'malformed' ? [{ rule: 'well-formed-answers', detail: `${call.call} got a malformed answer (${call.status}, ${call.error})` }] : []),
+    ];
+  });
+
+/** Work that was cut off although only planned changes went on. */
+export const checkNoCuts = (history: History): readonly Finding[] =>
+  history.calls
+    .filter((call) => call.end === 'cut' || call.end === 'lost' || call.end === 'unknown')
+    .map((call) => ({ rule: 'planned-changes-cut-nothing', detail: `${call.call} at ${call.node} ended ${call.end} (${call.status} ${call.error ?? ''})` }));
+
+const mostRefusedShare = 0.005;
+
+export const checkFewRefusals = (history: History): readonly Finding[] => {
+  const refused = history.calls.filter((call) => call.end === 'refused');
+  return refused.length > Math.max(2, history.calls.length * mostRefusedShare)
+    ? [{ rule: 'almost-no-refusals', detail: `${refused.length} of ${history.calls.length} calls were refused: ${[...new Set(refused.map((call) => call.error))].join(', ')}` }]
+    : [];
+};
--- /dev/null
+++ b/src/rehearsal/checker/check-history.ts
@@ -0,0 +1,21 @@
+import type { Deployment } from '../deployment/deployment.js';
+import type { History } from '../history/history.js';
+import { checkAnswers, checkFewRefusals, checkNoCuts } from './check-answers.js';
+import { checkExtraTries, checkLeaving, checkRefusals, checkRunOnce, checkServices } from './check-runs.js';
+import { checkInForce, checkNeverBackwards, checkOutcomes } from './check-setups.js';
+import type { Finding } from './finding.js';
+
+/** Lays the histories side by side and lists every broken rule. */
+export const checkHistory = (history: History, deployment: Deployment, isPlannedOnly: boolean): readonly Finding[] => [
+  ...checkRunOnce(history, deployment),
+  ...checkRefusals(history),
+  ...checkServices(history),
+  ...checkLeaving(history),
+  ...checkExtraTries(history),
+  ...checkAnswers(history),
+  ...checkInForce(history),
+  ...checkNeverBackwards(history),
+  ...checkOutcomes(history),
+  ...checkFewRefusals(history),
+  ...(isPlannedOnly ? checkNoCuts(history) : []),
+];
--- /dev/null
+++ b/src/rehearsal/history/run-record.ts
@@ -0,0 +1,16 @@
+import type { Micros } from '../../common/micros.js';
+
+/** One start of work in the history of a server. */
+export type RunRecord = {
+  readonly server: string;
+  readonly incarnation: string;
+  readonly ownService: string;
+  readonly askedService: string;
+  readonly call: string;
+  readonly work: string;
+  readonly kind: string;
+  readonly exchange: string;
+  readonly fromPiece: number;
+  readonly cold: boolean;
+  readonly atUs: Micros;
+};
--- /dev/null
+++ b/src/rehearsal/history/watch-record.ts
@@ -0,0 +1,11 @@
+import type { Micros } from '../../common/micros.js';
+
+/** What a node showed of itself when it was looked at. */
+export type WatchRecord = {
+  readonly node: string;
+  readonly boot: number;
+  readonly atUs: Micros;
+  readonly ready: boolean;
+  readonly revision: number;
+  readonly version: number;
+};
--- /dev/null
+++ b/src/rehearsal/launcher/launch.ts
@@ -0,0 +1,70 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { LaunchedNode } from './launched-node.js';
+
+const mainPath = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
+
+export type LaunchPlan = {
+  readonly node: string;
+  readonly role: 'router' | 'control';
+  readonly locality: string;
+  readonly http: string;
+  readonly partners: string;
+  readonly seeds: readonly string[];
+  readonly folder: string;
+};
+
+/** Prepares one process; the only place where the project starts processes. */
+export const planNode = (plan: LaunchPlan): LaunchedNode => {
+  const settingsPath = join(plan.folder, `${plan.node}.json`);
+  const logPath = join(plan.folder, `${plan.node}.log`);
+  const data = plan.role === 'control' ? join(plan.folder, `${plan.node}-data`) : undefined;
+  const settings = {
+    node: plan.node,
+    locality: plan.locality,
+    http: plan.http,
+    partners: plan.partners,
+    seeds: plan.seeds,
+    ...(data === undefined ? {} : { data, ringFiles: 3, ringFileBytes: 4 << 20 }),
+  };
+  writeFileSync(settingsPath, JSON.stringify(settings));
+  let child: ChildProcess | undefined;
+  let boot = 0;
+
+  const exited = (running: ChildProcess): Promise<number | null> =>
+    new Promise((resolve) => {
+      if (running.exitCode !== null || running.signalCode !== null) resolve(running.exitCode);
+      else running.once('exit', (code) => resolve(code));
+    });
+  const isRunning = (): boolean => child !== undefined && child.exitCode === null && child.signalCode === null;
+
+  return {
+    node: plan.node,
+    role: plan.role,
+    http: plan.http,
+    partners: plan.partners,
+    data,
+    boot: () => boot,
+    start: () => {
+      boot += 1;
+      const logFile = openSync(logPath, 'a');
+      child = spawn(process.execPath, [mainPath, plan.role, '--settings', settingsPath], { stdio: ['ignore', logFile, logFile] });
+      closeSync(logFile);
+    },
+    kill: async () => {
+      if (child === undefined) return;
+      child.kill('SIGKILL');
+      await exited(child);
+    },
+    terminate: async () => {
+      if (child === undefined) return null;
+      child.kill('SIGTERM');
+      return exited(child);
+    },
+    freeze: () => void child?.kill('SIGSTOP'),
+    wake: () => void child?.kill('SIGCONT'),
+    isRunning,
+  };
+};
--- /dev/null
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -0,0 +1,24 @@
+import type { Setup } from '../../setup/document/setup.js';
+import type { Chance } from '../chance.js';
+import type { Deployment } from '../deployment/deployment.js';
+import type { History } from '../history/history.js';
+import type { LaunchedNode } from '../launcher/launched-node.js';
+import type { Platform } from '../stand-in/platform.js';
+import type { PutRecord } from '../history/setup-record.js';
+import type { StageHands } from './stage-hands.js';
+import type { Traffic } from './traffic.js';
+
+/** What the acts of a scenario work on. */
+export type RehearsalParts = {
+  readonly deployment: Deployment;
+  readonly history: History;
+  readonly chance: Chance;
+  readonly platform: Platform;
+  readonly hands: StageHands;
+  readonly traffic: Traffic;
+  readonly controls: readonly LaunchedNode[];
+  readonly routers: readonly LaunchedNode[];
+  readonly setup: Setup;
+  readonly put: (setup: Setup, expected?: number, control?: LaunchedNode) => Promise<PutRecord>;
+  readonly pause: (millis: number) => Promise<void>;
+};
--- /dev/null
+++ b/src/rehearsal/run/rehearse.ts
@@ -0,0 +1,144 @@
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { EitherAsync } from 'purify-ts';
+import { steadyNow } from '../../common/micros.js';
+import { parseJson } from '../../common/json.js';
+import { typedError, type TypedError } from '../../common/typed-error.js';
+import { checkSetup } from '../../setup/check/check-setup.js';
+import type { Setup } from '../../setup/document/setup.js';
+import { seededChance } from '../chance.js';
+import { checkHistory } from '../checker/check-history.js';
+import type { Finding } from '../checker/finding.js';
+import type { Deployment } from '../deployment/deployment.js';
+import { openHistory, type History } from '../history/history.js';
+import { freePorts } from '../launcher/free-ports.js';
+import { planNode } from '../launcher/launch.js';
+import { openCallers } from '../stand-in/caller.js';
+import { usualFigures } from '../stand-in/open-server.js';
+import { openPlatform } from '../stand-in/platform.js';
+import { putSetup } from './operator.js';
+import type { RehearsalParts } from './rehearsal-parts.js';
+import type { Scenario } from './scenario.js';
+import { openStageHands } from './stage-hands.js';
+import { openTraffic } from './traffic.js';
+
+/** How a rehearsal is to be run. */
+export type RehearsalPlan = {
+  readonly deployment: Deployment;
+  readonly scenario: Scenario;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly keepFolder: boolean;
+  readonly tell: (line: string) => void;
+};
+
+/** What a rehearsal came to. */
+export type RehearsalEnd = {
+  readonly history: History;
+  readonly findings: readonly Finding[];
+  readonly folder: string;
+  readonly servers: readonly { readonly id: string; readonly coldPrefills: number }[];
+};
+
+const localities = ['a', 'b', 'c'] as const;
+const packageRoot = fileURLToPath(new URL('../../../../', import.meta.url));
+const startBudgetUs = 30_000_000;
+
+export const readExampleSetup = (path: string): EitherAsync<TypedError, Setup> =>
+  EitherAsync.liftEither(
+    parseJson(readFileSync(join(packageRoot, path), 'utf8'), 'invalid-setup').chain((value) =>
+      checkSetup(value).mapLeft((faults) => typedError('invalid-setup', path, faults)),
+    ),
+  );
+
+const pause = (millis: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, millis));
+
+const until = async (isSo: () => boolean): Promise<boolean> => {
+  const dueUs = steadyNow() + startBudgetUs;
+  while (!isSo() && steadyNow() < dueUs) await pause(50);
+  return isSo();
+};
+
+/** Plays a scenario against real processes, and checks the histories afterwards. */
+export const rehearse = ({ deployment: given, scenario, seconds, seed, keepFolder, tell }: RehearsalPlan): EitherAsync<TypedError, RehearsalEnd> =>
+  readExampleSetup(given.setupPath).chain((exampleSetup) =>
+    EitherAsync(async ({ throwE }) => {
+      const deployment = scenario.size(given);
+      const setup = scenario.setup(exampleSetup);
+      const folder = mkdtempSync(join(tmpdir(), 'ledgehill-'));
+      const chance = seededChance(seed);
+      const history = openHistory();
+      const ports = await freePorts(2 * (3 + deployment.routers));
+      const address = (place: number): string => `127.0.0.1:${ports[place]}`;
+      const seeds = [0, 1, 2].map((index) => address(index * 2 + 1));
+      const nodes = Array.from({ length: 3 + deployment.routers }, (_, index) =>
+        planNode({
+          node: index < 3 ? `control-${index + 1}` : `router-${index - 2}`,
+          role: index < 3 ? 'control' : 'router',
+          locality: localities[index % 3] ?? 'a',
+          http: address(index * 2),
+          partners: address(index * 2 + 1),
+          seeds,
+          folder,
+        }),
+      );
+      const controls = nodes.slice(0, 3);
+      const routers = nodes.slice(3);
+      const platform = openPlatform(nodes, history, chance);
+      const callers = openCallers(history);
+      const hands = openStageHands(deployment, platform, history, usualFigures);
+      const traffic = openTraffic(deployment, platform, callers, chance);
+      let proposals = 0;
+      const put: RehearsalParts['put'] = (wanted, expected, control = controls[0]) => {
+        proposals += 1;
+        return putSetup(history, control?.http ?? '', wanted, `rehearsal-${proposals}`, expected);
+      };
+      const parts: RehearsalParts = { deployment, history, chance, platform, hands, traffic, controls, routers, setup, put, pause };
+
+      const endAll = async (): Promise<void> => {
+        platform.close();
+        await callers.close();
+        for (const node of nodes) {
+          node.wake();
+          await node.kill();
+        }
+        for (const server of hands.servers()) server.crash();
+        if (!keepFolder) rmSync(folder, { recursive: true, force: true });
+      };
+
+      try {
+        for (const node of nodes) node.start();
+        platform.start();
+        await hands.open(deployment.models, 'model');
+        await hands.open(deployment.webs, 'web');
+        if (!(await until(() => controls.every((control) => platform.readyNodes().has(control.node)))))
+          return throwE(typedError('unreachable', 'the core did not become ready in time'));
+        const first = await put(setup, 0);
+        if (first.outcome !== 'taken') return throwE(typedError('unreachable', `the first setup was not taken but ${first.outcome}`));
+        if (!(await until(() => platform.readyRouters().length === routers.length)))
+          return throwE(typedError('unreachable', 'not all routers became ready in time'));
+        tell(`ready: ${controls.length} core machines, ${routers.length} routers, ${hands.servers().length} servers`);
+
+        traffic.start();
+        const acts = scenario.acts.map(async (act) => {
+          await pause(act.atShare * seconds * 1000);
+          tell(`act: ${act.name}`);
+          await act.act(parts);
+        });
+        await pause(seconds * 1000);
+        await Promise.all(acts);
+        await traffic.stop();
+        await pause(2_500);
+        return {
+          history,
+          findings: checkHistory(history, deployment, scenario.plannedOnly),
+          folder,
+          servers: hands.servers().map((server) => ({ id: server.listed.id, coldPrefills: server.coldPrefills() })),
+        };
+      } finally {
+        await endAll();
+      }
+    }),
+  );
--- /dev/null
+++ b/src/rehearsal/run/scenario.ts
@@ -0,0 +1,22 @@
+import type { Setup } from '../../setup/document/setup.js';
+import type { Deployment } from '../deployment/deployment.js';
+import type { RehearsalParts } from './rehearsal-parts.js';
+
+/** Something done to the system at a share of the running time. */
+export type ScenarioAct = {
+  readonly atShare: number;
+  readonly name: string;
+  readonly act: (parts: RehearsalParts) => Promise<void>;
+};
+
+/** A play: how large, how long, under which figures, and what happens. */
+export type Scenario = {
+  readonly name: string;
+  readonly about: string;
+  readonly seconds: number;
+  /** Whether nothing but planned changes goes on, so that nothing may be cut off. */
+  readonly plannedOnly: boolean;
+  readonly size: (deployment: Deployment) => Deployment;
+  readonly setup: (setup: Setup) => Setup;
+  readonly acts: readonly ScenarioAct[];
+};
--- /dev/null
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -0,0 +1,137 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { steadyNow } from '../../common/micros.js';
+import { prefixOf } from '../../decision/ring/prefix.js';
+import { reply } from '../../process/http/reply.js';
+import type { ListedServer } from '../../servers/list/listed-server.js';
+import { addressParts } from '../../spread/link/address-parts.js';
+import type { History } from '../history/history.js';
+import { readExchange, type ServerExchange } from './read-exchange.js';
+import type { StandInServer } from './stand-in-server.js';
+import { pieceText, readWorkText } from './work-text.js';
+
+/** How a stand-in model server behaves. */
+export type ServerFigures = {
+  readonly keptOpenings: number;
+  readonly prefillMicrosPerByte: number;
+  readonly warmPrefillMillis: number;
+  readonly pieceMillis: number;
+  readonly mostRuns: number;
+};
+
+export const usualFigures: ServerFigures = {
+  keptOpenings: 200,
+  prefillMicrosPerByte: 60,
+  warmPrefillMillis: 6,
+  pieceMillis: 20,
+  mostRuns: 64,
+};
+
+const pause = (millis: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, millis));
+
+/** Starts a back end. A model prefills one opening at a time and remembers the newest; a web server answers plainly. */
+export const openStandInServer = async (
+  listed: ListedServer,
+  type: 'model' | 'web',
+  history: History,
+  figures: ServerFigures,
+): Promise<StandInServer> => {
+  const rememberedOpenings = new Map<string, true>();
+  let coldPrefills = 0;
+  let runs = 0;
+  let prefillChain: Promise<void> = Promise.resolve();
+  let light: Promise<void> = Promise.resolve();
+
+  const prefill = (opening: string): { readonly cold: boolean; readonly ready: Promise<void> } => {
+    const prefix = prefixOf(listed.service, opening);
+    const cold = !rememberedOpenings.has(prefix);
+    rememberedOpenings.delete(prefix);
+    const ready = prefillChain.then(() => pause(cold ? (opening.length * figures.prefillMicrosPerByte) / 1000 : figures.warmPrefillMillis));
+    prefillChain = ready;
+    const oldestPrefix = rememberedOpenings.size >= figures.keptOpenings ? rememberedOpenings.keys().next().value : undefined;
+    if (oldestPrefix !== undefined) rememberedOpenings.delete(oldestPrefix);
+    rememberedOpenings.set(prefix, true);
+    if (cold) coldPrefills += 1;
+    return { cold, ready };
+  };
+
+  const note = (exchange: ServerExchange, cold: boolean): void => {
+    const { work, call } = readWorkText(exchange.text);
+    history.runs.push({
+      server: listed.id,
+      incarnation: listed.incarnation,
+      ownService: listed.service,
+      askedService: exchange.service,
+      call,
+      work,
+      kind: exchange.kind,
+      exchange: exchange.exchange,
+      fromPiece: exchange.fromPiece,
+      cold,
+      atUs: steadyNow(),
+    });
+  };
+
+  const runModel = async (exchange: ServerExchange, response: ServerResponse): Promise<void> => {
+    const { work, pieces } = readWorkText(exchange.text);
+    const { cold, ready } = prefill(exchange.opening);
+    note(exchange, cold);
+    await ready;
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    for (let piece = exchange.fromPiece; piece < pieces && !response.destroyed; piece += 1) {
+      await light;
+      response.write(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
+      await pause(figures.pieceMillis);
+    }
+    response.end(`${JSON.stringify({ end: true, pieces })}\n`);
+  };
+
+  const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    await light;
+    if (message.url === '/identity') {
+      reply(response, 200, { id: listed.id, incarnation: listed.incarnation, service: listed.service });
+      return;
+    }
+    const exchange = await readExchange(message);
+    if (exchange === undefined) {
+      reply(response, 400, { error: 'bad exchange' });
+      return;
+    }
+    if (runs >= figures.mostRuns) {
+      reply(response, 503, { error: 'full' });
+      return;
+    }
+    runs += 1;
+    try {
+      if (type === 'model') await runModel(exchange, response);
+      else {
+        note(exchange, false);
+        await pause(5);
+        reply(response, 200, { status: 'well', work: readWorkText(exchange.text).work });
+      }
+    } finally {
+      runs -= 1;
+    }
+  };
+
+  const server = createServer({ keepAliveTimeout: 600_000 }, (message, response) => void handle(message, response));
+  const { host, port } = addressParts(listed.address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return {
+    listed,
+    coldPrefills: () => coldPrefills,
+    crash: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+    goDark: () => {
+      let wake: () => void = () => undefined;
+      light = new Promise((resolve) => {
+        wake = resolve;
+      });
+      return () => wake();
+    },
+  };
+};
--- /dev/null
+++ b/src/rehearsal/stand-in/platform.ts
@@ -0,0 +1,102 @@
+import { request } from 'undici';
+import { object, boolean } from 'yup';
+import { checked } from '../../common/checked.js';
+import { steadyNow } from '../../common/micros.js';
+import type { ListedServer } from '../../servers/list/listed-server.js';
+import type { ServerList } from '../../servers/list/server-list.js';
+import { oneOf, type Chance } from '../chance.js';
+import type { History } from '../history/history.js';
+import { readNumbers } from './read-numbers.js';
+
+/** A node as the platform and the operators reach it. */
+export type RehearsedNode = {
+  readonly node: string;
+  readonly role: 'router' | 'control';
+  readonly http: string;
+  readonly boot: () => number;
+};
+
+/** The stand-in platform: it keeps the list, probes the nodes and hands callers to those that are ready. */
+export type Platform = {
+  readonly now: () => number;
+  readonly list: () => ServerList;
+  readonly show: (servers: readonly ListedServer[]) => void;
+  readonly readyRouters: () => readonly RehearsedNode[];
+  readonly readyNodes: () => ReadonlySet<string>;
+  readonly start: () => void;
+  readonly close: () => void;
+};
+
+const probeMillis = 200;
+const probeBudgetMillis = 800;
+const listMillis = 1_000;
+
+const readySchema = object({ ready: boolean().required() }).required();
+
+export const openPlatform = (nodes: readonly RehearsedNode[], history: History, chance: Chance): Platform => {
+  const bornUs = steadyNow() - 1_000_000_000;
+  const now = (): number => steadyNow() - bornUs;
+  const ready = new Set<string>();
+  const timers: NodeJS.Timeout[] = [];
+  let list: ServerList = { version: 1, atUs: now(), servers: [] };
+
+  const push = async (node: RehearsedNode): Promise<void> => {
+    try {
+      const answer = await request(`http://${node.http}/platform/list`, {
+        method: 'PUT',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(list),
+        signal: AbortSignal.timeout(probeBudgetMillis),
+      });
+      await answer.body.dump();
+    } catch {
+      return;
+    }
+  };
+
+  const probe = async (node: RehearsedNode): Promise<void> => {
+    const boot = node.boot();
+    try {
+      const signal = AbortSignal.timeout(probeBudgetMillis);
+      const answer = await request(`http://${node.http}/ready`, { signal });
+      const body: unknown = await answer.body.json();
+      const isReady = checked(readySchema, body).map((probed) => probed.ready).orDefault(false);
+      if (isReady) ready.add(node.node);
+      else ready.delete(node.node);
+      const counters = await request(`http://${node.http}/partners`, { signal });
+      const { revision, version } = readNumbers(await counters.body.json(), ['revision', 'version']);
+      history.watches.push({ node: node.node, boot, atUs: steadyNow(), ready: isReady, revision: revision ?? 0, version: version ?? 0 });
+    } catch {
+      ready.delete(node.node);
+    }
+  };
+
+  const repeat = (work: () => Promise<void>, millis: number): void => {
+    const index = timers.length;
+    const again = (): void => {
+      timers[index] = setTimeout(() => void work().finally(again), millis);
+    };
+    timers.push(setTimeout(again, 0));
+  };
+
+  return {
+    now,
+    list: () => list,
+    show: (servers) => {
+      list = { version: list.version + 1, atUs: now(), servers };
+      for (const server of servers) {
+        const isKnown = history.leaves.some((leave) => leave.server === server.id && leave.incarnation === server.incarnation);
+        if (server.state === 'leaving' && !isKnown)
+          history.leaves.push({ server: server.id, incarnation: server.incarnation, shownUs: steadyNow() });
+      }
+      for (const node of [oneOf(chance, nodes), oneOf(chance, nodes), oneOf(chance, nodes)]) if (node !== undefined) void push(node);
+    },
+    readyRouters: () => nodes.filter((node) => node.role === 'router' && ready.has(node.node)),
+    readyNodes: () => ready,
+    start: () => {
+      for (const node of nodes) repeat(() => probe(node), probeMillis);
+      for (const node of nodes) repeat(() => push(node), listMillis);
+    },
+    close: () => timers.forEach((timer) => clearTimeout(timer)),
+  };
+};
--- /dev/null
+++ b/src/servers/list/server-list.ts
@@ -0,0 +1,9 @@
+import type { Micros } from '../../common/micros.js';
+import type { ListedServer } from './listed-server.js';
+
+/** The platform's list of servers. */
+export type ServerList = {
+  readonly version: number;
+  readonly atUs: Micros;
+  readonly servers: readonly ListedServer[];
+};
--- /dev/null
+++ b/src/servers/list/server-state.ts
@@ -0,0 +1,2 @@
+/** What the platform says of a server. */
+export type ServerState = 'up' | 'leaving';
--- /dev/null
+++ b/src/setup/check/setup-schema.ts
@@ -0,0 +1,59 @@
+import { array, boolean, number, object, string } from 'yup';
+import { micros, nameOf, wholeFrom } from './figures.js';
+
+const minute = 60_000_000;
+
+const namesAreUnique = (values: readonly { readonly name?: string; readonly kind?: string }[] | undefined): boolean => {
+  const givenNames = (values ?? []).map((value) => value.name ?? value.kind);
+  return new Set(givenNames).size === givenNames.length;
+};
+
+export const warmupSchema = object({
+  vnodes: wholeFrom(1, 256),
+  prefixesPerRange: wholeFrom(1, 100_000),
+  paceUs: micros(1_000, minute),
+  boundUs: micros(0, 60 * minute),
+  settleUs: micros(0, 60 * minute),
+  staleUs: micros(1_000_000, 1440 * minute),
+})
+  .required()
+  .noUnknown();
+
+const serviceSchema = object({ name: nameOf(), type: string().required().oneOf(['model', 'web'] as const) }).noUnknown();
+
+const tierSchema = object({
+  name: nameOf(),
+  weight: number().required().moreThan(0).max(1000),
+  share: number().required().moreThan(0).max(1),
+}).noUnknown();
+
+const ruleSchema = object({
+  kind: nameOf(),
+  service: nameOf(),
+  tier: nameOf(),
+  repeatable: boolean().required(),
+  resumable: boolean().required(),
+  budgetUs: micros(10_000, 60 * minute),
+  firstPieceUs: micros(10_000, 60 * minute),
+}).noUnknown();
+
+export const setupSchema = object({
+  name: nameOf(),
+  fleet: object({ routers: wholeFrom(1, 1000) }).required().noUnknown(),
+  services: array(serviceSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
+  tiers: array(tierSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
+  rules: array(ruleSchema.required()).required().min(1).test('unique', '${path} kinds must be unique', namesAreUnique),
+  warmup: warmupSchema,
+  flight: object({ boundUs: micros(0, minute) }).required().noUnknown(),
+  pressure: object({
+    factor: number().required().min(1).max(100),
+    floor: wholeFrom(1, 10_000),
+    slots: wholeFrom(1, 100_000),
+  })
+    .required()
+    .noUnknown(),
+  retry: object({ fraction: number().required().min(0).max(0.2), fleetExtra: wholeFrom(0, 36) }).required().noUnknown(),
+  leaving: object({ graceUs: micros(0, 2_500_000) }).required().noUnknown(),
+})
+  .required()
+  .noUnknown();
--- /dev/null
+++ b/src/setup/document/setup.ts
@@ -0,0 +1,20 @@
+import type { Micros } from '../../common/micros.js';
+import type { Pressure } from './pressure.js';
+import type { Rule } from './rule.js';
+import type { Service } from './service.js';
+import type { Tier } from './tier.js';
+import type { Warmup } from './warmup.js';
+
+/** A whole setup, as an operator sends it. */
+export type Setup = {
+  readonly name: string;
+  readonly fleet: { readonly routers: number };
+  readonly services: readonly Service[];
+  readonly tiers: readonly Tier[];
+  readonly rules: readonly Rule[];
+  readonly warmup: Warmup;
+  readonly flight: { readonly boundUs: Micros };
+  readonly pressure: Pressure;
+  readonly retry: { readonly fraction: number; readonly fleetExtra: number };
+  readonly leaving: { readonly graceUs: Micros };
+};
--- /dev/null
+++ b/src/spread/frame/frame-guard.ts
@@ -0,0 +1,49 @@
+import { array, mixed, number, object, string } from 'yup';
+import { typed, unionGuard } from '../../common/union.js';
+import type { Answer } from '../../control/machine/answer.js';
+import { isCommand } from '../../control/wire/command-guard.js';
+import { isPlainMessage } from '../../control/wire/message-codec.js';
+import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
+import { listSchema } from '../../servers/list/check-list.js';
+import { recordSchema } from '../../setup/check/record-schema.js';
+import type { Frame, Question } from './frame.js';
+
+const whole = () => number().required().integer().min(0);
+
+const partnerSchema = object({
+  node: string().required(),
+  role: string().required().oneOf(['router', 'control'] as const),
+  address: string().required(),
+  http: string().required(),
+  locality: string().required(),
+}).required();
+
+const isQuestion = unionGuard<Question>({
+  propose: object({ type: typed('propose'), command: mixed(isCommand).required() }),
+  read: object({ type: typed('read'), proposal: string().optional() }),
+});
+
+const isAnswer = unionGuard<Answer>({
+  applied: object({ type: typed('applied'), outcome: mixed(isOutcome).required() }),
+  record: object({ type: typed('record'), record: recordSchema.optional().default(undefined), outcome: mixed(isProposalOutcome).optional() }),
+  'not-leader': object({ type: typed('not-leader'), leader: string().optional() }),
+  undecided: object({ type: typed('undecided') }),
+});
+
+export const isFrame = unionGuard<Frame>({
+  digest: object({
+    type: typed('digest'),
+    partner: partnerSchema,
+    revision: whole(),
+    version: whole(),
+    platformUs: number().integer(),
+    partners: array(object({ partner: partnerSchema, ageUs: whole() }).required()).required(),
+    inquiry: number().integer(),
+  }),
+  inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole() }),
+  setup: object({ type: typed('setup'), record: recordSchema }),
+  list: object({ type: typed('list'), list: listSchema }),
+  control: object({ type: typed('control'), identity: string().required(), message: mixed(isPlainMessage).required() }),
+  ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
+  answer: object({ type: typed('answer'), ask: string().required(), answer: mixed(isAnswer).required() }),
+});
--- /dev/null
+++ b/src/spread/frame/frame.ts
@@ -0,0 +1,29 @@
+import type { Micros } from '../../common/micros.js';
+import type { Command } from '../../control/log/command.js';
+import type { Answer } from '../../control/machine/answer.js';
+import type { PlainMessage } from '../../control/wire/message-codec.js';
+import type { ServerList } from '../../servers/list/server-list.js';
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { Partner } from '../partner/partner.js';
+
+/** What one process says to another: one BSON document on a TCP link. */
+export type Frame =
+  | {
+      readonly type: 'digest';
+      readonly partner: Partner;
+      readonly revision: number;
+      readonly version: number;
+      readonly platformUs?: Micros;
+      readonly partners: readonly { readonly partner: Partner; readonly ageUs: Micros }[];
+      /** The number of the inquiry that this answers. */
+      readonly inquiry?: number;
+    }
+  | { readonly type: 'inquire'; readonly inquiry: number; readonly revision: number; readonly version: number }
+  | { readonly type: 'setup'; readonly record: SetupRecord }
+  | { readonly type: 'list'; readonly list: ServerList }
+  | { readonly type: 'control'; readonly identity: string; readonly message: PlainMessage }
+  | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
+  | { readonly type: 'answer'; readonly ask: string; readonly answer: Answer };
+
+/** What any process may ask the core. */
+export type Question = { readonly type: 'propose'; readonly command: Command } | { readonly type: 'read'; readonly proposal?: string };
--- /dev/null
+++ b/src/spread/machine/spread-event.ts
@@ -0,0 +1,15 @@
+import type { Micros } from '../../common/micros.js';
+import type { ServerList } from '../../servers/list/server-list.js';
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { Frame } from '../frame/frame.js';
+
+/** The frames that the spread itself speaks. */
+export type SpreadFrame = Extract<Frame, { readonly type: 'digest' | 'inquire' | 'setup' | 'list' }>;
+
+/** What the spread machine hears. */
+export type SpreadEvent =
+  | { readonly type: 'tick'; readonly at: Micros }
+  | { readonly type: 'frame'; readonly at: Micros; readonly from: string; readonly frame: SpreadFrame }
+  | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
+  | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
+  | { readonly type: 'refresh'; readonly at: Micros };
--- /dev/null
+++ b/src/spread/machine/spread-view.ts
@@ -0,0 +1,38 @@
+import type { Micros } from '../../common/micros.js';
+import type { ServerList } from '../../servers/list/server-list.js';
+import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { KnownPartner } from '../partner/known-partner.js';
+import type { Partner } from '../partner/partner.js';
+
+/** What one process knows of setup, list, time and partners. */
+export type SpreadView = {
+  readonly self: Partner;
+  readonly seeds: readonly string[];
+  readonly atUs: Micros;
+  readonly record: SetupRecord | undefined;
+  readonly list: ServerList | undefined;
+  readonly offsetUs: Micros | undefined;
+  readonly partners: ReadonlyMap<string, KnownPartner>;
+  readonly digestUs: Micros;
+  readonly digests: number;
+  readonly heardUs: Micros;
+  readonly isolated: boolean;
+  readonly inquiry: number;
+  readonly refreshing: boolean;
+};
+
+export const startSpreadView = (self: Partner, seeds: readonly string[]): SpreadView => ({
+  self,
+  seeds,
+  atUs: 0,
+  record: undefined,
+  list: undefined,
+  offsetUs: undefined,
+  partners: new Map(),
+  digestUs: 0,
+  digests: 0,
+  heardUs: Number.NEGATIVE_INFINITY,
+  isolated: true,
+  inquiry: 0,
+  refreshing: false,
+});
--- /dev/null
+++ b/src/spread/partner/partner-role.ts
@@ -0,0 +1,2 @@
+/** The two kinds of process. */
+export type PartnerRole = 'router' | 'control';
