Found the core although one seed founds it first

Cause: a seed that had founded the core no longer counted as a seed that showed its offer, so the two slower ones waited for its word for ever. Ruled out: lost frames (the log showed hellos back and forth), a slow disk.

--- a/src/cli/rehearse-command.ts
+++ b/src/cli/rehearse-command.ts
@@ -47,7 +47,6 @@
     }).run();
     end.ifLeft(fail).ifRight((rehearsalEnd) => {
       print(summaryOf(rehearsalEnd));
-      if (flags.keep === true) process.stderr.write(`kept: ${rehearsalEnd.folder}\n`);
       if (rehearsalEnd.findings.length > 0) fail(typedError('rule-broken', `${rehearsalEnd.findings.length} findings`));
     });
     process.exit();
--- a/src/control/machine/control-view.ts
+++ b/src/control/machine/control-view.ts
@@ -18,7 +18,7 @@
   readonly votedFor: string | undefined;
   readonly leader: string | undefined;
   readonly offer: string | undefined;
-  readonly hellos: ReadonlyMap<string, { readonly identity: string; readonly offer: string | undefined }>;
+  readonly hellos: ReadonlyMap<string, { readonly identity: string; readonly offer: string | undefined; readonly founded: boolean }>;
   readonly image: ControlImage;
   readonly entries: readonly LogEntry[];
   readonly commit: number;
--- a/src/control/machine/founding.ts
+++ b/src/control/machine/founding.ts
@@ -51,10 +51,13 @@
   );
 };
 
-/** A core is founded once, when all seeds are empty and all have bound themselves to the same members. */
+/**
+ * A core is founded once, when all seeds have bound themselves to the same members while all were empty.
+ * A seed that has founded it already still shows its offer, or the slower ones could never follow.
+ */
 const weighed = (view: ControlView, chance: number): ControlStep => {
   if (isFounded(view) || !view.seeds.includes(view.address)) return stepped(view);
-  const hellos = withEntry(view.hellos, view.address, { identity: view.identity, offer: view.offer });
+  const hellos = withEntry(view.hellos, view.address, { identity: view.identity, offer: view.offer, founded: false });
   const seen = view.seeds.flatMap((address) => {
     const hello = hellos.get(address);
     return hello === undefined ? [] : [{ address, ...hello }];
@@ -65,7 +68,7 @@
     .sort()
     .join(',');
   if (view.offer === undefined)
-    return andThen(stepped({ ...view, offer }, { type: 'keep', record: { type: 'offer', offer } }), (offeredView) =>
+    return seen.some((hello) => hello.founded) ? stepped(view) : andThen(stepped({ ...view, offer }, { type: 'keep', record: { type: 'offer', offer } }), (offeredView) =>
       weighed(offeredView, chance),
     );
   const boundOffer = view.offer;
@@ -73,9 +76,10 @@
 };
 
 export const onHello = (view: ControlView, message: Hello, chance: number): ControlStep => {
-  const heardView: ControlView = message.founded
-    ? view
-    : { ...view, hellos: withEntry(view.hellos, message.address, { identity: message.identity, offer: message.offer }) };
+  const heardView: ControlView = {
+    ...view,
+    hellos: withEntry(view.hellos, message.address, { identity: message.identity, offer: message.offer, founded: message.founded }),
+  };
   const weighedStep = weighed(heardView, chance);
   const joinStep = andThen(weighedStep, (weighedView) =>
     message.founded && !isFounded(weighedView)
--- a/src/rehearsal/run/rehearsal-parts.ts
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -1,5 +1,5 @@
 import type { Setup } from '../../setup/document/setup.js';
-import type { Chance } from '../chance.js';
+import type { Chance } from '../../common/chance.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { History } from '../history/history.js';
 import type { LaunchedNode } from '../launcher/launched-node.js';
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -8,7 +8,7 @@
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import { checkSetup } from '../../setup/check/check-setup.js';
 import type { Setup } from '../../setup/document/setup.js';
-import { seededChance } from '../chance.js';
+import { seededChance } from '../../common/chance.js';
 import { checkHistory } from '../checker/check-history.js';
 import type { Finding } from '../checker/finding.js';
 import type { Deployment } from '../deployment/deployment.js';
@@ -105,7 +105,8 @@
           await node.kill();
         }
         for (const server of hands.servers()) server.crash();
-        if (!keepFolder) rmSync(folder, { recursive: true, force: true });
+        if (keepFolder) tell(`kept: ${folder}`);
+        else rmSync(folder, { recursive: true, force: true });
       };
 
       try {
--- a/src/rehearsal/run/traffic.ts
+++ b/src/rehearsal/run/traffic.ts
@@ -1,4 +1,4 @@
-import { oneOf, wholeBelow, type Chance } from '../chance.js';
+import { oneOf, wholeBelow, type Chance } from '../../common/chance.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { KindLoad } from '../deployment/kind-load.js';
 import type { Callers } from '../stand-in/caller.js';
--- a/src/rehearsal/stand-in/platform.ts
+++ b/src/rehearsal/stand-in/platform.ts
@@ -4,7 +4,7 @@
 import { steadyNow } from '../../common/micros.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { ServerList } from '../../servers/list/server-list.js';
-import { oneOf, type Chance } from '../chance.js';
+import { oneOf, type Chance } from '../../common/chance.js';
 import type { History } from '../history/history.js';
 import { readNumbers } from './read-numbers.js';
 
--- /dev/null
+++ b/src/sim/core/core-machine.ts
@@ -0,0 +1,153 @@
+import type { Micros } from '../../common/micros.js';
+import { recoveredView } from '../../control/keeping/recover.js';
+import type { KeptRecord } from '../../control/log/kept-record.js';
+import type { ControlEffect } from '../../control/machine/control-effect.js';
+import type { ControlEvent } from '../../control/machine/control-event.js';
+import { startControlView, type ControlView } from '../../control/machine/control-view.js';
+import { membersOf } from '../../control/machine/log-reading.js';
+import type { ControlMessage } from '../../control/machine/message.js';
+import { stepControl } from '../../control/machine/step.js';
+import type { Network } from '../world/network.js';
+import type { World } from '../world/world.js';
+
+/** A core machine in the virtual world, with a disk that loses what was not synced. */
+export type CoreMachine = {
+  readonly name: string;
+  readonly address: () => string;
+  readonly view: () => ControlView;
+  readonly isUp: () => boolean;
+  readonly receive: (from: string, fromAddress: string, message: ControlMessage) => void;
+  readonly post: (event: ControlEvent) => void;
+  readonly kill: () => void;
+  readonly start: () => void;
+  readonly loseDisk: (newAddress?: string) => void;
+  readonly freeze: () => void;
+  readonly wake: () => void;
+  readonly slowDisk: (syncUs: Micros) => void;
+};
+
+export type CoreSurroundings = {
+  readonly world: World;
+  readonly network: Network;
+  readonly seeds: readonly string[];
+  readonly machineAt: (address: string) => CoreMachine | undefined;
+  readonly hear: (machine: CoreMachine, effect: ControlEffect) => void;
+};
+
+const tickUs: Micros = 25_000;
+const usualSyncUs: Micros = 2_000;
+
+/** A machine of the core: the real state machine on virtual time, network and disk. */
+export const openCoreMachine = (name: string, bornAddress: string, surroundings: CoreSurroundings): CoreMachine => {
+  const { world, network, seeds, machineAt, hear } = surroundings;
+  let address = bornAddress;
+  let disks = 0;
+  let life = 0;
+  let isUp = false;
+  let isFrozen = false;
+  let isSyncing = false;
+  let syncUs = usualSyncUs;
+  let disk: KeptRecord[] = [];
+  let waiting: ControlEvent[] = [];
+  const known = new Map<string, string>();
+  const freshView = (): ControlView => startControlView(`${name}-d${disks}`, address, seeds);
+  let view = freshView();
+
+  const sendTo = (target: string, message: ControlMessage): void => {
+    const identity = view.identity;
+    const from = address;
+    network.send(from, target, () => machineAt(target)?.receive(identity, from, message));
+  };
+
+  const carryOut = (effect: ControlEffect): void => {
+    if (effect.type === 'send') {
+      const target = membersOf(view).find((member) => member.identity === effect.to)?.address ?? known.get(effect.to);
+      if (target !== undefined) sendTo(target, effect.message);
+    } else if (effect.type === 'sendTo') sendTo(effect.address, effect.message);
+    hear(machine, effect);
+  };
+
+  const drain = (): void => {
+    if (!isUp || isFrozen || isSyncing || waiting.length === 0) return;
+    const effects: ControlEffect[] = [];
+    for (const event of waiting) {
+      const step = stepControl(view, { ...event, at: world.now() });
+      view = step.view;
+      effects.push(...step.effects);
+    }
+    waiting = [];
+    const records = effects.flatMap((effect) => (effect.type === 'keep' ? [effect.record] : []));
+    if (records.length === 0) {
+      effects.forEach(carryOut);
+      return;
+    }
+    isSyncing = true;
+    const ownLife = life;
+    world.after(syncUs * (0.5 + world.chance()), () => {
+      if (life !== ownLife) return;
+      disk = [...disk, ...records];
+      isSyncing = false;
+      effects.forEach(carryOut);
+      drain();
+    });
+  };
+
+  const post = (event: ControlEvent): void => {
+    if (!isUp) return;
+    waiting.push(event);
+    drain();
+  };
+
+  const tick = (ownLife: number): void => {
+    if (life !== ownLife) return;
+    if (!isFrozen) post({ type: 'tick', at: world.now(), chance: world.chance() });
+    world.after(tickUs, () => tick(ownLife));
+  };
+
+  const machine: CoreMachine = {
+    name,
+    address: () => address,
+    view: () => view,
+    isUp: () => isUp,
+    receive: (from, fromAddress, message) => {
+      known.set(from, fromAddress);
+      post({ type: 'message', at: world.now(), chance: world.chance(), from, message });
+    },
+    post,
+    kill: () => {
+      isUp = false;
+      life += 1;
+      waiting = [];
+      isSyncing = false;
+      isFrozen = false;
+    },
+    start: () => {
+      if (isUp) return;
+      life += 1;
+      isUp = true;
+      const start = freshView();
+      view = recoveredView(start, disk);
+      if (disk.length === 0) disk = [{ type: 'identity', identity: start.identity }];
+      tick(life);
+    },
+    loseDisk: (newAddress) => {
+      machine.kill();
+      disk = [];
+      disks += 1;
+      address = newAddress ?? address;
+    },
+    freeze: () => {
+      isFrozen = true;
+    },
+    wake: () => {
+      isFrozen = false;
+      drain();
+    },
+    slowDisk: (newSyncUs) => {
+      syncUs = newSyncUs;
+    },
+  };
+  return machine;
+};
+
+export const usualDiskUs = usualSyncUs;
--- /dev/null
+++ b/src/sim/world/network.ts
@@ -0,0 +1,39 @@
+import type { World } from './world.js';
+
+/** The virtual network: delay, loss and cuts, each direction for itself. */
+export type Network = {
+  readonly send: (from: string, to: string, arrive: () => void) => void;
+  readonly cut: (from: string, to: string) => void;
+  readonly heal: () => void;
+  readonly lossy: (share: number) => void;
+  readonly slow: (factor: number) => void;
+};
+
+const leastDelayUs = 200;
+const moreDelayUs = 1_500;
+
+export const openNetwork = (world: World): Network => {
+  const cuts = new Set<string>();
+  let lossShare = 0;
+  let delayFactor = 1;
+  return {
+    send: (from, to, arrive) => {
+      if (cuts.has(`${from}>${to}`) || world.chance() < lossShare) return;
+      world.after((leastDelayUs + world.chance() * moreDelayUs) * delayFactor, () => {
+        if (!cuts.has(`${from}>${to}`)) arrive();
+      });
+    },
+    cut: (from, to) => void cuts.add(`${from}>${to}`),
+    heal: () => {
+      cuts.clear();
+      lossShare = 0;
+      delayFactor = 1;
+    },
+    lossy: (share) => {
+      lossShare = share;
+    },
+    slow: (factor) => {
+      delayFactor = factor;
+    },
+  };
+};
