Break the core in virtual time: kills, cuts, freezes, lost and stalled disks

Change: the real control machine on seeded virtual time, network and disk; racing operators, bursts, reads and claims; every acknowledged setup, lost race and claim is checked. The edge is tested on loopback: 4xx at once, pieces and end, one run a key, carry-over to the exact piece, visible breaks, reused addresses. Found: an exchange without an opening was delivered without the field, and the server turned it away; strict checks do not apply defaults. Files of a damaged ring stayed open.

--- a/src/cli/rehearse-command.ts
+++ b/src/cli/rehearse-command.ts
@@ -4,7 +4,9 @@
 import { rehearse } from '../rehearsal/run/rehearse.js';
 import { scenarios } from '../rehearsal/run/scenarios.js';
 import { summaryOf } from '../rehearsal/run/summary.js';
+import { simScenarios } from '../sim/sim-scenarios.js';
 import { fail, print } from './fail.js';
+import { parseSeeds, playVirtual } from './play-virtual.js';
 
 type RehearseFlags = {
   readonly scenario: string;
@@ -12,38 +14,56 @@
   readonly seconds?: string;
   readonly seed: string;
   readonly keep?: boolean;
+  readonly virtual?: string;
+  readonly seeds: string;
 };
 
 const wholeForm = /^\d{1,9}$/;
 
-/** Rehearses the system with real processes on this machine. */
+const listed = (items: readonly { readonly name: string; readonly about: string }[]): string =>
+  items.map((item) => `  ${item.name}: ${item.about}`).join('\n');
+
+const tell = (line: string): void => void process.stderr.write(`${line}\n`);
+
+/** Rehearses the system with real processes on this machine, or its machines in virtual time. */
 export const addRehearseCommand = (program: Command): void => {
   const command = program
     .command('rehearse')
     .description('start a whole fleet on this machine, play a scenario against it and check every rule')
     .addOption(
-      new Option('--scenario <name>', 'which scenario')
-        .choices(scenarios.map((scenario) => scenario.name))
-        .default('short'),
+      new Option('--scenario <name>', 'which scenario').choices(scenarios.map((scenario) => scenario.name)).default('short'),
     )
     .addOption(new Option('--deployment <name>', 'which deployment of the brief').choices(Object.keys(deployments)).default('cuenca'))
-    .option('--seconds <count>', 'how long traffic runs')
+    .option('--seconds <count>', 'how long traffic runs, from 5 to 3600')
     .option('--seed <number>', 'the seed of all chance', '1')
     .option('--keep', 'keep the folder with settings, logs and data')
-    .addHelpText('after', `\nScenarios:\n${scenarios.map((scenario) => `  ${scenario.name}: ${scenario.about}`).join('\n')}`);
+    .addOption(
+      new Option('--virtual <name>', 'play the state machines in virtual time instead').choices(simScenarios.map((scenario) => scenario.name)),
+    )
+    .option('--seeds <first-last>', 'the seeds that are played in virtual time', '1-20')
+    .addHelpText('after', `\nScenarios:\n${listed(scenarios)}\n\nIn virtual time:\n${listed(simScenarios)}`);
+  const misused = (message: string): never => command.error(`error: ${message}\n\n${command.helpInformation()}`, { exitCode: 2 });
+
   command.action(async (flags: RehearseFlags) => {
-    const scenario = scenarios.find((known) => known.name === flags.scenario);
-    if (!wholeForm.test(flags.seed)) command.error('error: --seed must be a whole number', { exitCode: 2 });
-    if (flags.seconds !== undefined && !(wholeForm.test(flags.seconds) && Number(flags.seconds) >= 5 && Number(flags.seconds) <= 3600))
-      command.error('error: --seconds must be a whole number from 5 to 3600', { exitCode: 2 });
-    if (scenario === undefined) return;
+    const virtualScenario = simScenarios.find((known) => known.name === flags.virtual);
+    if (virtualScenario !== undefined) {
+      const seeds = parseSeeds(flags.seeds) ?? misused('--seeds must be one seed or first-last');
+      const sum = playVirtual(virtualScenario, seeds, tell);
+      print(sum);
+      if (sum.brokenSeeds.length > 0) fail(typedError('rule-broken', `${sum.brokenSeeds.length} of ${sum.seeds} seeds break a rule`));
+      return;
+    }
+    const scenario = scenarios.find((known) => known.name === flags.scenario) ?? misused(`no scenario is named ${flags.scenario}`);
+    if (!wholeForm.test(flags.seed)) misused('--seed must be a whole number');
+    const seconds = flags.seconds ?? String(scenario.seconds);
+    if (!(wholeForm.test(seconds) && Number(seconds) >= 5 && Number(seconds) <= 3600)) misused('--seconds must be a whole number from 5 to 3600');
     const end = await rehearse({
       deployment: deployments[flags.deployment],
       scenario,
-      seconds: flags.seconds === undefined ? scenario.seconds : Number(flags.seconds),
+      seconds: Number(seconds),
       seed: Number(flags.seed),
       keepFolder: flags.keep === true,
-      tell: (line) => process.stderr.write(`${line}\n`),
+      tell,
     }).run();
     end.ifLeft(fail).ifRight((rehearsalEnd) => {
       print(summaryOf(rehearsalEnd));
--- a/src/disk/open-folder.ts
+++ b/src/disk/open-folder.ts
@@ -1,6 +1,6 @@
 import { mkdir, open, readdir, stat } from 'node:fs/promises';
 import { join } from 'node:path';
-import { EitherAsync } from 'purify-ts';
+import { EitherAsync, Left } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
 import { openDiskRing, type DiskRing } from './disk-ring.js';
 import type { RingFile } from './ring-file.js';
@@ -77,6 +77,7 @@
     } catch (thrown) {
       return throwE(typedError('disk-error', messageOf(thrown)));
     }
-    if (damage !== undefined) return throwE(damage);
-    return fromPromise(openDiskRing(files));
+    const ring = damage === undefined ? await openDiskRing(files) : Left<TypedError, DiskRing>(damage);
+    if (ring.isLeft()) for (const file of files) await file.close();
+    return fromPromise(Promise.resolve(ring));
   });
--- a/src/process/router/exchange-paths.ts
+++ b/src/process/router/exchange-paths.ts
@@ -28,6 +28,8 @@
   readonly counters: Counters;
   /** Why new exchanges can not be taken; none when they can. */
   readonly closedBy: () => ErrorType | undefined;
+  /** Whether the node is about to stop, so that callers should look for another. */
+  readonly isStopping: () => boolean;
 };
 
 const refuse = (response: ServerResponse, error: TypedError, retryAfterUs?: Micros): void =>
@@ -66,6 +68,7 @@
 
 const arrive = async (edge: Edge, message: IncomingMessage, response: ServerResponse): Promise<void> => {
   const { router, gate, closedBy } = edge;
+  if (edge.isStopping()) response.setHeader('connection', 'close');
   const parsed = (await readJsonBody(message, mostBodyBytes, 'bad-exchange')).chain((value) =>
     checked(exchangeBodySchema, value).mapLeft((faults) => typedError('bad-exchange', 'the exchange does not hold', faults)),
   );
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -351,7 +351,7 @@
         at: steadyNow(),
         exchange,
         kind: rule.kind,
-        prefix: prefixOf(rule.service, isModel ? body.opening : body.text),
+        prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
       });
     },
--- a/src/process/run-control.ts
+++ b/src/process/run-control.ts
@@ -9,6 +9,7 @@
 import { openLog } from './log.js';
 import type { ControlSettings } from './settings/control-settings.js';
 import { openSpreadTask } from './spread-task.js';
+import { toldToStop } from './told-to-stop.js';
 
 /** Runs a core machine until it is told to stop. */
 export const runControl = (settings: ControlSettings): EitherAsync<TypedError, void> => {
@@ -42,10 +43,7 @@
       }
       control.start();
       log.change('started', { identity: control.view().identity, role: control.view().role });
-      await new Promise<void>((resolve) => {
-        process.once('SIGTERM', resolve);
-        process.once('SIGINT', resolve);
-      });
+      await toldToStop();
       log.change('stopping', {});
       await control.resign();
       await new Promise((resolve) => setTimeout(resolve, 100));
--- a/src/rehearsal/history/history.ts
+++ b/src/rehearsal/history/history.ts
@@ -9,10 +9,13 @@
 export type History = {
   readonly calls: CallRecord[];
   readonly runs: RunRecord[];
+  /** The calls whose opening a server had to read anew, as `call@server`. */
+  readonly coldCalls: Set<string>;
+  readonly joins: { readonly server: string; readonly atUs: Micros }[];
   readonly puts: PutRecord[];
   readonly watches: WatchRecord[];
   readonly leaves: LeaveRecord[];
   readonly faults: { readonly name: string; readonly fromUs: Micros; readonly untilUs: Micros }[];
 };
 
-export const openHistory = (): History => ({ calls: [], runs: [], puts: [], watches: [], leaves: [], faults: [] });
+export const openHistory = (): History => ({ calls: [], runs: [], coldCalls: new Set(), joins: [], puts: [], watches: [], leaves: [], faults: [] });
--- a/src/rehearsal/history/run-record.ts
+++ b/src/rehearsal/history/run-record.ts
@@ -11,6 +11,7 @@
   readonly kind: string;
   readonly exchange: string;
   readonly fromPiece: number;
-  readonly cold: boolean;
+  /** The name of its opening. */
+  readonly opening: string;
   readonly atUs: Micros;
 };
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -1,3 +1,5 @@
+import { steadyNow } from '../../common/micros.js';
+import type { Setup } from '../../setup/document/setup.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { RehearsalParts } from './rehearsal-parts.js';
 import type { Scenario, ScenarioAct } from './scenario.js';
@@ -6,8 +8,9 @@
 
 const asGiven = (deployment: Deployment): Deployment => deployment;
 
-const join: ScenarioAct['act'] = async ({ hands }) => {
-  await hands.open(1, 'model');
+const join: ScenarioAct['act'] = async ({ hands, history }) => {
+  const [joiner] = await hands.open(1, 'model');
+  if (joiner !== undefined) history.joins.push({ server: joiner.listed.id, atUs: steadyNow() });
 };
 
 const leaveOne: ScenarioAct['act'] = async ({ hands, deployment, pause }: RehearsalParts) => {
@@ -24,6 +27,18 @@
 
 const smaller = (deployment: Deployment): Deployment => ({ ...deployment, routers: 3, models: 5, webs: 2, exchangesPerSecond: 45 });
 
+const joining = (name: string, about: string, setup: (setup: Setup) => Setup): Scenario => ({
+  name,
+  about,
+  seconds: 75,
+  plannedOnly: true,
+  size: asGiven,
+  setup,
+  acts: [{ atShare: 0.4, name: 'join', act: join }],
+});
+
+const coldFigures = (setup: Setup): Setup => ({ ...setup, warmup: { ...setup.warmup, boundUs: 0, settleUs: 0 } });
+
 /** Every scenario that `rehearse` knows. */
 export const scenarios: readonly Scenario[] = [
   {
@@ -53,4 +68,10 @@
       { atShare: 0.65, name: 'join again', act: join },
     ],
   },
+  joining('join-warm', 'one server joins, with warm-up, single-flight and pace', (setup) => setup),
+  joining('join-cold', 'one server joins cold: no warm-up, no pace, no waiting behind a prefill', (setup) => ({
+    ...coldFigures(setup),
+    flight: { boundUs: 0 },
+  })),
+  joining('join-flight', 'one server joins without warm-up and pace, but behind single-flight', coldFigures),
 ];
--- a/src/rehearsal/stand-in/open-server.ts
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -5,6 +5,7 @@
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import { addressParts } from '../../spread/link/address-parts.js';
 import type { History } from '../history/history.js';
+import type { RunRecord } from '../history/run-record.js';
 import { readExchange, type ServerExchange } from './read-exchange.js';
 import type { StandInServer } from './stand-in-server.js';
 import { pieceText, readWorkText } from './work-text.js';
@@ -13,6 +14,8 @@
 export type ServerFigures = {
   readonly keptOpenings: number;
   readonly prefillMicrosPerByte: number;
+  /** Prefills that run at once; each slows the others down. */
+  readonly prefillsAtOnce: number;
   readonly warmPrefillMillis: number;
   readonly pieceMillis: number;
   readonly mostRuns: number;
@@ -21,6 +24,7 @@
 export const usualFigures: ServerFigures = {
   keptOpenings: 200,
   prefillMicrosPerByte: 60,
+  prefillsAtOnce: 8,
   warmPrefillMillis: 6,
   pieceMillis: 20,
   mostRuns: 64,
@@ -38,25 +42,31 @@
   const rememberedOpenings = new Map<string, true>();
   let coldPrefills = 0;
   let runs = 0;
-  let prefillChain: Promise<void> = Promise.resolve();
+  let prefills = 0;
+  let waitingPrefills: (() => void)[] = [];
   let light: Promise<void> = Promise.resolve();
 
-  const prefill = (opening: string): { readonly cold: boolean; readonly ready: Promise<void> } => {
+  const prefill = async (opening: string): Promise<boolean> => {
     const prefix = prefixOf(listed.service, opening);
+    if (prefills >= figures.prefillsAtOnce) await new Promise<void>((resolve) => waitingPrefills.push(resolve));
+    prefills += 1;
     const cold = !rememberedOpenings.has(prefix);
+    if (cold) coldPrefills += 1;
+    await pause(cold ? (opening.length * figures.prefillMicrosPerByte * prefills) / 1000 : figures.warmPrefillMillis);
     rememberedOpenings.delete(prefix);
-    const ready = prefillChain.then(() => pause(cold ? (opening.length * figures.prefillMicrosPerByte) / 1000 : figures.warmPrefillMillis));
-    prefillChain = ready;
     const oldestPrefix = rememberedOpenings.size >= figures.keptOpenings ? rememberedOpenings.keys().next().value : undefined;
     if (oldestPrefix !== undefined) rememberedOpenings.delete(oldestPrefix);
     rememberedOpenings.set(prefix, true);
-    if (cold) coldPrefills += 1;
-    return { cold, ready };
+    prefills -= 1;
+    const [nextPrefill, ...laterPrefills] = waitingPrefills;
+    waitingPrefills = laterPrefills;
+    nextPrefill?.();
+    return cold;
   };
 
-  const note = (exchange: ServerExchange, cold: boolean): void => {
+  const note = (exchange: ServerExchange): RunRecord => {
     const { work, call } = readWorkText(exchange.text);
-    history.runs.push({
+    const run: RunRecord = {
       server: listed.id,
       incarnation: listed.incarnation,
       ownService: listed.service,
@@ -66,16 +76,17 @@
       kind: exchange.kind,
       exchange: exchange.exchange,
       fromPiece: exchange.fromPiece,
-      cold,
+      opening: prefixOf(listed.service, exchange.opening),
       atUs: steadyNow(),
-    });
+    };
+    history.runs.push(run);
+    return run;
   };
 
   const runModel = async (exchange: ServerExchange, response: ServerResponse): Promise<void> => {
     const { work, pieces } = readWorkText(exchange.text);
-    const { cold, ready } = prefill(exchange.opening);
-    note(exchange, cold);
-    await ready;
+    const run = note(exchange);
+    if (await prefill(exchange.opening)) history.coldCalls.add(`${run.call}@${run.server}`);
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     for (let piece = exchange.fromPiece; piece < pieces && !response.destroyed; piece += 1) {
       await light;
@@ -104,7 +115,7 @@
     try {
       if (type === 'model') await runModel(exchange, response);
       else {
-        note(exchange, false);
+        note(exchange);
         await pause(5);
         reply(response, 200, { status: 'well', work: readWorkText(exchange.text).work });
       }
--- /dev/null
+++ b/src/sim/core/core-faults.ts
@@ -0,0 +1,145 @@
+import { oneOf } from '../../common/chance.js';
+import type { CoreFleet } from './core-fleet.js';
+import type { CoreMachine } from './core-machine.js';
+import { usualDiskUs } from './core-machine.js';
+
+const second = 1_000_000;
+
+type Fault = { readonly name: string; readonly bring: (fleet: CoreFleet) => void };
+
+const anyMachine = (fleet: CoreFleet): CoreMachine | undefined => oneOf(fleet.world.chance, fleet.machines);
+
+const upAgain = (fleet: CoreFleet, machine: CoreMachine): void =>
+  fleet.world.after(200_000 + fleet.world.chance() * 4 * second, machine.start);
+
+const isolate = (fleet: CoreFleet, machine: CoreMachine, inward: boolean, outward: boolean): void => {
+  for (const other of fleet.machines) {
+    if (other === machine) continue;
+    if (outward) fleet.network.cut(machine.address(), other.address());
+    if (inward) fleet.network.cut(other.address(), machine.address());
+  }
+};
+
+/** Whether all three machines vote and have caught up, so that one more loss can be borne. */
+export const isWhole = (fleet: CoreFleet): boolean => {
+  const view = fleet.leader()?.view();
+  return (
+    view !== undefined &&
+    view.image.members.length + view.entries.length > 0 &&
+    fleet.machines.every((machine) => {
+      const own = machine.view();
+      return machine.isUp() && own.term === view.term && own.commit >= view.commit && (own.role === 'leader' || own.role === 'follower');
+    })
+  );
+};
+
+const faults: readonly Fault[] = [
+  {
+    name: 'kill one',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      if (machine === undefined) return;
+      machine.kill();
+      upAgain(fleet, machine);
+    },
+  },
+  {
+    name: 'kill the leader',
+    bring: (fleet) => {
+      const machine = fleet.leader();
+      if (machine === undefined) return;
+      machine.kill();
+      upAgain(fleet, machine);
+    },
+  },
+  {
+    name: 'kill all',
+    bring: (fleet) => {
+      for (const machine of fleet.machines) {
+        machine.kill();
+        upAgain(fleet, machine);
+      }
+    },
+  },
+  {
+    name: 'freeze one',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      if (machine === undefined) return;
+      machine.freeze();
+      fleet.world.after(500_000 + fleet.world.chance() * 5 * second, machine.wake);
+    },
+  },
+  {
+    name: 'isolate one',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      if (machine !== undefined) isolate(fleet, machine, true, true);
+      fleet.world.after(2 * second + fleet.world.chance() * 4 * second, fleet.network.heal);
+    },
+  },
+  {
+    name: 'one-way cut',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      const inward = fleet.world.chance() < 0.5;
+      if (machine !== undefined) isolate(fleet, machine, inward, !inward);
+      fleet.world.after(2 * second + fleet.world.chance() * 4 * second, fleet.network.heal);
+    },
+  },
+  {
+    name: 'loss and delay',
+    bring: (fleet) => {
+      fleet.network.lossy(0.25);
+      fleet.network.slow(20);
+      fleet.world.after(3 * second, fleet.network.heal);
+    },
+  },
+  {
+    name: 'slow disk',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      machine?.slowDisk(150_000);
+      fleet.world.after(4 * second, () => machine?.slowDisk(usualDiskUs));
+    },
+  },
+  {
+    name: 'stalled disk of the leader',
+    bring: (fleet) => {
+      const machine = fleet.leader();
+      machine?.slowDisk(3 * second);
+      fleet.world.after(2 * second, () => machine?.slowDisk(usualDiskUs));
+    },
+  },
+  {
+    name: 'lost disk',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      if (machine === undefined || !isWhole(fleet)) return;
+      machine.loseDisk(fleet.world.chance() < 0.5 ? `core-new-${fleet.world.now()}:1` : undefined);
+      upAgain(fleet, machine);
+    },
+  },
+];
+
+/** Brings a fault now and then, until a moment. */
+export const bringFaults = (fleet: CoreFleet, untilUs: number, tell: (name: string) => void): void => {
+  const next = (): void => {
+    if (fleet.world.now() >= untilUs) return;
+    const fault = oneOf(fleet.world.chance, faults);
+    tell(fault?.name ?? 'none');
+    fault?.bring(fleet);
+    fleet.world.after(500_000 + fleet.world.chance() * 5 * second, next);
+  };
+  fleet.world.after(3 * second, next);
+};
+
+/** Ends all trouble. */
+export const endFaults = (fleet: CoreFleet): void => {
+  fleet.network.heal();
+  for (const machine of fleet.machines) {
+    machine.slowDisk(usualDiskUs);
+    machine.wake();
+    machine.start();
+  }
+};
--- /dev/null
+++ b/src/sim/sim-scenarios.ts
@@ -0,0 +1,5 @@
+import { coreScenario } from './core/core-scenario.js';
+import type { SimScenario } from './sim-run.js';
+
+/** Every scenario that is played in virtual time. */
+export const simScenarios: readonly SimScenario[] = [coreScenario];
--- /dev/null
+++ b/tests/disk/memory-files.ts
@@ -0,0 +1,70 @@
+import type { RingFile } from '../../src/disk/ring-file.js';
+
+/** Files in memory that keep what was synced apart from what was only written. */
+export type MemoryFiles = {
+  readonly files: readonly RingFile[];
+  /** What is left after power was lost: synced bytes, and each unsynced write only if `survives` says so. */
+  readonly afterPowerLoss: (survives: (write: number) => boolean) => MemoryFiles;
+  readonly bytesOf: (file: number) => Buffer;
+  readonly counts: { writes: number; syncs: number };
+  /** Lets the writes from a certain one on fail. */
+  readonly failFrom: (write: number) => void;
+};
+
+type Write = { readonly offset: number; readonly bytes: Buffer };
+
+export const openMemoryFiles = (count: number, size: number, start?: readonly Buffer[]): MemoryFiles => {
+  const counts = { writes: 0, syncs: 0 };
+  let failingWrite = Number.POSITIVE_INFINITY;
+  const synced: Buffer[] = Array.from({ length: count }, (_, index) => Buffer.from(start?.[index] ?? Buffer.alloc(size)));
+  const unsynced: Write[][] = Array.from({ length: count }, () => []);
+  const seen = (index: number): Buffer => {
+    const bytes = Buffer.from(synced[index] ?? Buffer.alloc(size));
+    for (const write of unsynced[index] ?? []) write.bytes.copy(bytes, write.offset);
+    return bytes;
+  };
+  const files = Array.from(
+    { length: count },
+    (_, index): RingFile => ({
+      size,
+      read: () => Promise.resolve(seen(index)),
+      write: (offset, bytes) => {
+        counts.writes += 1;
+        if (counts.writes >= failingWrite) return Promise.reject(new Error('no space is left'));
+        unsynced[index]?.push({ offset, bytes: Buffer.from(bytes) });
+        return Promise.resolve();
+      },
+      sync: () => {
+        counts.syncs += 1;
+        synced[index] = seen(index);
+        unsynced[index] = [];
+        return Promise.resolve();
+      },
+      close: () => Promise.resolve(),
+    }),
+  );
+  return {
+    files,
+    counts,
+    bytesOf: seen,
+    failFrom: (write) => {
+      failingWrite = write;
+    },
+    afterPowerLoss: (survives) => {
+      let number = 0;
+      return openMemoryFiles(
+        count,
+        size,
+        synced.map((bytes, index) => {
+          const left = Buffer.from(bytes);
+          for (const write of unsynced[index] ?? []) {
+            number += 1;
+            if (survives(number)) write.bytes.copy(left, write.offset);
+            else write.bytes.subarray(0, write.bytes.length >> 1).copy(left, write.offset);
+          }
+          return left;
+        }),
+      );
+    },
+  };
+};
--- /dev/null
+++ b/tests/router/loopback.ts
@@ -0,0 +1,112 @@
+import { Right } from 'purify-ts';
+import { request } from 'undici';
+import type { Answer } from '../../src/control/machine/answer.js';
+import { applyCommand } from '../../src/control/state/apply.js';
+import { startControlState } from '../../src/control/state/control-state.js';
+import type { CoreClient } from '../../src/process/core-client.js';
+import { openRouterNode, type RouterNode } from '../../src/process/router/router-node.js';
+import { openHistory, type History } from '../../src/rehearsal/history/history.js';
+import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
+import { openStandInServer, usualFigures } from '../../src/rehearsal/stand-in/open-server.js';
+import type { StandInServer } from '../../src/rehearsal/stand-in/stand-in-server.js';
+import { steadyNow } from '../../src/common/micros.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+import type { ListedServer } from '../../src/servers/list/listed-server.js';
+
+/** One router on this machine, with stand-in servers and a core that is a bare state. */
+export type Loopback = {
+  readonly http: string;
+  readonly node: RouterNode;
+  readonly history: History;
+  readonly servers: readonly StandInServer[];
+  readonly show: (servers: readonly ListedServer[]) => void;
+  readonly open: (listed: ListedServer, type: 'model' | 'web') => Promise<StandInServer>;
+  readonly send: (body: unknown, headers?: Readonly<Record<string, string>>) => Promise<Sent>;
+  readonly close: () => void;
+};
+
+export type Sent = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+  readonly text: string;
+  readonly broken: boolean;
+};
+
+const quietLog = { change: (): void => undefined };
+
+/** A core that applies every command at once. */
+export const bareCore = (): CoreClient => {
+  let state = applyCommand(startControlState, { type: 'setup', proposal: 'p', expected: 0, setup: sampleSetup('loopback'), atUs: 0 }).state;
+  return {
+    ask: (question) => {
+      if (question.type === 'read') return Promise.resolve(Right<Answer>({ type: 'record', record: state.record }));
+      const applied = applyCommand(state, question.command);
+      state = applied.state;
+      return Promise.resolve(Right<Answer>({ type: 'applied', outcome: applied.outcome }));
+    },
+  };
+};
+
+export const listedAt = (id: string, service: string, port: number, more: Partial<ListedServer> = {}): ListedServer => ({
+  id,
+  incarnation: 'i1',
+  service,
+  address: `127.0.0.1:${port}`,
+  locality: 'a',
+  listedAtUs: 1,
+  state: 'up',
+  ...more,
+});
+
+const readAll = async (body: AsyncIterable<unknown>): Promise<{ readonly text: string; readonly broken: boolean }> => {
+  let text = '';
+  try {
+    for await (const chunk of body) text += String(chunk);
+    return { text, broken: false };
+  } catch {
+    return { text, broken: true };
+  }
+};
+
+export const openLoopback = async (models: number, webs: number, pieceMillis = 1): Promise<Loopback> => {
+  const history = openHistory();
+  const [httpPort, partnerPort, ...serverPorts] = await freePorts(2 + models + webs);
+  const http = `127.0.0.1:${httpPort}`;
+  const partners = `127.0.0.1:${partnerPort}`;
+  const node = openRouterNode({ node: 'r1', locality: 'a', http, partners, seeds: [partners, partners, partners] }, quietLog, bareCore);
+  const figures = { ...usualFigures, prefillMicrosPerByte: 1, warmPrefillMillis: 1, pieceMillis };
+  let version = 0;
+  const show = (servers: readonly ListedServer[]): void => {
+    version += 1;
+    node.spread.offerList({ version, atUs: steadyNow() + version, servers });
+  };
+  const open = (listed: ListedServer, type: 'model' | 'web'): Promise<StandInServer> => openStandInServer(listed, type, history, figures);
+  const servers = await Promise.all(
+    serverPorts.map((port, index) =>
+      index < models ? open(listedAt(`m${index}`, 'model', port), 'model') : open(listedAt(`w${index}`, 'status', port), 'web'),
+    ),
+  );
+  await node.start();
+  show(servers.map((server) => server.listed));
+  return {
+    http,
+    node,
+    history,
+    servers,
+    show,
+    open,
+    send: async (body, headers = {}) => {
+      const answer = await request(`http://${http}/exchanges`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', ...headers },
+        body: typeof body === 'string' ? body : JSON.stringify(body),
+      });
+      answer.body.setEncoding('utf8');
+      return { status: answer.statusCode, headers: answer.headers, ...(await readAll(answer.body)) };
+    },
+    close: () => {
+      for (const server of servers) server.crash();
+      node.end();
+    },
+  };
+};
