Spread news as a digest and its text on request, once to each process

Cause: every process that heard of a new setup or list sent its whole text to all others. With a setup of 1,600 rules each process checked it eleven times, 65 ms each, which held its event loop for over 0.7 s: the leader lost its majority, routers took it for a freeze. Ruled out: the check of the setup itself (65 ms once), nested checks (one pass each).

--- a/src/spread/machine/spread-view.ts
+++ b/src/spread/machine/spread-view.ts
@@ -16,6 +16,8 @@
   readonly digestUs: Micros;
   readonly digests: number;
   readonly heardUs: Micros;
+  /** When a partner was last asked for news. */
+  readonly askedUs: Micros;
   readonly isolated: boolean;
   readonly inquiry: number;
   readonly refreshing: boolean;
@@ -32,6 +34,7 @@
   digestUs: 0,
   digests: 0,
   heardUs: Number.NEGATIVE_INFINITY,
+  askedUs: Number.NEGATIVE_INFINITY,
   isolated: true,
   inquiry: 0,
   refreshing: false,
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -16,6 +16,8 @@
 export const digestSpanUs: Micros = 200_000;
 export const isolatedSpanUs: Micros = 1_500_000;
 export const forgottenSpanUs: Micros = 30_000_000;
+/** For so long one asked partner is given before another is asked for the same news. */
+export const askSpanUs: Micros = 150_000;
 const digestsPerRoll = 5;
 
 const stepped = (view: SpreadView, ...effects: readonly SpreadEffect[]): SpreadStep => ({ view, effects });
@@ -44,16 +46,20 @@
     : stepped({ ...view, offsetUs }, { type: 'time', platformUs });
 };
 
+/** Makes news known here, and lets all others know that there is some; they ask for its text. */
+const told = (view: SpreadView, news: SpreadEffect, from?: string): SpreadStep =>
+  stepped(view, news, ...toAll(view, digestOf(view, false), from));
+
 const withRecord = (view: SpreadView, record: SetupRecord, from?: string): SpreadStep =>
   record.revision <= revisionOf(view)
     ? stepped(view)
-    : stepped({ ...view, record }, { type: 'setup', record }, ...toAll(view, { type: 'setup', record }, from));
+    : told({ ...view, record }, { type: 'setup', record }, from);
 
 const withList = (view: SpreadView, list: ServerList, from?: string): SpreadStep =>
   list.version <= versionOf(view)
     ? stepped(view)
     : andThen(withTime({ ...view, list }, list.atUs), (timedView) =>
-        stepped(timedView, { type: 'list', list }, ...toAll(view, { type: 'list', list }, from)),
+        told(timedView, { type: 'list', list }, from),
       );
 
 const digestOf = (view: SpreadView, isFull: boolean, inquiry?: number): SpreadFrame => ({
@@ -100,11 +106,11 @@
       const isAnswer = timedView.refreshing && digest.inquiry === timedView.inquiry;
       const isFresh = isAnswer && digest.revision <= revisionOf(timedView) && digest.version <= versionOf(timedView);
       const lacks = digest.revision > revisionOf(timedView) || digest.version > versionOf(timedView);
+      const mayAsk = lacks && timedView.atUs >= timedView.askedUs + askSpanUs;
       return stepped(
-        isFresh ? { ...timedView, refreshing: false } : timedView,
+        { ...timedView, refreshing: timedView.refreshing && !isFresh, askedUs: mayAsk ? timedView.atUs : timedView.askedUs },
         ...(isFresh ? [{ type: 'refreshed' as const }] : []),
-        ...caughtUp(timedView, from, digest.revision, digest.version),
-        ...(lacks ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView) }] : []),
+        ...(mayAsk ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView) }] : []),
       );
     },
   );
