--- a/src/control/machine/leading.ts
+++ b/src/control/machine/leading.ts
@@ -17,9 +17,10 @@
   const heardProgress = { ...progress, heardUs: view.atUs, heardRound: Math.max(progress.heardRound, message.round), pausedUntilUs: 0 };
   const match = message.matches ? Math.max(progress.match, message.index) : progress.match;
   const next = message.matches ? Math.max(match + 1, progress.match + 1) : Math.max(progress.match + 1, Math.min(progress.next - 1, message.index + 1));
+  const hasMoved = match !== progress.match || next !== progress.next;
   const heardView = { ...view, progress: withEntry(view.progress, from, { ...heardProgress, match, next }) };
   return andThen(andThen(leaderCommitted(heardView), readsAnswered), (answeredView) =>
-    answeredView.role === 'leader' && next <= lastIndexOf(answeredView) ? sentAppend(answeredView, from) : stepped(answeredView),
+    answeredView.role === 'leader' && hasMoved && next <= lastIndexOf(answeredView) ? sentAppend(answeredView, from) : stepped(answeredView),
   );
 };
 
--- a/src/rehearsal/checker/check-setups.ts
+++ b/src/rehearsal/checker/check-setups.ts
@@ -39,7 +39,13 @@
 /** No revision may be given twice, and none to a setup that lost or was invalid. */
 export const checkOutcomes = (history: History): readonly Finding[] => {
   const takenRevisions = history.puts.flatMap((put) => (put.outcome === 'taken' && put.revision !== undefined ? [put.revision] : []));
-  return new Set(takenRevisions).size === takenRevisions.length
-    ? []
-    : [{ rule: 'one-winner', detail: `a revision was given twice: ${takenRevisions.join(', ')}` }];
+  const overtaken = history.puts.filter(
+    (put) => put.outcome === 'taken' && put.expected !== undefined && put.revision !== put.expected + 1,
+  );
+  return [
+    ...(new Set(takenRevisions).size === takenRevisions.length
+      ? []
+      : [{ rule: 'one-winner', detail: `a revision was given twice: ${takenRevisions.join(', ')}` }]),
+    ...overtaken.map((put) => ({ rule: 'one-winner', detail: `${put.proposal} was taken as ${put.revision} though it was for ${put.expected}` })),
+  ];
 };
--- a/src/rehearsal/history/setup-record.ts
+++ b/src/rehearsal/history/setup-record.ts
@@ -3,6 +3,8 @@
 /** One put in the history of an operator. */
 export type PutRecord = {
   readonly proposal: string;
+  /** The revision that had to be the newest still; none if the operator did not say. */
+  readonly expected: number | undefined;
   readonly name: string;
   readonly askedUs: Micros;
   readonly toldUs: Micros;
--- a/src/rehearsal/run/operator.ts
+++ b/src/rehearsal/run/operator.ts
@@ -24,9 +24,10 @@
     body: JSON.stringify(setup),
   }).run();
   const record: PutRecord = answer.caseOf<PutRecord>({
-    Left: () => ({ proposal, name: setup.name, askedUs, toldUs: steadyNow(), outcome: 'unknown', revision: undefined }),
+    Left: () => ({ proposal, expected, name: setup.name, askedUs, toldUs: steadyNow(), outcome: 'unknown', revision: undefined }),
     Right: ({ status, body }) => ({
       proposal,
+      expected,
       name: setup.name,
       askedUs,
       toldUs: steadyNow(),
--- a/src/sim/core/core-machine.ts
+++ b/src/sim/core/core-machine.ts
@@ -62,6 +62,7 @@
   let disk: KeptRecord[] = [];
   let waiting: ControlEvent[] = [];
   let keptView: ControlView | undefined;
+  const usedIdentities = new Set<string>();
   const known = new Map<string, string>();
   const freshView = (): ControlView => startControlView(`${name}-d${disks}`, address, seeds);
   let view = freshView();
@@ -151,7 +152,11 @@
       const start = freshView();
       view = recoveredView(start, disk);
       keptView = view;
-      if (disk.length === 0) disk = [{ type: 'identity', identity: start.identity }];
+      if (disk.length === 0) {
+        if (usedIdentities.has(start.identity)) hearUnkept(machine, `${start.identity} came back without its disk`);
+        usedIdentities.add(start.identity);
+        disk = [{ type: 'identity', identity: start.identity }];
+      }
       rest?.begin();
       tick(life);
     },
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -34,6 +34,7 @@
       const { outcome } = word.outcome;
       if (outcome.type === 'taken') {
         counts.taken += 1;
+        if (outcome.revision !== expected + 1) rules.breakRule(`${name} was taken as ${outcome.revision} though it was for ${expected}`);
         const known = takenNames.get(outcome.revision);
         if (known !== undefined) rules.breakRule(`revision ${outcome.revision} was told to ${known} and ${name}`);
         takenNames.set(outcome.revision, name);
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -1,5 +1,5 @@
 import { oneOf } from '../../common/chance.js';
-import { checkAnswers, checkRecovery } from '../../rehearsal/checker/check-answers.js';
+import { checkAnswers, checkFewRefusals, checkNoCuts, checkRecovery } from '../../rehearsal/checker/check-answers.js';
 import { checkExtraTries, checkLeaving, checkRefusals, checkRunOnce, checkServices } from '../../rehearsal/checker/check-runs.js';
 import { checkInForce, checkNeverBackwards, checkOutcomes } from '../../rehearsal/checker/check-setups.js';
 import type { History } from '../../rehearsal/history/history.js';
@@ -17,6 +17,8 @@
 
 export type FleetSizes = { readonly routers: number; readonly models: number; readonly webs: number; readonly callsPerSecond: number };
 
+const mostRefusedShare = 0.002;
+
 const onceKinds = new Set(['summary']);
 
 /** The independent rules over the histories of callers, servers, operators and the platform. */
@@ -43,6 +45,7 @@
       const outcome = word?.type === 'applied' && word.outcome.type === 'proposal' ? word.outcome.outcome : undefined;
       fleet.history.puts.push({
         proposal: name,
+        expected,
         name,
         askedUs,
         toldUs: fleet.world.now(),
@@ -88,43 +91,109 @@
   return counts;
 };
 
+type Play = {
+  readonly sizes: FleetSizes;
+  readonly faults: readonly FleetFault[];
+  /** Planned changes: nothing may be cut off at any time, and hardly anything refused. */
+  readonly planned?: (fleet: SimFleet, told: (what: string) => void) => void;
+};
+
+const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
+  ...fleet.rules.broken(),
+  ...brokenIn(fleet.history),
+  ...[
+    ...checkRecovery(fleet.history, troubleEndsUs),
+    ...(isPlanned ? [...checkNoCuts(fleet.history), ...checkFewRefusals(fleet.history, mostRefusedShare)] : []),
+  ]
+    .slice(0, 3)
+    .map((finding) => `${finding.rule}: ${finding.detail}`),
+  ...underWay.map((running) => `every-call-ends: ${running} never ended`),
+  ...(fleet.history.calls.length < 50 ? ['the fleet hardly served at all'] : []),
+];
+
 const playWith =
-  (sizes: FleetSizes, faults: readonly FleetFault[]) =>
+  ({ sizes, faults, planned }: Play) =>
   (seed: number): SimRun => {
     const fleet = openSimFleet(seed, sizes.routers);
     const callers = openSimCallers(fleet, sizes.callsPerSecond);
-    const told: string[] = [];
+    const faultsTold: string[] = [];
+    const told = (what: string): void => void faultsTold.push(`${Math.round(fleet.world.now() / 1000)} ms: ${what}`);
     openAll(fleet, sizes);
     operateOn(fleet, sizes.routers);
     fleet.world.after(warmUpUs, callers.start);
     const troubleOn = (): void => {
-      if (fleet.world.now() >= troubleEndsUs) return;
       const fault = oneOf(fleet.world.chance, faults);
-      told.push(`${Math.round(fleet.world.now() / 1000)} ms: ${fault?.name ?? ''}`);
-      fault?.bring(fleet, callers);
+      if (fault === undefined || fleet.world.now() >= troubleEndsUs) return;
+      told(fault.name);
+      fault.bring(fleet, callers);
       fleet.world.after(second + fleet.world.chance() * 5 * second, troubleOn);
     };
     fleet.world.after(warmUpUs + 3 * second, troubleOn);
+    fleet.world.after(warmUpUs + 3 * second, () => planned?.(fleet, told));
     fleet.world.playUntil(troubleEndsUs);
-    endFleetFaults(fleet, callers);
+    if (planned === undefined) endFleetFaults(fleet, callers);
     fleet.world.playUntil(endUs);
     callers.stop();
     for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) fleet.world.playUntil(endUs + waited * second);
-    const broken = [
-      ...fleet.rules.broken(),
-      ...brokenIn(fleet.history),
-      ...checkRecovery(fleet.history, troubleEndsUs)
-        .slice(0, 3)
-        .map((finding) => `${finding.rule}: ${finding.detail}`),
-      ...callers.underWay().map((running) => `every-call-ends: ${running} never ended`),
-      ...(fleet.history.calls.length < 50 ? ['the fleet hardly served at all'] : []),
-    ];
-    return { broken, counts: countEnds(fleet.history), faults: told };
+    return { broken: sumUp(fleet, callers.underWay(), planned !== undefined), counts: countEnds(fleet.history), faults: faultsTold };
+  };
+
+const smallSizes: FleetSizes = { routers: 5, models: 7, webs: 2, callsPerSecond: 40 };
+const archiveSizes: FleetSizes = { routers: 6, models: 13, webs: 3, callsPerSecond: 100 };
+const cuencaSizes: FleetSizes = { routers: 9, models: 13, webs: 3, callsPerSecond: 90 };
+
+/** Replaces all servers one after another, and restarts all routers in order, each once the former is back. */
+const rollAll = (fleet: SimFleet, told: (what: string) => void): void => {
+  const olds = fleet.servers().filter((server) => server.listed.service === 'model');
+  const replace = (place: number): void => {
+    const old = olds[place];
+    if (old === undefined) return;
+    told(`replace ${old.listed.id}`);
+    fleet.openServer('model');
+    fleet.leave(old);
+    fleet.world.after(3 * second, () => replace(place + 1));
+  };
+  const restart = (place: number): void => {
+    const router = fleet.routers[place];
+    if (router === undefined) return;
+    told(`restart ${router.name}`);
+    router.terminate(() => {
+      fleet.world.after(300_000, () => {
+        router.start();
+        const goOn = (): void => {
+          if (fleet.platform.readyRouters().includes(router)) restart(place + 1);
+          else fleet.world.after(100_000, goOn);
+        };
+        goOn();
+      });
+    });
   };
+  replace(0);
+  restart(0);
+};
 
 /** A whole fleet under every fault. */
 export const fleetScenario: SimScenario = {
   name: 'fleet',
-  about: 'core, routers, servers, callers and platform under every fault of the brief',
-  play: playWith({ routers: 5, models: 7, webs: 2, callsPerSecond: 40 }, fleetFaults),
+  about: 'core, routers, servers, callers and platform under every fault of the brief, on a small fleet',
+  play: playWith({ sizes: smallSizes, faults: fleetFaults }),
 };
+
+export const fleetScenarios: readonly SimScenario[] = [
+  fleetScenario,
+  {
+    name: 'archive',
+    about: "the same at the Archive's sizes and rate",
+    play: playWith({ sizes: archiveSizes, faults: fleetFaults }),
+  },
+  {
+    name: 'cuenca',
+    about: "the same at Cuenca's sizes and rate",
+    play: playWith({ sizes: cuencaSizes, faults: fleetFaults }),
+  },
+  {
+    name: 'rolling',
+    about: 'all model servers replaced and all routers restarted in order: nothing cut off, hardly anything refused',
+    play: playWith({ sizes: smallSizes, faults: [], planned: rollAll }),
+  },
+];
--- a/src/sim/sim-scenarios.ts
+++ b/src/sim/sim-scenarios.ts
@@ -1,6 +1,6 @@
 import { coreScenario } from './core/core-scenario.js';
-import { fleetScenario } from './fleet/fleet-scenario.js';
+import { fleetScenarios } from './fleet/fleet-scenario.js';
 import type { SimScenario } from './sim-run.js';
 
 /** Every scenario that is played in virtual time. */
-export const simScenarios: readonly SimScenario[] = [coreScenario, fleetScenario];
+export const simScenarios: readonly SimScenario[] = [coreScenario, ...fleetScenarios];
--- a/tests/spread/spread.test.ts
+++ b/tests/spread/spread.test.ts
@@ -83,7 +83,10 @@
   spreads[6]?.receive(addresses[4] ?? '', { type: 'setup', record: recordAt(1) });
   assert.is(spreads[6]?.view().record?.revision, 2);
   network.heal();
-  for (const left of addresses.slice(0, 6)) for (const right of addresses.slice(6)) (network.cut(left, right), network.cut(right, left));
+  for (const left of addresses.slice(0, 6)) for (const right of addresses.slice(6)) {
+      network.cut(left, right);
+      network.cut(right, left);
+    }
   spreads[0]?.take({ type: 'list', at: world.now(), list: listOf(4, 50, []) });
   world.playUntil(world.now() + 2 * second);
   assert.equal(spreads.map((spread) => spread.view().list?.version), [4, 4, 4, 4, 4, 4, ...Array.from({ length: 6 }, () => undefined)]);
