Fold what is committed before an image is kept, so that it fits its file

Cause: the image at the head of a ring file carried every entry since the last fold in memory, up to 2,048; thirty setups of 100 KB made 3 MB, a burst of larger ones would not have fitted, and the machine would have stopped with a disk error. Ruled out: the size of the newest setup alone (at most 1 MiB now, was 4). Claims are kept as one text each, 60,000 at most, under 12 MiB in a 16 MiB file. Conclusion: an image folds first; logs with over 16 whole setups are folded in memory too.

--- a/src/cli/run-commands.ts
+++ b/src/cli/run-commands.ts
@@ -64,7 +64,7 @@
           readSettingsFile(flags.settings).chain((settings) =>
             checkControlSettings({
               ringFiles: 3,
-              ringFileBytes: 8 << 20,
+              ringFileBytes: 16 << 20,
               ...settings,
               ...given(flags, [...nodeNames, 'data', 'ringFiles', 'ringFileBytes']),
             }),
--- a/src/control/keeping/recover.ts
+++ b/src/control/keeping/recover.ts
@@ -1,5 +1,6 @@
 import type { KeptRecord } from '../log/kept-record.js';
 import type { ControlView } from '../machine/control-view.js';
+import { folded } from '../machine/committing.js';
 import { restingRoleOf, withEntries } from '../machine/roles.js';
 
 /** A view with one more kept record folded in. */
@@ -24,11 +25,14 @@
   return { ...view, role: restingRoleOf(view) };
 };
 
-/** All that must be kept of a view, for the head of a new file. */
-export const imageRecordsOf = (view: ControlView): readonly KeptRecord[] => [
-  { type: 'identity', identity: view.identity },
-  ...(view.offer === undefined ? [] : [{ type: 'offer' as const, offer: view.offer }]),
-  { type: 'vote', term: view.term, votedFor: view.votedFor },
-  { type: 'image', image: view.image },
-  ...(view.entries.length === 0 ? [] : [{ type: 'entries' as const, entries: view.entries }]),
-];
+/** All that must be kept of a view, for the head of a new file: what is committed is folded first. */
+export const imageRecordsOf = (view: ControlView): readonly KeptRecord[] => {
+  const { image, entries } = folded(view);
+  return [
+    { type: 'identity', identity: view.identity },
+    ...(view.offer === undefined ? [] : [{ type: 'offer' as const, offer: view.offer }]),
+    { type: 'vote', term: view.term, votedFor: view.votedFor },
+    { type: 'image', image },
+    ...(entries.length === 0 ? [] : [{ type: 'entries' as const, entries }]),
+  ];
+};
--- a/src/control/machine/committing.ts
+++ b/src/control/machine/committing.ts
@@ -4,7 +4,7 @@
 import type { ControlView } from './control-view.js';
 import { entriesFrom, entryAt, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
 import { restingRoleOf, withRole } from './roles.js';
-import { mostKeptEntries } from './timing.js';
+import { mostKeptEntries, mostKeptSetups } from './timing.js';
 
 const applied = (view: ControlView, index: number): ControlStep => {
   const entry = entryAt(view, index);
@@ -21,9 +21,9 @@
   return { view: { ...view, state, asks, commit: index }, effects };
 };
 
-/** Folds a long log into an image. */
-const folded = (view: ControlView): ControlView => {
-  if (view.entries.length <= mostKeptEntries) return view;
+/** Folds the log up to what is committed into the image. */
+export const folded = (view: ControlView): ControlView => {
+  if (view.commit === view.image.index) return view;
   const keptEntries = entriesFrom(view, view.commit + 1, view.entries.length);
   const foldedEntries = view.entries.slice(0, view.entries.length - keptEntries.length);
   return {
@@ -38,13 +38,18 @@
   };
 };
 
+/** Whether the log is to be folded: it has many entries, or many whole setups. */
+const isLong = (view: ControlView): boolean =>
+  view.entries.length > mostKeptEntries || view.entries.filter((entry) => entry.command.type === 'setup').length > mostKeptSetups;
+
 /** Commits up to an index: applies, answers, folds. */
 export const committedTo = (view: ControlView, index: number): ControlStep => {
   const reachedIndex = Math.min(index, lastIndexOf(view));
   if (reachedIndex <= view.commit) return stepped(view);
   const indexes = Array.from({ length: reachedIndex - view.commit }, (_, place) => view.commit + 1 + place);
   const step = overAll(stepped(view), indexes, applied);
-  return andThen({ view: folded(step.view), effects: step.effects }, (foldedView) =>
+  const reachedView = isLong(step.view) ? folded(step.view) : step.view;
+  return andThen({ view: reachedView, effects: step.effects }, (foldedView) =>
     foldedView.role === 'learner' || foldedView.role === 'follower' || foldedView.role === 'unfounded'
       ? withRole(foldedView, { role: restingRoleOf(foldedView) })
       : stepped(foldedView),
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -9,3 +9,4 @@
 export const forgottenLearnerUs: Micros = 60_000_000;
 export const mostSentEntries = 64;
 export const mostKeptEntries = 2048;
+export const mostKeptSetups = 16;
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -10,7 +10,7 @@
 import type { ProposalOutcome } from './proposal-outcome.js';
 
 export const claimKeepUs: Micros = 900_000_000;
-export const mostClaims = 100_000;
+export const mostClaims = 60_000;
 const mostProposals = 512;
 const mostEpochs = 8;
 const shelfCount = 512;
--- a/src/control/wire/image-codec.ts
+++ b/src/control/wire/image-codec.ts
@@ -4,6 +4,8 @@
 import { memberSchema } from './command-guard.js';
 import { isProposalOutcome } from './outcome-guard.js';
 
+const claimForm = /^\d+ \d+ \S+ \S+$/;
+
 /** The form of an image on the wire and on disk, with lists in place of maps. */
 export const imageSchema = object({
   index: number().required().integer().min(0),
@@ -12,14 +14,8 @@
   clockUs: number().required().integer(),
   record: recordSchema.optional().default(undefined),
   proposals: array(object({ proposal: string().required(), outcome: mixed(isProposalOutcome).required() }).required()).required(),
-  claims: array(
-    object({
-      shelf: number().required().integer(),
-      key: string().required(),
-      exchange: string().required(),
-      atUs: number().required().integer(),
-    }).required(),
-  ).required(),
+  /** Each claim as one text: shelf, time, exchange and key. */
+  claims: array(string().required().matches(claimForm)).required(),
 }).required();
 
 export type PlainImage = InferType<typeof imageSchema>;
@@ -32,7 +28,7 @@
   record: image.state.record === undefined ? undefined : { ...image.state.record, ...mutableRecord(image.state.record) },
   proposals: [...image.state.proposals].map(([proposal, outcome]) => ({ proposal, outcome })),
   claims: [...image.state.shelves].flatMap(([shelf, claims]) =>
-    [...claims].map(([key, claim]) => ({ shelf, key, exchange: claim.exchange, atUs: claim.atUs })),
+    [...claims].map(([key, claim]) => `${shelf} ${claim.atUs} ${claim.exchange} ${key}`),
   ),
 });
 
@@ -49,9 +45,10 @@
 export const decodeImage = (plain: PlainImage): ControlImage => {
   const shelves = new Map<number, Map<string, { readonly exchange: string; readonly atUs: number }>>();
   for (const claim of plain.claims) {
-    const shelf = shelves.get(claim.shelf) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
-    shelf.set(claim.key, { exchange: claim.exchange, atUs: claim.atUs });
-    shelves.set(claim.shelf, shelf);
+    const [shelfText = '', atText = '', exchange = '', key = ''] = claim.split(' ');
+    const shelf = shelves.get(Number(shelfText)) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
+    shelf.set(key, { exchange, atUs: Number(atText) });
+    shelves.set(Number(shelfText), shelf);
   }
   return {
     index: plain.index,
--- a/src/process/http/operator-paths.ts
+++ b/src/process/http/operator-paths.ts
@@ -11,7 +11,7 @@
 import { readJsonBody } from './read-body.js';
 import { reply, replyError } from './reply.js';
 
-const mostSetupBytes = 4 << 20;
+const mostSetupBytes = 1 << 20;
 const readBudgetUs: Micros = 2_000_000;
 const proposeBudgetUs: Micros = 4_000_000;
 const comeBackUs: Micros = 1_000_000;
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -31,7 +31,7 @@
   ringFileBytes: number()
     .required()
     .integer()
-    .min(1 << 20)
+    .min(4 << 20)
     .max(1 << 30),
 }).noUnknown();
 
