--- a/src/sim/core/core-faults.ts
+++ b/src/sim/core/core-faults.ts
@@ -78,6 +78,14 @@
       fleet.world.after(2 * second + fleet.world.chance() * 4 * second, fleet.network.heal);
     },
   },
+  {
+    name: 'isolate the leader',
+    bring: (fleet) => {
+      const machine = fleet.leader();
+      if (machine !== undefined) isolate(fleet, machine, true, true);
+      fleet.world.after(2 * second + fleet.world.chance() * 4 * second, fleet.network.heal);
+    },
+  },
   {
     name: 'one-way cut',
     bring: (fleet) => {
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -88,6 +88,13 @@
     world.after(world.chance() * 200_000, claimOn);
   };
 
+  const readOn = (): void => {
+    if (world.now() > troubleEndsUs) return;
+    read(() => undefined);
+    world.after(world.chance() * 120_000, readOn);
+  };
+
+  world.after(2 * second, readOn);
   world.after(2 * second, operate);
   world.after(2 * second, claimOn);
   bringFaults(fleet, troubleEndsUs, (name) => faults.push(`${Math.round(world.now() / 1000)} ms: ${name}`));
