--- a/src/sim/fleet/fleet-faults.ts
+++ b/src/sim/fleet/fleet-faults.ts
@@ -112,6 +112,19 @@
       if (server !== undefined) fleet.leave(server);
     },
   },
+  {
+    name: 'freeze a router while a server leaves',
+    bring: (fleet) => {
+      const router = anyRouter(fleet);
+      router?.node.freeze();
+      fleet.world.after(within(fleet, 4 * second, 3 * second), () => router?.node.wake());
+      fleet.world.after(within(fleet, 100_000, 400_000), () => {
+        const server = anyModel(fleet);
+        fleet.openServer('model');
+        if (server !== undefined) fleet.leave(server);
+      });
+    },
+  },
   {
     name: 'a server leaves while the fleet is split',
     bring: (fleet) => {
--- a/tests/router/edge.test.ts
+++ b/tests/router/edge.test.ts
@@ -1,5 +1,7 @@
+import { createServer } from 'node:http';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { pieceText, writeWorkText } from '../../src/rehearsal/stand-in/work-text.js';
 import { listedAt, openLoopback, type Loopback, type Sent } from './loopback.js';
 
@@ -145,4 +147,36 @@
   }
 });
 
+faults('a server that skips, repeats or miscounts pieces breaks the stream visibly', async () => {
+  const wrongLines: readonly (readonly string[])[] = [
+    ['{"piece":0,"text":"a"}', '{"piece":2,"text":"c"}', '{"end":true,"pieces":3}'],
+    ['{"piece":0,"text":"a"}', '{"piece":0,"text":"a"}', '{"end":true,"pieces":2}'],
+    ['{"piece":0,"text":"a"}', '{"end":true,"pieces":2}'],
+    ['{"piece":0,"text":"a"}', 'nonsense'],
+    ['{"piece":0,"text":"a"}'],
+  ];
+  for (const lines of wrongLines) {
+    const loopback = await openLoopback(0, 0);
+    const [port = 0] = await freePorts(1);
+    const server = createServer((message, response) => {
+      if (message.url === '/identity') response.end('{"id":"m1","incarnation":"i1","service":"model"}');
+      else {
+        response.writeHead(200);
+        response.end(`${lines.join('\n')}\n`);
+      }
+    });
+    await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+    loopback.show([listedAt('m1', 'model', port)]);
+    try {
+      const sent = await loopback.send({ kind: 'summary', opening: 'o', text: 't' });
+      assert.is(sent.broken, true, lines.join(' '));
+      assert.not.match(sent.text, '"end"');
+    } finally {
+      server.closeAllConnections();
+      server.close();
+      loopback.close();
+    }
+  }
+});
+
 faults.run();
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -99,13 +99,17 @@
     show,
     open,
     send: async (body, headers = {}) => {
-      const answer = await request(`http://${http}/exchanges`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json', ...headers },
-        body: typeof body === 'string' ? body : JSON.stringify(body),
-      });
-      answer.body.setEncoding('utf8');
-      return { status: answer.statusCode, headers: answer.headers, ...(await readAll(answer.body)) };
+      try {
+        const answer = await request(`http://${http}/exchanges`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json', ...headers },
+          body: typeof body === 'string' ? body : JSON.stringify(body),
+        });
+        answer.body.setEncoding('utf8');
+        return { status: answer.statusCode, headers: answer.headers, ...(await readAll(answer.body)) };
+      } catch {
+        return { status: 0, headers: {}, text: '', broken: true };
+      }
     },
     close: () => {
       for (const server of servers) server.crash();
