Wait in a rolling rehearsal for a process's present life to be ready

Cause: the platform's last probe of the former life was still there, so the next process was stopped at once; two of three core machines were down together.

--- a/src/rehearsal/run/rehearsal-parts.ts
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -25,7 +25,7 @@
   readonly trouble: (name: string, act: () => Promise<void>) => Promise<void>;
   /** The core machine that says it leads. */
   readonly leader: () => Promise<LaunchedNode | undefined>;
-  /** Waits until the platform sees a node ready. */
+  /** Waits until the platform has seen a node ready in its present life. */
   readonly ready: (node: LaunchedNode) => Promise<void>;
   readonly put: (setup: Setup, expected?: number, control?: LaunchedNode) => Promise<PutRecord>;
   readonly pause: (millis: number) => Promise<void>;
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -120,7 +120,8 @@
         return undefined;
       };
       const ready: RehearsalParts['ready'] = async (node) => {
-        await until(() => platform.readyNodes().has(node.node));
+        const boot = node.boot();
+        await until(() => history.watches.some((watch) => watch.node === node.node && watch.boot === boot && watch.ready));
       };
       const parts: RehearsalParts = { deployment, history, chance, platform, hands, traffic, controls, routers, setup, relays, trouble, leader, ready, put, pause };
 
