--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -17,6 +17,12 @@
   readonly folder: string;
 };
 
+/** What is still to be ended when this process ends. */
+const endings = new Set<() => void>();
+process.once('exit', () => {
+  for (const end of endings) end();
+});
+
 /** Prepares one process; the only place where the project starts processes. */
 export const planNode = (plan: LaunchPlan): LaunchedNode => {
   const settingsPath = join(plan.folder, `${plan.node}.json`);
@@ -35,7 +41,7 @@
   let child: ChildProcess | undefined;
   let boot = 0;
 
-  process.once('exit', () => void child?.kill('SIGKILL'));
+  endings.add(() => void child?.kill('SIGKILL'));
 
   const exited = (running: ChildProcess): Promise<number | null> =>
     new Promise((resolve) => {
--- a/src/router/delivery/piece.ts
+++ b/src/router/delivery/piece.ts
@@ -1,5 +1,3 @@
-import { boolean, number, object, string } from 'yup';
-import { checked } from '../../common/checked.js';
 import { parseJson } from '../../common/json.js';
 
 /** One line of a server's stream: a numbered piece, or the explicit end. */
@@ -7,16 +5,17 @@
   | { readonly type: 'piece'; readonly piece: number; readonly text: string }
   | { readonly type: 'end'; readonly pieces: number };
 
-const pieceSchema = object({ piece: number().required().integer().min(0), text: string().defined() }).required().noUnknown();
-const endSchema = object({ end: boolean().required().oneOf([true]), pieces: number().required().integer().min(0) }).required().noUnknown();
+const isCount = (value: unknown): value is number => typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 
-export const parseStreamLine = (text: string): StreamLine | undefined =>
-  parseJson(text, 'bad-message')
-    .toMaybe()
-    .chain((value) =>
-      checked(pieceSchema, value)
-        .map(({ piece, text: pieceText }): StreamLine => ({ type: 'piece', piece, text: pieceText }))
-        .alt(checked(endSchema, value).map(({ pieces }): StreamLine => ({ type: 'end', pieces })))
-        .toMaybe(),
-    )
-    .extractNullable() ?? undefined;
+const hasTwoFields = (value: object): boolean => Object.keys(value).length === 2;
+
+/** Every piece of every stream passes here, so it is looked at by hand. */
+const lineOf = (value: unknown): StreamLine | undefined => {
+  if (typeof value !== 'object' || value === null || !hasTwoFields(value)) return undefined;
+  if ('piece' in value && 'text' in value && isCount(value.piece) && typeof value.text === 'string')
+    return { type: 'piece', piece: value.piece, text: value.text };
+  if ('end' in value && 'pieces' in value && value.end === true && isCount(value.pieces)) return { type: 'end', pieces: value.pieces };
+  return undefined;
+};
+
+export const parseStreamLine = (text: string): StreamLine | undefined => parseJson(text, 'bad-message').map(lineOf).orDefault(undefined);
