--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -7,6 +7,8 @@
 
 /** What the decision machine hears. `at` is the node's steady time. */
 export type DecisionEvent =
+  /** Which node this is; its name shifts its slots against those of the others. */
+  | { readonly type: 'node'; readonly at: Micros; readonly node: string }
   | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
   | { readonly type: 'time'; readonly at: Micros; readonly platformUs: Micros }
--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -1,3 +1,4 @@
+import type { Micros } from '../../../common/micros.js';
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import { flightKeyOf } from '../../flight/flight.js';
 import { scheduleOf } from '../../hotness/schedule.js';
@@ -34,11 +35,16 @@
 const hasFlight = (view: DecisionView, exchange: ExchangeView, server: ServerKey): boolean =>
   view.flights.has(flightKeyOf(server, exchange.prefix));
 
-const hasPace = (view: DecisionView, range: Range): boolean => paceAllows(view.pace, paceKeyOf(range.to, range), view.atUs);
+/**
+ * Whether the range's slot is free. Each node's first slot lies a part of a slot behind the migration's
+ * beginning, by the node's own name, so that nodes do not all send the hottest opening at one moment.
+ */
+const hasPace = (view: DecisionView, migration: Migration, range: Range, beginUs: Micros): boolean =>
+  platformUsOf(view) >= beginUs + view.phase * spanOf(view, migration) && paceAllows(view.pace, paceKeyOf(range.to, range), view.atUs);
 
 /** Whether the schedule has come to this opening: one rank further with every slot of the range. */
 const isScheduled = (view: DecisionView, exchange: ExchangeView, migration: Migration, range: Range): boolean => {
-  const slot = Math.floor((platformUsOf(view) - migration.fromUs) / spanOf(view, migration));
+  const slot = Math.floor((platformUsOf(view) - migration.fromUs) / spanOf(view, migration) - view.phase);
   if (slot < 0) return false;
   const schedule = scheduleOf(view.hotness, exchange.rule.service, range, view.atUs, migration.warmup.prefixesPerRange);
   const rank = schedule.indexOf(exchange.prefix);
@@ -52,7 +58,7 @@
     const range = rangeIn(migration, exchange);
     if (range?.to !== owner) continue;
     if (hasFlight(view, exchange, owner)) return { ...plainWish, type: 'settling', migration, range };
-    if (hasPace(view, range)) return { server: owner, type: 'settling', migration, range, takesSlot: true };
+    if (hasPace(view, migration, range, migration.commitUs)) return { server: owner, type: 'settling', migration, range, takesSlot: true };
     if (range.from !== undefined && isUsable(view, stage, exchange, range.from))
       return { server: range.from, type: 'paced-back', migration, range, takesSlot: false };
   }
@@ -73,13 +79,13 @@
     if ((view.pressure.get(range.to) ?? 0) >= bound) continue;
     const cold = isCold(view, range.to, exchange.prefix);
     if (migration.type === 'join') {
-      const isDue = cold && !hasFlight(view, exchange, range.to) && hasPace(view, range);
+      const isDue = cold && !hasFlight(view, exchange, range.to) && hasPace(view, migration, range, migration.fromUs);
       if (isDue && isScheduled(view, exchange, migration, range))
         return { server: range.to, type: 'warm-up', migration, range, takesSlot: true };
       continue;
     }
     if (!cold) return { server: range.to, type: 'handing-over', migration, range, takesSlot: false };
-    if (!hasFlight(view, exchange, range.to) && hasPace(view, range))
+    if (!hasFlight(view, exchange, range.to) && hasPace(view, migration, range, migration.fromUs))
       return { server: range.to, type: 'handing-over', migration, range, takesSlot: true };
   }
   return undefined;
--- a/src/decision/machine/step/step.ts
+++ b/src/decision/machine/step/step.ts
@@ -1,3 +1,4 @@
+import { positionEnd, positionOf } from '../../ring/position.js';
 import type { DecisionEvent } from '../event/decision-event.js';
 import { platformUsOf, type DecisionView } from '../view/decision-view.js';
 import { still, type DecisionStep } from './decision-step.js';
@@ -12,6 +13,8 @@
 
 const onEvent = (view: DecisionView, event: DecisionEvent): DecisionStep => {
   switch (event.type) {
+    case 'node':
+      return still({ ...view, phase: positionOf(event.node) / positionEnd });
     case 'setup':
       return view.record !== undefined && event.record.revision <= view.record.revision
         ? still(view)
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -14,6 +14,8 @@
 export type DecisionView = {
   readonly atUs: Micros;
   readonly startedUs: Micros | undefined;
+  /** How far this node's slots lie behind the beginning of a migration, in parts of a slot. */
+  readonly phase: number;
   /** Platform time less steady time, the least that is certain; it only grows. */
   readonly offsetUs: Micros | undefined;
   readonly record: SetupRecord | undefined;
@@ -34,6 +36,7 @@
 export const startDecisionView: DecisionView = {
   atUs: 0,
   startedUs: undefined,
+  phase: 0,
   offsetUs: undefined,
   record: undefined,
   list: undefined,
--- a/src/decision/ring/position.ts
+++ b/src/decision/ring/position.ts
@@ -5,5 +5,8 @@
 
 const positionBytes = 6;
 
+/** The first number that is no position any more. */
+export const positionEnd = 2 ** (positionBytes * 8);
+
 export const positionOf = (text: string): Position =>
   createHash('sha256').update(text).digest().readUIntBE(0, positionBytes);
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -14,6 +14,7 @@
 
 /** The checked form of each event, by its type. */
 export const eventSchemas: { readonly [T in DecisionEvent['type']]: Schema<DecisionEvent> } = {
+  node: object({ type: typed('node'), at: at(), node: name() }).noUnknown(),
   setup: object({ type: typed('setup'), at: at(), record: recordSchema }).noUnknown(),
   list: object({ type: typed('list'), at: at(), list: listSchema }).noUnknown(),
   time: object({ type: typed('time'), at: at(), platformUs: at() }).noUnknown(),
--- a/src/disk/open-folder.ts
+++ b/src/disk/open-folder.ts
@@ -3,6 +3,7 @@
 import { EitherAsync, Left } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
 import { openDiskRing, type DiskRing } from './disk-ring.js';
+import { noTrouble, troubledFile, type DiskTrouble } from './disk-trouble.js';
 import type { RingFile } from './ring-file.js';
 
 /** The sizes of a ring. */
@@ -50,7 +51,11 @@
  * Opens the ring in a data folder, making its files first where the folder is new. The mark file is
  * written last, so a folder whose making was cut short is made again, and a missing file is damage.
  */
-export const openRingFolder = (folder: string, sizes: RingSizes): EitherAsync<TypedError, DiskRing> =>
+export const openRingFolder = (
+  folder: string,
+  sizes: RingSizes,
+  trouble: () => DiskTrouble = () => noTrouble,
+): EitherAsync<TypedError, DiskRing> =>
   EitherAsync(async ({ throwE, fromPromise }) => {
     const paths = Array.from({ length: sizes.files }, (_, index) => join(folder, `ring-${index}.bin`));
     const files: RingFile[] = [];
@@ -72,7 +77,7 @@
         );
         if (size !== sizes.fileBytes)
           damage = typedError('damaged-disk', `${path} has ${size} bytes and should have ${sizes.fileBytes}`);
-        else files.push(await openRingFile(path, sizes.fileBytes));
+        else files.push(troubledFile(await openRingFile(path, sizes.fileBytes), trouble));
       }
     } catch (thrown) {
       return throwE(typedError('disk-error', messageOf(thrown)));
--- a/src/process/control-task.ts
+++ b/src/process/control-task.ts
@@ -16,6 +16,7 @@
 import type { Counters } from './counters.js';
 import type { Log } from './log.js';
 import { openMailbox } from './mailbox.js';
+import { listenForDiskTrouble } from './rehearsed-disk.js';
 import type { ControlSettings } from './settings/control-settings.js';
 import type { SpreadTask } from './spread-task.js';
 
@@ -47,7 +48,7 @@
   counters: Counters,
   fail: (error: TypedError) => void,
 ): EitherAsync<TypedError, ControlTask> =>
-  openRingFolder(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }).chain((ring) =>
+  openRingFolder(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }, listenForDiskTrouble()).chain((ring) =>
     EitherAsync(async ({ liftEither }) => {
       const bornView = await liftEither(await bornOn(ring, settings));
       let view = bornView;
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -357,6 +357,7 @@
     },
     drain: () => take({ type: 'drain', at: steadyNow() }),
     start: () => {
+      take({ type: 'node', at: steadyNow(), node });
       tickTimer = setInterval(() => {
         gate.beat();
         take({ type: 'tick', at: steadyNow() });
--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -2,7 +2,7 @@
 import { closeSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import type { LaunchedNode } from './launched-node.js';
+import type { LaunchedNode, NodeAddresses } from './launched-node.js';
 
 const mainPath = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
 
@@ -28,19 +28,22 @@
   const settingsPath = join(plan.folder, `${plan.node}.json`);
   const logPath = join(plan.folder, `${plan.node}.log`);
   const data = plan.role === 'control' ? join(plan.folder, `${plan.node}-data`) : undefined;
-  const settings = {
-    node: plan.node,
-    locality: plan.locality,
-    http: plan.http,
-    partners: plan.partners,
-    partnersListen: plan.partnersListen,
-    seeds: plan.seeds,
-    ...(data === undefined ? {} : { data, ringFiles: 3, ringFileBytes: 4 << 20 }),
-  };
-  writeFileSync(settingsPath, JSON.stringify(settings));
+  let addresses: NodeAddresses = { http: plan.http, partners: plan.partners, partnersListen: plan.partnersListen };
+  let seeds = plan.seeds;
   let child: ChildProcess | undefined;
   let boot = 0;
 
+  const writeSettings = (): void =>
+    writeFileSync(
+      settingsPath,
+      JSON.stringify({
+        node: plan.node,
+        locality: plan.locality,
+        ...addresses,
+        seeds,
+        ...(data === undefined ? {} : { data, ringFiles: 3, ringFileBytes: 8 << 20 }),
+      }),
+    );
   endings.add(() => void child?.kill('SIGKILL'));
 
   const exited = (running: ChildProcess): Promise<number | null> =>
@@ -48,19 +51,22 @@
       if (running.exitCode !== null || running.signalCode !== null) resolve(running.exitCode);
       else running.once('exit', (code) => resolve(code));
     });
-  const isRunning = (): boolean => child !== undefined && child.exitCode === null && child.signalCode === null;
 
   return {
     node: plan.node,
     role: plan.role,
-    http: plan.http,
-    partners: plan.partners,
-    data,
+    get http() {
+      return addresses.http;
+    },
+    get partners() {
+      return addresses.partners;
+    },
     boot: () => boot,
     start: () => {
       boot += 1;
+      writeSettings();
       const logFile = openSync(logPath, 'a');
-      child = spawn(process.execPath, [mainPath, plan.role, '--settings', settingsPath], { stdio: ['ignore', logFile, logFile] });
+      child = spawn(process.execPath, [mainPath, plan.role, '--settings', settingsPath], { stdio: ['ignore', logFile, logFile, 'ipc'] });
       closeSync(logFile);
     },
     kill: async () => {
@@ -73,11 +79,21 @@
       child.kill('SIGTERM');
       return exited(child);
     },
+    ended: async () => (child === undefined ? null : exited(child)),
     freeze: () => void child?.kill('SIGSTOP'),
     wake: () => void child?.kill('SIGCONT'),
     loseDisk: () => {
       if (data !== undefined) rmSync(data, { recursive: true, force: true });
     },
-    isRunning,
+    troubleDisk: (trouble) => {
+      if (child?.connected === true) child.send(trouble);
+    },
+    move: (newAddresses) => {
+      addresses = newAddresses;
+    },
+    reseed: (newSeeds) => {
+      seeds = newSeeds;
+    },
+    isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
   };
 };
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -1,14 +1,28 @@
+import type { DiskTrouble } from '../../disk/disk-trouble.js';
 import type { RehearsedNode } from '../stand-in/platform.js';
 
+/** Where a process is reached, and where it listens behind the relay that can cut its links. */
+export type NodeAddresses = {
+  readonly http: string;
+  readonly partners: string;
+  readonly partnersListen: string;
+};
+
 /** A process of the system under rehearsal, and what can be done to it. */
 export type LaunchedNode = RehearsedNode & {
+  readonly partners: string;
   readonly start: () => void;
   readonly kill: () => Promise<void>;
   readonly terminate: () => Promise<number | null>;
+  /** Waits until the process has ended by itself. */
+  readonly ended: () => Promise<number | null>;
   readonly freeze: () => void;
   readonly wake: () => void;
   readonly loseDisk: () => void;
+  readonly troubleDisk: (trouble: DiskTrouble) => void;
+  /** Gives the next life other addresses. */
+  readonly move: (addresses: NodeAddresses) => void;
+  /** Gives the next life other seeds. */
+  readonly reseed: (seeds: readonly string[]) => void;
   readonly isRunning: () => boolean;
-  readonly partners: string;
-  readonly data: string | undefined;
 };
--- a/src/rehearsal/run/fault-acts.ts
+++ b/src/rehearsal/run/fault-acts.ts
@@ -1,5 +1,7 @@
 import { steadyNow } from '../../common/micros.js';
 import { oneOf } from '../../common/chance.js';
+import { noTrouble } from '../../disk/disk-trouble.js';
+import { freePorts } from '../launcher/free-ports.js';
 import type { LaunchedNode } from '../launcher/launched-node.js';
 import type { RehearsalParts } from './rehearsal-parts.js';
 
@@ -191,3 +193,72 @@
   }
 };
 
+
+/** The leader's disk turns slow, then stalls; then one machine's disk is full, and it ends itself and comes back. */
+export const slowLeaderDisk: FaultAct = async (parts) => {
+  const leader = await parts.leader();
+  if (leader === undefined) return;
+  await parts.trouble('disk', async () => {
+    leader.troubleDisk({ delayMillis: 150, fails: false });
+    await parts.pause(5_000);
+    leader.troubleDisk(noTrouble);
+  });
+};
+
+export const stallLeaderDisk: FaultAct = async (parts) => {
+  const leader = await parts.leader();
+  if (leader === undefined) return;
+  await parts.trouble('disk', async () => {
+    leader.troubleDisk({ delayMillis: 4_000, fails: false });
+    await parts.pause(4_000);
+    leader.troubleDisk(noTrouble);
+  });
+};
+
+export const fillDisk: FaultAct = async (parts) => {
+  const control = await parts.leader();
+  if (control === undefined) return;
+  await parts.trouble('disk', async () => {
+    control.troubleDisk({ delayMillis: 0, fails: true });
+    await Promise.race([control.ended(), parts.pause(10_000)]);
+    if (control.isRunning()) throw new Error('a core machine went on with a full disk');
+    await parts.pause(1_000);
+    control.start();
+  });
+};
+
+/** A core machine comes back empty at new addresses; whoever starts from then on is given the new seeds. */
+export const moveCore: FaultAct = async (parts) => {
+  const { controls, routers, relays } = parts;
+  const control = oneOf(parts.chance, controls);
+  const router = oneOf(parts.chance, routers);
+  if (control === undefined || router === undefined) return;
+  await parts.trouble('kill', async () => {
+    await control.kill();
+    control.loseDisk();
+    const [http = 0, partners = 0, partnersListen = 0] = await freePorts(3);
+    const moved = { http: `127.0.0.1:${http}`, partners: `127.0.0.1:${partners}`, partnersListen: `127.0.0.1:${partnersListen}` };
+    control.move(moved);
+    await relays.open(moved.partners, moved.partnersListen);
+    for (const node of [...controls, ...routers]) node.reseed(controls.map((known) => known.partners));
+    control.start();
+    await parts.pause(9_000);
+    await router.kill();
+    router.start();
+    await parts.ready(router);
+  });
+};
+
+/** A server is shown as leaving while half of the fleet is cut off from the other half. */
+export const leaveInSplit: FaultAct = async (parts) => {
+  const nodes = [...parts.controls, ...parts.routers];
+  await Promise.all([
+    leaveOne(parts),
+    cutFor(
+      parts,
+      nodes.filter((_, place) => place % 2 === 0),
+      nodes.filter((_, place) => place % 2 === 1),
+      false,
+    ),
+  ]);
+};
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -131,6 +131,18 @@
     ['operators race again', acts.raceOperators],
     ['kill the leader', acts.killLeader],
   ]),
+  faulty('disks', "the leader's disk is slow, stalls, is full; the setup changes meanwhile", [
+    ['the disk of the leader is slow', acts.slowLeaderDisk],
+    ['change the setup', acts.changeSetup],
+    ['the disk of the leader stalls', acts.stallLeaderDisk],
+    ['the disk of the leader is full', acts.fillDisk],
+  ]),
+  faulty('moves', 'a core machine comes back empty at a new address, seeds move, a server leaves in a split', [
+    ['a core machine moves', acts.moveCore],
+    ['change the setup', acts.changeSetup],
+    ['a server leaves in a split', acts.leaveInSplit],
+    ['kill the leader', acts.killLeader],
+  ]),
   faulty('crowd', 'traffic jumps to three times, most of it on one opening, and one last fault', [
     ['a crowd on one opening', acts.crowd],
     ['a server crashes', acts.crashServer],
--- a/src/sim/fleet/sim-router.ts
+++ b/src/sim/fleet/sim-router.ts
@@ -430,6 +430,7 @@
       isShut = false;
       gateWaiters = [];
       beatUs = world.now();
+      take({ type: 'node', at: world.now(), node: name });
       spread.begin();
       tick();
       confirm();
--- a/tests/decision/time-line.test.ts
+++ b/tests/decision/time-line.test.ts
@@ -120,6 +120,31 @@
   assert.is(send(12 * second + 6, 'draft', hotSecond)?.server, newKey);
 });
 
+test('nodes open their slots one after another, by their names, and still agree on the entry moment', () => {
+  const firstSlotOf = (node: string): number => {
+    const player = openPlayer();
+    player.play(
+      { type: 'node', at: 0, node },
+      { type: 'setup', at: 0, record: recordOf({ ...setup, fleet: { routers: 4 } }) },
+      { type: 'list', at: 0, list: listOf(1, 90 * second, founders) },
+      { type: 'list', at: 10 * second, list: joinList },
+    );
+    const range = player.view().stage.services.get('model')?.pending[0]?.ranges[0];
+    if (range === undefined) throw new Error('no range was previewed');
+    const prefix = Array.from({ length: 5_000 }, (_, place) => `p${place}`).find((name) => rangeHolds(range, positionOf(name))) ?? '';
+    for (let at = 10 * second; at < 20 * second; at += 50_000)
+      if (ranWell(player, { at, exchange: `e${at}`, prefix })[0]?.server === newKey) {
+        player.play({ type: 'tick', at: 21 * second });
+        assert.is(entryOf(player), 110 * second);
+        return at;
+      }
+    throw new Error('nothing was diverted');
+  };
+  const slots = ['router-1', 'router-2', 'router-3', 'router-4'].map(firstSlotOf);
+  assert.is(new Set(slots).size, 4, slots.join(', '));
+  for (const slot of slots) assert.ok(slot >= 10 * second && slot <= 14 * second, String(slot));
+});
+
 test('a server that leaves or goes dark in its warm-up gets nothing more and is withdrawn', () => {
   const leaving = { ...newcomer, state: 'leaving' as const, leavingAtUs: 104 * second };
   const player = bornNode();
