Keep what stands behind a late image; go on beating while a disk is busy

Cause: installing dropped everything behind the image, though the log at its index was the same. Fix: keep what follows; test terms, seen failing first.

It now sends bare heartbeats, which promise nothing, for up to 1.5 s of one sync; and a client takes the answer to any of its tries, not only to the last one. Ruled out: longer election times (recovery would slow down for every other fault). A core machine is ready only as a voter of its core: one that came back empty showed itself ready without any setup.

--- a/src/control/machine/following.ts
+++ b/src/control/machine/following.ts
@@ -2,7 +2,7 @@
 import { committedTo } from './committing.js';
 import { andThen, stepped, type ControlStep } from './control-step.js';
 import type { ControlView } from './control-view.js';
-import { lastIndexOf, termAt } from './log-reading.js';
+import { entriesFrom, lastIndexOf, termAt } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { followed, withEntries } from './roles.js';
 
@@ -39,16 +39,21 @@
   });
 };
 
-/** Takes a whole image from the leader when its log no longer reaches back far enough. */
+/**
+ * Takes a whole image from the leader when its log no longer reaches back far enough. What stands behind
+ * the image in the same log stays: it may have been acknowledged before a late image came.
+ */
 export const onInstall = (view: ControlView, from: string, message: Install, chance: number): ControlStep => {
   if (message.term < view.term) return repliedTo(view, from, false, lastIndexOf(view), message.round);
   return andThen(heard(view, from, chance), (heardView) => {
     const { image } = message;
     if (image.index <= heardView.commit) return repliedTo(heardView, from, true, heardView.commit, message.round);
-    const installedView: ControlView = { ...heardView, image, entries: [], commit: image.index, state: image.state };
+    const entries = termAt(heardView, image.index) === image.term ? entriesFrom(heardView, image.index + 1, heardView.entries.length) : [];
+    const installedView: ControlView = { ...heardView, image, entries, commit: image.index, state: image.state };
     const kept = stepped(
       installedView,
       { type: 'keep', record: { type: 'image', image } },
+      ...(entries.length === 0 ? [] : [{ type: 'keep' as const, record: { type: 'entries' as const, entries } }]),
       { type: 'members', members: image.members },
       ...(image.state.record === undefined ? [] : [{ type: 'taken' as const, record: image.state.record }]),
     );
--- a/src/control/machine/replicating.ts
+++ b/src/control/machine/replicating.ts
@@ -58,6 +58,30 @@
 
 export const sentToAll = (view: ControlView): ControlStep => overAll(stepped(view), othersOf(view), sentAppend);
 
+/**
+ * Bare heartbeats of a leader whose disk is busy: they promise nothing that is not synced. Only a disk
+ * that stays busy beyond a bound lets the others elect another leader.
+ */
+export const pulseOf = (syncedView: ControlView): readonly ControlEffect[] =>
+  syncedView.role !== 'leader'
+    ? []
+    : othersOf(syncedView).map((identity) => {
+        const previousIndex = Math.max(syncedView.progress.get(identity)?.match ?? 0, syncedView.image.index);
+        return {
+          type: 'send',
+          to: identity,
+          message: {
+            type: 'append',
+            term: syncedView.term,
+            previousIndex,
+            previousTerm: termAt(syncedView, previousIndex) ?? 0,
+            entries: [],
+            commit: syncedView.commit,
+            round: syncedView.round,
+          },
+        };
+      });
+
 /** A leader adds an entry, keeps it and sends it on. */
 export const appended = (view: ControlView, command: Command, ask: string | undefined): ControlStep => {
   const entry: LogEntry = { index: lastIndexOf(view) + 1, term: view.term, command };
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -2,6 +2,8 @@
 
 export const heartbeatSpanUs: Micros = 100_000;
 export const electionSpanUs: Micros = 500_000;
+/** For so long a leader's disk may be busy with one sync before its heartbeats end. */
+export const busyDiskUs: Micros = 1_500_000;
 export const resendSpanUs: Micros = 200_000;
 export const rejoinSpanUs: Micros = 2_000_000;
 /** A voter unheard for so long may be replaced by a learner that has caught up. */
--- a/src/process/control-task.ts
+++ b/src/process/control-task.ts
@@ -8,7 +8,9 @@
 import type { ControlEvent } from '../control/machine/control-event.js';
 import { startControlView, type ControlView } from '../control/machine/control-view.js';
 import { membersOf } from '../control/machine/log-reading.js';
+import { pulseOf } from '../control/machine/replicating.js';
 import { stepControl } from '../control/machine/step.js';
+import { busyDiskUs, heartbeatSpanUs } from '../control/machine/timing.js';
 import { encodeKept, sequenceKept } from '../control/wire/kept-codec.js';
 import { messageOfPlain, plainMessageOf } from '../control/wire/message-codec.js';
 import type { DiskRing } from '../disk/disk-ring.js';
@@ -52,6 +54,8 @@
     EitherAsync(async ({ liftEither }) => {
       const bornView = await liftEither(await bornOn(ring, settings));
       let view = bornView;
+      let syncedView = bornView;
+      let pulsedUs = 0;
       let hasFailed = false;
       let syncStartedUs: number | undefined;
       let tickTimer: NodeJS.Timeout | undefined;
@@ -121,7 +125,9 @@
           effects.push(...step.effects);
         }
         const records = effects.flatMap((effect) => (effect.type === 'keep' ? [effect.record] : []));
-        if (await keepAll(records)) effects.forEach(carryOut);
+        if (!(await keepAll(records))) return;
+        syncedView = view;
+        effects.forEach(carryOut);
       });
 
       spread.events.on('control', (from, frame) => {
@@ -151,7 +157,14 @@
       return {
         view: () => view,
         start: () => {
-          tickTimer = setInterval(() => mailbox.post({ type: 'tick', at: steadyNow(), chance: carriesChance() }), tickMillis);
+          tickTimer = setInterval(() => {
+            const nowUs = steadyNow();
+            mailbox.post({ type: 'tick', at: nowUs, chance: carriesChance() });
+            const isBusy = syncStartedUs !== undefined && nowUs - syncStartedUs < busyDiskUs;
+            if (!isBusy || nowUs - pulsedUs < heartbeatSpanUs) return;
+            pulsedUs = nowUs;
+            pulseOf(syncedView).forEach(carryOut);
+          }, tickMillis);
         },
         resign: async () => {
           mailbox.post({ type: 'resign', at: steadyNow(), chance: carriesChance() });
--- a/src/process/run-control.ts
+++ b/src/process/run-control.ts
@@ -32,7 +32,8 @@
       const core = openCoreClient(spread);
       const unready = (): string | undefined => {
         const { leader, role } = control.view();
-        return leader === undefined ? `no leader is known (${role})` : undefined;
+        if (leader === undefined) return `no leader is known (${role})`;
+        return role === 'learner' || role === 'unfounded' ? `not a voter of the core yet (${role})` : undefined;
       };
       addPlatformPaths(http, spread, counters, unready);
       addOperatorPaths(http, core, spread.platformUs);
--- a/src/sim/core/core-client.ts
+++ b/src/sim/core/core-client.ts
@@ -20,19 +20,23 @@
 ): void => {
   const { world, machines } = fleet;
   const dueUs = world.now() + budgetUs;
+  let isOver = false;
+  const finish = (word: LastWord): void => {
+    if (isOver) return;
+    isOver = true;
+    hear(word);
+  };
   const tryOnce = (machine: CoreMachine | undefined): void => {
+    if (isOver) return;
     if (world.now() >= dueUs || machine === undefined) {
-      hear(undefined);
+      finish(undefined);
       return;
     }
     let isAnswered = false;
     const goOn = (answer: Answer | undefined): void => {
-      if (isAnswered) return;
+      if (answer?.type === 'applied' || answer?.type === 'record') finish(answer);
+      if (isAnswered || isOver) return;
       isAnswered = true;
-      if (answer?.type === 'applied' || answer?.type === 'record') {
-        hear(answer);
-        return;
-      }
       const leader = answer?.type === 'not-leader' ? machines.find((known) => known.view().identity === answer.leader) : undefined;
       world.after(pauseUs, () => tryOnce(leader ?? machines[Math.floor(world.chance() * machines.length)]));
     };
--- a/src/sim/core/core-machine.ts
+++ b/src/sim/core/core-machine.ts
@@ -6,7 +6,9 @@
 import { startControlView, type ControlView } from '../../control/machine/control-view.js';
 import { lastIndexOf, lastTermOf, membersOf } from '../../control/machine/log-reading.js';
 import type { ControlMessage } from '../../control/machine/message.js';
+import { pulseOf } from '../../control/machine/replicating.js';
 import { stepControl } from '../../control/machine/step.js';
+import { busyDiskUs, heartbeatSpanUs } from '../../control/machine/timing.js';
 import type { Network } from '../world/network.js';
 import type { World } from '../world/world.js';
 
@@ -58,6 +60,8 @@
   let isUp = false;
   let isFrozen = false;
   let isSyncing = false;
+  let syncStartedUs: Micros = 0;
+  let pulsedUs: Micros = 0;
   let syncUs = usualSyncUs;
   let disk: KeptRecord[] = [];
   let waiting: ControlEvent[] = [];
@@ -66,6 +70,7 @@
   const known = new Map<string, string>();
   const freshView = (): ControlView => startControlView(`${name}-d${disks}`, address, seeds);
   let view = freshView();
+  let syncedView = view;
   let rest: MachineProcess | undefined;
 
   const sendTo = (target: string, message: ControlMessage): void => {
@@ -92,8 +97,9 @@
   const drain = (): void => {
     if (!isUp || isFrozen || isSyncing || waiting.length === 0) return;
     const effects: ControlEffect[] = [];
+    const formerView = view;
     for (const event of waiting) {
-      const step = stepControl(view, { ...event, at: world.now() });
+      const step = stepControl(view, event);
       view = step.view;
       effects.push(...step.effects);
     }
@@ -105,11 +111,14 @@
       return;
     }
     isSyncing = true;
+    syncedView = formerView;
+    syncStartedUs = world.now();
     const ownLife = life;
     world.after(syncUs * (0.5 + world.chance()), () => {
       if (life !== ownLife) return;
       disk = [...disk, ...records];
       isSyncing = false;
+      syncedView = view;
       effects.forEach(carryOut);
       drain();
     });
@@ -123,6 +132,10 @@
 
   const tick = (ownLife: number): void => {
     if (life !== ownLife) return;
+    if (!isFrozen && isSyncing && world.now() - syncStartedUs < busyDiskUs && world.now() - pulsedUs >= heartbeatSpanUs) {
+      pulsedUs = world.now();
+      pulseOf(syncedView).forEach(carryOut);
+    }
     if (!isFrozen) post({ type: 'tick', at: world.now(), chance: world.chance() });
     world.after(tickUs, () => tick(ownLife));
   };
@@ -172,6 +185,7 @@
     },
     wake: () => {
       isFrozen = false;
+      waiting = waiting.map((event) => ({ ...event, at: world.now() }));
       rest?.wake();
       drain();
     },
--- a/tests/control/terms.test.ts
+++ b/tests/control/terms.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { recoveredView } from '../../src/control/keeping/recover.js';
 import type { LogEntry } from '../../src/control/log/log-entry.js';
 import { startControlView, type ControlView } from '../../src/control/machine/control-view.js';
 import { newProgress } from '../../src/control/machine/replicating.js';
@@ -62,4 +63,17 @@
   );
 });
 
+test('an image that comes late takes nothing away that stands behind it and was acknowledged', () => {
+  const entries = [members, claimAt(2, 2), claimAt(3, 2), claimAt(4, 2)];
+  const follower: ControlView = { ...leaderOf(4, entries), role: 'follower', leader: 'b', commit: 1 };
+  const image = { index: 3, term: 2, members: [...(members.command.type === 'members' ? members.command.members : [])], state: follower.state };
+  const installed = stepControl(follower, { type: 'message', at: 1, chance: 0, from: 'b', message: { type: 'install', term: 4, image, round: 1 } });
+  assert.equal([installed.view.commit, installed.view.entries.map((entry) => entry.index)], [3, [4]]);
+  const kept = installed.effects.flatMap((effect) => (effect.type === 'keep' ? [effect.record] : []));
+  const recovered = recoveredView(startControlView('a', 'a:1', []), [{ type: 'entries', entries }, ...kept]);
+  assert.equal(recovered.entries.map((entry) => entry.index), [4]);
+  const other = stepControl({ ...follower, entries: [members, claimAt(2, 1), claimAt(3, 1), claimAt(4, 1)] }, { type: 'message', at: 1, chance: 0, from: 'b', message: { type: 'install', term: 4, image, round: 1 } });
+  assert.equal(other.view.entries, [], 'a log of another term is gone');
+});
+
 test.run();
