--- /dev/null
+++ b/tests/decision/example-trace.test.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from 'node:fs';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { openTraceReader } from '../../src/decision/trace/trace-reader.js';
+
+test('the example trace that is shipped plays without an error and shows a whole join', () => {
+  const reader = openTraceReader();
+  const decisions = readFileSync('examples/decide/join.ndjson', 'utf8')
+    .split('\n')
+    .flatMap((line) => reader.read(line).unsafeCoerce());
+  const types = decisions.map((decision) => (decision.type === 'deliver' ? decision.reason.type : decision.type));
+  for (const type of ['hold', 'unknown', 'booked', 'warm-up', 'entered']) assert.ok(types.includes(type), `${type} is missing`);
+  assert.ok(types.indexOf('booked') < types.indexOf('warm-up'));
+  assert.ok(types.lastIndexOf('warm-up') < types.indexOf('entered'));
+});
+
+test.run();
