A message for a core machine's former identity is not for its successor

The next leader's messages to the former identity reached it there, so it thought itself led and never asked to join. Ruled out: a vote or an acknowledgement in the former name (its answers carry the new identity and were ignored). Messages name the identity they are for.

--- a/src/process/control-task.ts
+++ b/src/process/control-task.ts
@@ -72,7 +72,7 @@
           case 'send': {
             const address = addressOf(effect.to);
             if (address !== undefined)
-              spread.send(address, { type: 'control', identity: view.identity, message: plainMessageOf(effect.message) });
+              spread.send(address, { type: 'control', identity: view.identity, to: effect.to, message: plainMessageOf(effect.message) });
             return;
           }
           case 'sendTo':
@@ -132,6 +132,7 @@
 
       spread.events.on('control', (from, frame) => {
         knownAddresses.set(frame.identity, from);
+        if (frame.to !== undefined && frame.to !== view.identity) return;
         mailbox.post({
           type: 'message',
           at: steadyNow(),
--- a/src/sim/core/core-machine.ts
+++ b/src/sim/core/core-machine.ts
@@ -18,7 +18,7 @@
   readonly address: () => string;
   readonly view: () => ControlView;
   readonly isUp: () => boolean;
-  readonly receive: (from: string, fromAddress: string, message: ControlMessage) => void;
+  readonly receive: (from: string, fromAddress: string, message: ControlMessage, to?: string) => void;
   readonly post: (event: ControlEvent) => void;
   readonly kill: () => void;
   readonly start: () => void;
@@ -73,16 +73,16 @@
   let syncedView = view;
   let rest: MachineProcess | undefined;
 
-  const sendTo = (target: string, message: ControlMessage): void => {
+  const sendTo = (target: string, message: ControlMessage, to?: string): void => {
     const identity = view.identity;
     const from = address;
-    network.send(from, target, () => machineAt(target)?.receive(identity, from, message));
+    network.send(from, target, () => machineAt(target)?.receive(identity, from, message, to));
   };
 
   const carryOut = (effect: ControlEffect): void => {
     if (effect.type === 'send') {
       const target = membersOf(view).find((member) => member.identity === effect.to)?.address ?? known.get(effect.to);
-      if (target !== undefined) sendTo(target, effect.message);
+      if (target !== undefined) sendTo(target, effect.message, effect.to);
     } else if (effect.type === 'sendTo') sendTo(effect.address, effect.message);
     hear(machine, effect);
   };
@@ -145,8 +145,9 @@
     address: () => address,
     view: () => view,
     isUp: () => isUp,
-    receive: (from, fromAddress, message) => {
+    receive: (from, fromAddress, message, to) => {
       known.set(from, fromAddress);
+      if (to !== undefined && to !== view.identity) return;
       post({ type: 'message', at: world.now(), chance: world.chance(), from, message });
     },
     post,
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -43,7 +43,7 @@
   inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole() }),
   setup: object({ type: typed('setup'), record: recordSchema }),
   list: object({ type: typed('list'), list: listSchema }),
-  control: object({ type: typed('control'), identity: string().required(), message: mixed(isPlainMessage).required() }),
+  control: object({ type: typed('control'), identity: string().required(), to: string().optional(), message: mixed(isPlainMessage).required() }),
   ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
   answer: object({ type: typed('answer'), ask: string().required(), answer: mixed(isAnswer).required() }),
 });
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -21,7 +21,8 @@
   | { readonly type: 'inquire'; readonly inquiry: number; readonly revision: number; readonly version: number }
   | { readonly type: 'setup'; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly list: ServerList }
-  | { readonly type: 'control'; readonly identity: string; readonly message: PlainMessage }
+  /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
+  | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
   | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
   | { readonly type: 'answer'; readonly ask: string; readonly answer: Answer };
 
