--- a/src/rehearsal/run/traffic.ts
+++ b/src/rehearsal/run/traffic.ts
@@ -37,6 +37,8 @@
   let crowdShare = 0;
   let factor = 1;
   let isStopped = true;
+  /** When the next call is due; calls that a late timer has missed are made up for. */
+  let dueMillis = 0;
 
   const send = (call: Parameters<Callers['call']>[0], times: number): void => {
     for (let time = 0; time < times; time += 1) {
@@ -69,16 +71,14 @@
 
   const next = (): void => {
     if (isStopped) return;
-    const gapMillis = (-Math.log(1 - chance()) * 1000) / (deployment.exchangesPerSecond * factor);
-    timer = setTimeout(() => {
-      one();
-      next();
-    }, gapMillis);
+    for (; dueMillis <= performance.now(); dueMillis += (-Math.log(1 - chance()) * 1000) / (deployment.exchangesPerSecond * factor)) one();
+    timer = setTimeout(next, dueMillis - performance.now());
   };
 
   return {
     start: () => {
       isStopped = false;
+      dueMillis = performance.now();
       next();
     },
     stop: async () => {
