--- a/src/decision/machine/step/route.ts
+++ b/src/decision/machine/step/direct.ts
@@ -54,7 +54,7 @@
 };
 
 /** Sends an exchange on its way: to a server, behind a prefill, or back with an error. */
-export const route = (view: DecisionView, exchangeName: string): DecisionStep => {
+export const direct = (view: DecisionView, exchangeName: string): DecisionStep => {
   const exchange = view.exchanges.get(exchangeName);
   if (exchange === undefined || exchange.server !== undefined || exchange.follows !== undefined) return still(view);
   const placement = place(view, exchange);
--- a/src/decision/machine/step/on-delivery.ts
+++ b/src/decision/machine/step/on-delivery.ts
@@ -6,7 +6,7 @@
 import { landed, unfollowed } from './flights.js';
 import { giveUp } from './give-up.js';
 import { withTry } from './retry-allowance.js';
-import { route } from './route.js';
+import { direct } from './direct.js';
 import { warmed } from './warmth.js';
 
 type Attempted = Extract<DecisionEvent, { readonly type: 'sent' | 'firstPiece' | 'done' | 'failed' }>;
@@ -18,7 +18,7 @@
   return exchange !== undefined && exchange.server !== undefined && exchange.attempt === event.attempt ? exchange : undefined;
 };
 
-const releaseAll = (view: DecisionView, followers: readonly string[]): DecisionStep => overAll(still(view), followers, route);
+const releaseAll = (view: DecisionView, followers: readonly string[]): DecisionStep => overAll(still(view), followers, direct);
 
 export const onSent = (view: DecisionView, event: Attempted): DecisionStep => {
   const exchange = current(view, event);
@@ -62,7 +62,7 @@
     nextIsExtra: wasSent || exchange.nextIsExtra,
     holdUntilUs: wasStarted ? view.atUs : freedExchange.holdUntilUs,
   });
-  return releaseFollowers(route(retriedView, exchange.exchange));
+  return releaseFollowers(direct(retriedView, exchange.exchange));
 };
 
 export const onAbandoned = (view: DecisionView, exchangeName: string): DecisionStep => {
--- a/src/decision/machine/step/on-exchange.ts
+++ b/src/decision/machine/step/on-exchange.ts
@@ -6,7 +6,7 @@
 import { stepped, type DecisionStep } from './decision-step.js';
 import { withExchange } from './exchange-changes.js';
 import { retryAfterUs } from './give-up.js';
-import { route } from './route.js';
+import { direct } from './direct.js';
 
 type Arrival = Extract<DecisionEvent, { readonly type: 'exchange' }>;
 
@@ -29,7 +29,7 @@
   const heatedView = isModel ? { ...view, hotness: heated(view.hotness, touch) } : view;
   if (view.exchanges.size >= Math.max(1, Math.floor(setup.pressure.slots * tier.share)))
     return refused(heatedView, event, 'over-pressure');
-  return route(
+  return direct(
     withExchange(heatedView, {
       exchange: event.exchange,
       rule,
--- a/src/decision/machine/step/on-tick.ts
+++ b/src/decision/machine/step/on-tick.ts
@@ -6,7 +6,7 @@
 import { giveUp } from './give-up.js';
 import { onFailed } from './on-delivery.js';
 import { restage } from './restage.js';
-import { route } from './route.js';
+import { direct } from './direct.js';
 
 const pastBudget = (view: DecisionView, exchange: ExchangeView): DecisionStep => {
   const landing = landed(view, exchange);
@@ -18,7 +18,7 @@
   return overAll(
     andThen(cancelStep, (cancelledView) => giveUp(cancelledView, landedExchange, 'budget-passed')),
     landing.followers,
-    route,
+    direct,
   );
 };
 
@@ -46,7 +46,7 @@
   if (exchange === undefined) return still(view);
   if (view.atUs >= exchange.dueUs) return pastBudget(view, exchange);
   if (exchange.follows !== undefined && view.atUs >= (exchange.holdUntilUs ?? exchange.dueUs))
-    return route(unfollowed(view, exchange), exchangeName);
+    return direct(unfollowed(view, exchange), exchangeName);
   return isTooSlow(view, exchange) ? movedOn(view, exchange) : still(view);
 };
 
--- a/src/rehearsal/checker/check-history.ts
+++ b/src/rehearsal/checker/check-history.ts
@@ -12,9 +12,9 @@
   readonly troubleEndUs: number;
 };
 
-/** Lays the histories side by side and lists every broken rule. */
-export const checkHistory = (history: History, deployment: Deployment, terms: CheckTerms): readonly Finding[] => [
-  ...checkRunOnce(history, new Set(deployment.kinds.filter((kind) => kind.runsOnce).map((kind) => kind.kind))),
+/** The rules that hold whatever happens. */
+export const checkAlways = (history: History, onceKinds: ReadonlySet<string>): readonly Finding[] => [
+  ...checkRunOnce(history, onceKinds),
   ...checkRefusals(history),
   ...checkServices(history),
   ...checkLeaving(history),
@@ -23,6 +23,11 @@
   ...checkInForce(history),
   ...checkNeverBackwards(history),
   ...checkOutcomes(history),
+];
+
+/** Lays the histories side by side and lists every broken rule. */
+export const checkHistory = (history: History, deployment: Deployment, terms: CheckTerms): readonly Finding[] => [
+  ...checkAlways(history, new Set(deployment.kinds.filter((kind) => kind.runsOnce).map((kind) => kind.kind))),
   ...checkFewRefusals(history, terms.mostRefusedShare),
   ...checkRecovery(history, terms.troubleEndUs),
   ...(terms.plannedOnly ? checkNoCuts(history) : []),
--- a/src/rehearsal/stand-in/platform.ts
+++ b/src/rehearsal/stand-in/platform.ts
@@ -5,6 +5,7 @@
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { ServerList } from '../../servers/list/server-list.js';
 import { oneOf, type Chance } from '../../common/chance.js';
+import { noteLeaves } from '../history/note-leaves.js';
 import type { History } from '../history/history.js';
 import { readNumbers } from './read-numbers.js';
 
@@ -84,11 +85,7 @@
     list: () => list,
     show: (servers) => {
       list = { version: list.version + 1, atUs: now(), servers };
-      for (const server of servers) {
-        const isKnown = history.leaves.some((leave) => leave.server === server.id && leave.incarnation === server.incarnation);
-        if (server.state === 'leaving' && !isKnown)
-          history.leaves.push({ server: server.id, incarnation: server.incarnation, shownUs: steadyNow() });
-      }
+      noteLeaves(history, servers, steadyNow());
       for (const node of [oneOf(chance, nodes), oneOf(chance, nodes), oneOf(chance, nodes)]) if (node !== undefined) void push(node);
     },
     readyRouters: () => nodes.filter((node) => node.role === 'router' && ready.has(node.node)),
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -1,7 +1,6 @@
 import { oneOf } from '../../common/chance.js';
-import { checkAnswers, checkFewRefusals, checkNoCuts, checkRecovery } from '../../rehearsal/checker/check-answers.js';
-import { checkExtraTries, checkLeaving, checkRefusals, checkRunOnce, checkServices } from '../../rehearsal/checker/check-runs.js';
-import { checkInForce, checkNeverBackwards, checkOutcomes } from '../../rehearsal/checker/check-setups.js';
+import { checkFewRefusals, checkNoCuts, checkRecovery } from '../../rehearsal/checker/check-answers.js';
+import { checkAlways } from '../../rehearsal/checker/check-history.js';
 import type { History } from '../../rehearsal/history/history.js';
 import { askCore } from '../core/core-client.js';
 import { sampleSetup } from '../sample-setup.js';
@@ -21,20 +20,6 @@
 
 const onceKinds = new Set(['summary']);
 
-/** The independent rules over the histories of callers, servers, operators and the platform. */
-const brokenIn = (history: History): readonly string[] =>
-  [
-    ...checkRunOnce(history, onceKinds),
-    ...checkRefusals(history),
-    ...checkServices(history),
-    ...checkLeaving(history),
-    ...checkExtraTries(history),
-    ...checkAnswers(history),
-    ...checkInForce(history),
-    ...checkNeverBackwards(history),
-    ...checkOutcomes(history),
-  ].map((finding) => `${finding.rule}: ${finding.detail}`);
-
 const put = (fleet: SimFleet, name: string, expected: number, routers: number): void => {
   const askedUs = fleet.world.now();
   askCore(
@@ -100,12 +85,12 @@
 
 const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
   ...fleet.rules.broken(),
-  ...brokenIn(fleet.history),
   ...[
+    ...checkAlways(fleet.history, onceKinds),
     ...checkRecovery(fleet.history, troubleEndsUs),
     ...(isPlanned ? [...checkNoCuts(fleet.history), ...checkFewRefusals(fleet.history, mostRefusedShare)] : []),
   ]
-    .slice(0, 3)
+    .slice(0, 9)
     .map((finding) => `${finding.rule}: ${finding.detail}`),
   ...underWay.map((running) => `every-call-ends: ${running} never ended`),
   ...(fleet.history.calls.length < 50 ? ['the fleet hardly served at all'] : []),
--- a/src/sim/fleet/sim-platform.ts
+++ b/src/sim/fleet/sim-platform.ts
@@ -1,4 +1,5 @@
 import { oneOf } from '../../common/chance.js';
+import { noteLeaves } from '../../rehearsal/history/note-leaves.js';
 import type { History } from '../../rehearsal/history/history.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { ServerList } from '../../servers/list/server-list.js';
@@ -63,11 +64,7 @@
     list: () => list,
     show: (servers) => {
       list = { version: list.version + 1, atUs: now(), servers };
-      for (const server of servers) {
-        const isKnown = history.leaves.some((leave) => leave.server === server.id && leave.incarnation === server.incarnation);
-        if (server.state === 'leaving' && !isKnown)
-          history.leaves.push({ server: server.id, incarnation: server.incarnation, shownUs: world.now() });
-      }
+      noteLeaves(history, servers, world.now());
       for (let copy = 0; copy < 3; copy += 1) {
         const target = oneOf(world.chance, reachable);
         if (target !== undefined) push(target);
