Try for a claim as long as the core needs to find a new leader

Cause: a claim was given up after 2 s, about as long as it takes to notice that the leader is gone, to elect another and to be sent to it. Ruled out: slow disks (same in virtual time).

--- a/src/process/router/exchange-paths.ts
+++ b/src/process/router/exchange-paths.ts
@@ -12,11 +12,11 @@
 import { reply, replyError } from '../http/reply.js';
 import type { SpreadTask } from '../spread-task.js';
 import { refusalStatusOf, unknownStatusOf } from './error-status.js';
+import { claimBudgetOf } from '../../router/exchange/claim-budget.js';
 import type { RefreshGate } from './refresh-gate.js';
 import type { RouterTask } from './router-task.js';
 
 const mostBodyBytes = 1 << 20;
-const claimBudgetUs: Micros = 2_000_000;
 const comeBackUs: Micros = 1_000_000;
 const keyForm = /^[\x21-\x7e]{1,200}$/;
 
@@ -41,7 +41,7 @@
 const claim = async ({ router, spread, core, counters }: Edge, rule: Rule, givenKey: string, response: ServerResponse): Promise<ClaimEnd> => {
   const exchange = router.nextExchange();
   const key = `${rule.kind}/${givenKey}`;
-  const asked = await core.ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: spread.platformUs() } }, claimBudgetUs);
+  const asked = await core.ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: spread.platformUs() } }, claimBudgetOf(rule));
   return asked.caseOf<ClaimEnd>({
     Left: (error) => {
       counters.count('refused.no-claim');
--- a/src/sim/fleet/sim-router.ts
+++ b/src/sim/fleet/sim-router.ts
@@ -6,6 +6,7 @@
 import { prefixOf } from '../../decision/ring/prefix.js';
 import { serverKeyOf } from '../../servers/list/server-key.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
+import { claimBudgetOf } from '../../router/exchange/claim-budget.js';
 import { askCore } from '../core/core-client.js';
 import type { CoreFleet } from '../core/core-fleet.js';
 import { openChannel } from '../world/channel.js';
@@ -353,7 +354,7 @@
       askCore(
         core,
         { type: 'propose', command: { type: 'claim', key, exchange, atUs: spread.platformUs() } },
-        2_000_000,
+        claimBudgetOf(rule),
         (word) => {
           if (node.boot() !== ownBoot) return;
           node.run(() => {
