--- a/src/decision/machine/step/on-list.ts
+++ b/src/decision/machine/step/on-list.ts
@@ -20,7 +20,19 @@
   }, view.warmth),
 });
 
-export const onList = (view: DecisionView, list: ServerList): DecisionStep => {
-  if (view.list !== undefined && list.version <= view.list.version) return still(view);
+/** A server that is shown as leaving anew has been leaving since it was first shown so. */
+const withFirstLeaving = (view: DecisionView, list: ServerList): ServerList => ({
+  ...list,
+  servers: list.servers.map((server) => {
+    const former = view.list?.servers.find((listed) => serverKeyOf(listed) === serverKeyOf(server));
+    return server.leavingAtUs === undefined || former?.leavingAtUs === undefined
+      ? server
+      : { ...server, leavingAtUs: Math.min(former.leavingAtUs, server.leavingAtUs) };
+  }),
+});
+
+export const onList = (view: DecisionView, given: ServerList): DecisionStep => {
+  if (view.list !== undefined && given.version <= view.list.version) return still(view);
+  const list = withFirstLeaving(view, given);
   return restage({ ...withPlatformUs(withoutOldWeights(view, list), list.atUs), list });
 };
--- a/tests/decision/time-line.test.ts
+++ b/tests/decision/time-line.test.ts
@@ -227,6 +227,18 @@
   assert.is(later.filter((deliver) => deliver.server === leaverKey).length, 0);
 });
 
+test('a server that is shown as leaving again, with a later time, still gets nothing after its first grace', () => {
+  const [first = newcomer, ...others] = founders;
+  const leaving = (leavingAtUs: number) => ({ ...first, state: 'leaving' as const, leavingAtUs });
+  const player = bornNode();
+  player.play(
+    { type: 'list', at: 10 * second, list: listOf(2, 100 * second, [leaving(100 * second), ...others]) },
+    { type: 'list', at: 13 * second, list: listOf(3, 103 * second, [leaving(103 * second), ...others]) },
+  );
+  for (let place = 0; place < 100; place += 1) ranWell(player, { at: 13 * second + place, exchange: `e${place}`, prefix: `p${place}` });
+  assert.is(deliversOf(player.all()).filter((deliver) => deliver.server === serverKeyOf(first)).length, 0);
+});
+
 test('a new count of vnodes is a migration too: openings move at a pace, then the new ring holds', () => {
   const player = bornNode();
   const denser = { ...setup, warmup: { ...warmup, vnodes: 16 } };
