--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -54,7 +54,8 @@
     goDark: (span) => {
       darkUntilUs = Math.max(darkUntilUs, world.now() + Math.ceil(span));
     },
-    run: (delivery, send) =>
+    run: (delivery, send) => {
+      const reachedUs = world.now();
       afterDark(() => {
         const opening = prefixOf(listed.service, delivery.opening);
         history.runs.push({
@@ -68,7 +69,7 @@
           exchange: delivery.exchange,
           fromPiece: delivery.fromPiece,
           opening,
-          atUs: world.now(),
+          atUs: reachedUs,
         });
         const cold = delivery.pieces > 0 && !rememberedOpenings.has(opening);
         if (cold) history.coldCalls.add(`${delivery.call}@${listed.id}`);
@@ -87,6 +88,7 @@
           rememberedOpenings.add(opening);
           sendFrom(delivery.fromPiece);
         });
-      }),
+      });
+    },
   };
 };
