--- a/src/common/micros.ts
+++ b/src/common/micros.ts
@@ -6,8 +6,6 @@
 /** The process's monotonic time line; it never jumps with the wall clock. */
 export const steadyNow = (): Micros => Number(process.hrtime.bigint() / nanosPerMicro);
 
-export const fromMillis = (millis: number): Micros => Math.round(millis * 1000);
-
 export const toMillis = (span: Micros): number => Math.max(0, Math.ceil(span / 1000));
 
 /** Whole seconds for a Retry-After header, at least one. */
--- a/src/decision/ring/ring.ts
+++ b/src/decision/ring/ring.ts
@@ -9,8 +9,6 @@
   readonly size: number;
 };
 
-export const emptyRing: Ring = { vnodes: [], size: 0 };
-
 export const ringOf = (members: readonly RingMember[], vnodeCount: number): Ring => ({
   size: members.length,
   vnodes: members
--- a/src/decision/timeline/bookings.ts
+++ b/src/decision/timeline/bookings.ts
@@ -13,7 +13,8 @@
 export const warmupAt = (record: SetupRecord, atUs: Micros): Warmup =>
   record.epochs.findLast((epoch) => epoch.sinceUs <= atUs)?.warmup ?? record.epochs[0]?.warmup ?? record.setup.warmup;
 
-const lengthOf = (warmup: Warmup): Micros => Math.min(warmup.boundUs, warmup.prefixesPerRange * warmup.paceUs);
+/** How long a booking lasts: every range's slots, or the bound if that is less. */
+export const lengthOf = (warmup: Warmup): Micros => Math.min(warmup.boundUs, warmup.prefixesPerRange * warmup.paceUs);
 
 const byListing = (left: ListedServer, right: ListedServer): number =>
   sinceOf(left) - sinceOf(right) || (left.id < right.id ? -1 : 1);
--- a/src/decision/timeline/stage.ts
+++ b/src/decision/timeline/stage.ts
@@ -7,7 +7,7 @@
 import { previewRanges } from '../ring/preview.js';
 import { ringOf, type Ring } from '../ring/ring.js';
 import type { Booking } from './booking.js';
-import { bookingsOf, warmupAt } from './bookings.js';
+import { bookingsOf, lengthOf, warmupAt } from './bookings.js';
 import type { Migration } from './migration.js';
 import type { ServiceStage } from './service-stage.js';
 
@@ -65,7 +65,7 @@
   if (currentEpoch === undefined || earlierEpoch === undefined) return undefined;
   if (currentEpoch.warmup.vnodes === earlierEpoch.warmup.vnodes) return undefined;
   const warmup = currentEpoch.warmup;
-  const commitUs = currentEpoch.sinceUs + Math.min(warmup.boundUs, warmup.prefixesPerRange * warmup.paceUs);
+  const commitUs = currentEpoch.sinceUs + lengthOf(warmup);
   if (platformUs >= commitUs + warmup.settleUs) return undefined;
   return {
     type: 'rebalance',
--- a/src/rehearsal/run/fault-acts.ts
+++ b/src/rehearsal/run/fault-acts.ts
@@ -193,28 +193,24 @@
   }
 };
 
+/** Every sync of the leader takes so much longer, for a while. */
+const delayLeaderDisk =
+  (delayMillis: number, spanMillis: number): FaultAct =>
+  async (parts) => {
+    const leader = await parts.leader();
+    if (leader === undefined) return;
+    await parts.trouble('disk', async () => {
+      leader.troubleDisk({ delayMillis, fails: false });
+      await parts.pause(spanMillis);
+      leader.troubleDisk(noTrouble);
+    });
+  };
 
-/** The leader's disk turns slow, then stalls; then one machine's disk is full, and it ends itself and comes back. */
-export const slowLeaderDisk: FaultAct = async (parts) => {
-  const leader = await parts.leader();
-  if (leader === undefined) return;
-  await parts.trouble('disk', async () => {
-    leader.troubleDisk({ delayMillis: 150, fails: false });
-    await parts.pause(5_000);
-    leader.troubleDisk(noTrouble);
-  });
-};
+export const slowLeaderDisk = delayLeaderDisk(150, 5_000);
 
-export const stallLeaderDisk: FaultAct = async (parts) => {
-  const leader = await parts.leader();
-  if (leader === undefined) return;
-  await parts.trouble('disk', async () => {
-    leader.troubleDisk({ delayMillis: 4_000, fails: false });
-    await parts.pause(4_000);
-    leader.troubleDisk(noTrouble);
-  });
-};
+export const stallLeaderDisk = delayLeaderDisk(4_000, 4_000);
 
+/** The leader's disk is full; it ends itself and comes back. */
 export const fillDisk: FaultAct = async (parts) => {
   const control = await parts.leader();
   if (control === undefined) return;
--- a/src/sim/fleet/sim-router.ts
+++ b/src/sim/fleet/sim-router.ts
@@ -30,7 +30,6 @@
   readonly kill: () => void;
   /** Ends in order, then calls back. */
   readonly terminate: (ended: () => void) => void;
-  readonly notFreshRefusals: () => number;
 };
 
 export type SimRouterPlan = {
@@ -78,7 +77,6 @@
   let count = 0;
   /** Calls that have come but are not exchanges yet. */
   let arriving = new Set<SimCall>();
-  let notFresh = 0;
 
   const spread = openSimSpread({
     name,
@@ -336,7 +334,6 @@
   const accept = (call: SimCall): void =>
     passGate((isFresh) => {
       if (!isFresh || isDraining || !isConfirmed || view.list === undefined) {
-        notFresh += 1;
         arriving.delete(call);
         call.hearEnd('refused', isDraining ? 'draining' : 'not-ready', '1');
         return;
@@ -453,6 +450,5 @@
         check();
       });
     },
-    notFreshRefusals: () => notFresh,
   };
 };
