--- a/src/cli/play-virtual.ts
+++ b/src/cli/play-virtual.ts
@@ -13,11 +13,11 @@
 };
 
 /** Plays a scenario for every seed, tells of each that breaks a rule how to replay it, and sums up. */
-export const playVirtual = (scenario: SimScenario, { first, last }: SeedRange, tell: (line: string) => void) => {
+export const playVirtual = async (scenario: SimScenario, { first, last }: SeedRange, tell: (line: string) => void) => {
   const counts: Record<string, number> = {};
   const brokenSeeds: number[] = [];
   for (let seed = first; seed <= last; seed += 1) {
-    const run = scenario.play(seed);
+    const run = await scenario.play(seed);
     for (const [name, count] of Object.entries(run.counts)) counts[name] = (counts[name] ?? 0) + count;
     if (run.broken.length === 0) continue;
     brokenSeeds.push(seed);
--- a/src/cli/rehearse-command.ts
+++ b/src/cli/rehearse-command.ts
@@ -48,7 +48,7 @@
     const virtualScenario = simScenarios.find((known) => known.name === flags.virtual);
     if (virtualScenario !== undefined) {
       const seeds = parseSeeds(flags.seeds) ?? misused('--seeds must be one seed or first-last');
-      const sum = playVirtual(virtualScenario, seeds, tell);
+      const sum = await playVirtual(virtualScenario, seeds, tell);
       print(sum);
       if (sum.brokenSeeds.length > 0) fail(typedError('rule-broken', `${sum.brokenSeeds.length} of ${sum.seeds} seeds break a rule`));
       return;
--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -28,5 +28,6 @@
   | 'disk-error'
   | 'bad-message'
   | 'link-error'
+  | 'link-refused'
   | 'not-found'
   | 'rule-broken';
--- a/src/decision/machine/event/delivery-error.ts
+++ b/src/decision/machine/event/delivery-error.ts
@@ -1,2 +1,2 @@
 /** How a delivery can go wrong. */
-export type DeliveryError = 'no-link' | 'link-lost' | 'wrong-service' | 'turned-away' | 'server-error' | 'too-slow' | 'bad-stream';
+export type DeliveryError = 'no-link' | 'link-lost' | 'wrong-service' | 'turned-away' | 'server-error' | 'too-slow' | 'silent' | 'bad-stream';
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -10,7 +10,7 @@
 
 
 
-const deliveryErrors = ['no-link', 'link-lost', 'wrong-service', 'turned-away', 'server-error', 'too-slow', 'bad-stream'] as const;
+const deliveryErrors = ['no-link', 'link-lost', 'wrong-service', 'turned-away', 'server-error', 'too-slow', 'silent', 'bad-stream'] as const;
 
 /** The checked form of each event, by its type. */
 export const eventSchemas: { readonly [T in DecisionEvent['type']]: Schema<DecisionEvent> } = {
--- a/src/disk/open-folder.ts
+++ b/src/disk/open-folder.ts
@@ -5,12 +5,7 @@
 import { openDiskRing, type DiskRing } from './disk-ring.js';
 import { noTrouble, troubledFile, type DiskTrouble } from './disk-trouble.js';
 import type { RingFile } from './ring-file.js';
-
-/** The sizes of a ring. */
-export type RingSizes = {
-  readonly files: number;
-  readonly fileBytes: number;
-};
+import type { RingSizes } from './ring-sizes.js';
 
 const zeroChunk = Buffer.alloc(1 << 20);
 
--- /dev/null
+++ b/src/process/control/control-node.ts
@@ -0,0 +1,74 @@
+import { EitherAsync } from 'purify-ts';
+import { paused } from '../../common/clock/paused.js';
+import type { TypedError } from '../../common/typed-error.js';
+import { openCoreClient, type CoreClient } from '../core-client.js';
+import { openCounters, type Counters } from '../counters.js';
+import type { Log } from '../log.js';
+import { openOperatorDesk, type OperatorDesk } from '../operator/operator-desk.js';
+import type { ControlSettings } from '../settings/control-settings.js';
+import { openSpreadTask, type SpreadTask } from '../spread-task.js';
+import type { Surroundings } from '../surroundings/surroundings.js';
+import { openControlTask, type ControlTask } from './control-task.js';
+
+/** A core machine with all its tasks; only HTTP is added from outside. */
+export type ControlNode = {
+  readonly spread: SpreadTask;
+  readonly control: ControlTask;
+  readonly core: CoreClient;
+  readonly desk: OperatorDesk;
+  readonly counters: Counters;
+  readonly unready: () => string | undefined;
+  readonly start: () => Promise<void>;
+  /** Hands its place over if it leads, and ends. */
+  readonly stop: () => Promise<void>;
+};
+
+export type ControlNodePlan = {
+  readonly settings: ControlSettings;
+  readonly log: Log;
+  readonly surroundings: Surroundings;
+  /** Called once when the disk can no longer be written. */
+  readonly fail: (error: TypedError) => void;
+};
+
+const handOverUs = 100_000;
+
+/** Opens the disk of a core machine and puts its tasks together. */
+export const openControlNode = ({ settings, log, surroundings, fail }: ControlNodePlan): EitherAsync<TypedError, ControlNode> => {
+  const counters = openCounters();
+  const spread = openSpreadTask(
+    { node: settings.node, role: 'control', address: settings.partners, http: settings.http, locality: settings.locality },
+    settings.seeds,
+    log,
+    counters,
+    surroundings,
+    settings.partnersListen,
+  );
+  return openControlTask(settings, spread, log, counters, surroundings, fail).map((control) => {
+    const core = openCoreClient(spread, surroundings);
+    return {
+      spread,
+      control,
+      core,
+      desk: openOperatorDesk(core, spread.platformUs),
+      counters,
+      unready: () => {
+        const { leader, role } = control.view();
+        if (leader === undefined) return `no leader is known (${role})`;
+        return role === 'learner' || role === 'unfounded' ? `not a voter of the core yet (${role})` : undefined;
+      },
+      start: async () => {
+        await spread.start();
+        control.start();
+        log.change('started', { identity: control.view().identity, role: control.view().role });
+      },
+      stop: async () => {
+        log.change('stopping', {});
+        await control.resign();
+        await paused(surroundings.clock, handOverUs);
+        await control.close();
+        spread.close();
+      },
+    };
+  });
+};
--- a/src/process/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -1,26 +1,25 @@
-import { randomBytes } from 'node:crypto';
 import { EitherAsync, type Either } from 'purify-ts';
-import { steadyNow } from '../common/micros.js';
-import type { TypedError } from '../common/typed-error.js';
-import { imageRecordsOf, recoveredView } from '../control/keeping/recover.js';
-import type { KeptRecord } from '../control/log/kept-record.js';
-import type { ControlEffect } from '../control/machine/control-effect.js';
-import type { ControlEvent } from '../control/machine/control-event.js';
-import { startControlView, type ControlView } from '../control/machine/control-view.js';
-import { membersOf } from '../control/machine/log-reading.js';
-import { pulseOf } from '../control/machine/replicating.js';
-import { stepControl } from '../control/machine/step.js';
-import { busyDiskUs, heartbeatSpanUs } from '../control/machine/timing.js';
-import { encodeKept, sequenceKept } from '../control/wire/kept-codec.js';
-import { messageOfPlain, plainMessageOf } from '../control/wire/message-codec.js';
-import type { DiskRing } from '../disk/disk-ring.js';
-import { openRingFolder } from '../disk/open-folder.js';
-import type { Counters } from './counters.js';
-import type { Log } from './log.js';
-import { openMailbox } from './mailbox.js';
-import { listenForDiskTrouble } from './rehearsed-disk.js';
-import type { ControlSettings } from './settings/control-settings.js';
-import type { SpreadTask } from './spread-task.js';
+import { every } from '../../common/clock/every.js';
+import type { Micros } from '../../common/micros.js';
+import type { TypedError } from '../../common/typed-error.js';
+import { imageRecordsOf, recoveredView } from '../../control/keeping/recover.js';
+import type { KeptRecord } from '../../control/log/kept-record.js';
+import type { ControlEffect } from '../../control/machine/control-effect.js';
+import type { ControlEvent } from '../../control/machine/control-event.js';
+import { startControlView, type ControlView } from '../../control/machine/control-view.js';
+import { membersOf } from '../../control/machine/log-reading.js';
+import { pulseOf } from '../../control/machine/replicating.js';
+import { stepControl } from '../../control/machine/step.js';
+import { busyDiskUs, heartbeatSpanUs } from '../../control/machine/timing.js';
+import { encodeKept, sequenceKept } from '../../control/wire/kept-codec.js';
+import { messageOfPlain, plainMessageOf } from '../../control/wire/message-codec.js';
+import type { DiskRing } from '../../disk/disk-ring.js';
+import type { Counters } from '../counters.js';
+import type { Log } from '../log.js';
+import { openMailbox } from '../mailbox.js';
+import type { ControlSettings } from '../settings/control-settings.js';
+import type { SpreadTask } from '../spread-task.js';
+import type { Surroundings } from '../surroundings/surroundings.js';
 
 /** The task that owns the control machine and its disk. */
 export type ControlTask = {
@@ -30,13 +29,11 @@
   readonly close: () => Promise<void>;
 };
 
-const tickMillis = 25;
+const tickUs: Micros = 25_000;
 
-const carriesChance = (): number => Math.random();
-
-const bornOn = async (ring: DiskRing, settings: ControlSettings): Promise<Either<TypedError, ControlView>> => {
+const bornOn = async (ring: DiskRing, settings: ControlSettings, freshName: () => string): Promise<Either<TypedError, ControlView>> => {
   const recovered = [...(ring.recovered.image === undefined ? [] : [ring.recovered.image]), ...ring.recovered.records];
-  const freshView = startControlView(`${settings.node}-${randomBytes(6).toString('hex')}`, settings.partners, settings.seeds);
+  const freshView = startControlView(`${settings.node}-${freshName()}`, settings.partners, settings.seeds);
   if (recovered.length > 0) return sequenceKept(recovered).map((records) => recoveredView(freshView, records));
   const kept = await ring.append(new Uint8Array(0), () => encodeKept([{ type: 'identity', identity: freshView.identity }]));
   return kept.map(() => freshView);
@@ -48,17 +45,18 @@
   spread: SpreadTask,
   log: Log,
   counters: Counters,
+  { clock, chance, freshName, openRing }: Pick<Surroundings, 'clock' | 'chance' | 'freshName' | 'openRing'>,
   fail: (error: TypedError) => void,
 ): EitherAsync<TypedError, ControlTask> =>
-  openRingFolder(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }, listenForDiskTrouble()).chain((ring) =>
+  openRing(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }).chain((ring) =>
     EitherAsync(async ({ liftEither }) => {
-      const bornView = await liftEither(await bornOn(ring, settings));
+      const bornView = await liftEither(await bornOn(ring, settings, freshName));
       let view = bornView;
       let syncedView = bornView;
       let pulsedUs = 0;
       let hasFailed = false;
       let syncStartedUs: number | undefined;
-      let tickTimer: NodeJS.Timeout | undefined;
+      let endTicks = (): void => undefined;
       const knownAddresses = new Map<string, string>();
       const askAddresses = new Map<string, string>();
 
@@ -104,10 +102,10 @@
 
       const keepAll = async (records: readonly KeptRecord[]): Promise<boolean> => {
         if (records.length === 0) return true;
-        syncStartedUs = steadyNow();
+        syncStartedUs = clock.now();
         const kept = await ring.append(encodeKept(records), () => encodeKept(imageRecordsOf(view)));
         counters.count('disk.syncs');
-        counters.count('disk.syncUs', steadyNow() - syncStartedUs);
+        counters.count('disk.syncUs', clock.now() - syncStartedUs);
         syncStartedUs = undefined;
         kept.ifLeft((error) => {
           hasFailed = true;
@@ -135,8 +133,8 @@
         if (frame.to !== undefined && frame.to !== view.identity) return;
         mailbox.post({
           type: 'message',
-          at: steadyNow(),
-          chance: carriesChance(),
+          at: clock.now(),
+          chance: chance(),
           from: frame.identity,
           message: messageOfPlain(frame.message),
         });
@@ -146,33 +144,33 @@
         if (askAddresses.size > 10_000) askAddresses.delete(askAddresses.keys().next().value ?? ask);
         mailbox.post(
           question.type === 'read'
-            ? { type: 'read', at: steadyNow(), ask, proposal: question.proposal }
-            : { type: 'propose', at: steadyNow(), ask, command: question.command },
+            ? { type: 'read', at: clock.now(), ask, proposal: question.proposal }
+            : { type: 'propose', at: clock.now(), ask, command: question.command },
         );
       });
       counters.gauge('control.term', () => view.term);
       counters.gauge('control.commit', () => view.commit);
       counters.gauge('control.leads', () => (view.role === 'leader' ? 1 : 0));
-      counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : steadyNow() - syncStartedUs));
+      counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : clock.now() - syncStartedUs));
 
       return {
         view: () => view,
         start: () => {
-          tickTimer = setInterval(() => {
-            const nowUs = steadyNow();
-            mailbox.post({ type: 'tick', at: nowUs, chance: carriesChance() });
+          endTicks = every(clock, tickUs, () => {
+            const nowUs = clock.now();
+            mailbox.post({ type: 'tick', at: nowUs, chance: chance() });
             const isBusy = syncStartedUs !== undefined && nowUs - syncStartedUs < busyDiskUs;
             if (!isBusy || nowUs - pulsedUs < heartbeatSpanUs) return;
             pulsedUs = nowUs;
             pulseOf(syncedView).forEach(carryOut);
-          }, tickMillis);
+          });
         },
         resign: async () => {
-          mailbox.post({ type: 'resign', at: steadyNow(), chance: carriesChance() });
+          mailbox.post({ type: 'resign', at: clock.now(), chance: chance() });
           await mailbox.idle();
         },
         close: async () => {
-          clearInterval(tickTimer);
+          endTicks();
           await mailbox.idle();
           await ring.close();
         },
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -1,10 +1,12 @@
-import { randomUUID } from 'node:crypto';
-import { Either, Left, Right } from 'purify-ts';
-import { steadyNow, toMillis, type Micros } from '../common/micros.js';
+import { Left, Right, type Either } from 'purify-ts';
+import { paused } from '../common/clock/paused.js';
+import { within } from '../common/clock/within.js';
+import type { Micros } from '../common/micros.js';
 import { typedError, type TypedError } from '../common/typed-error.js';
 import type { Answer } from '../control/machine/answer.js';
 import type { Question } from '../spread/frame/frame.js';
 import type { SpreadTask } from './spread-task.js';
+import type { Surroundings } from './surroundings/surroundings.js';
 
 /** Asks the core, wherever its leader is. Every question may be put twice: the log knows it again. */
 export type CoreClient = {
@@ -12,9 +14,11 @@
 };
 
 const tryBudgetUs: Micros = 600_000;
-const pauseMillis = 40;
+const pauseUs: Micros = 40_000;
 
-export const openCoreClient = (spread: SpreadTask): CoreClient => {
+const isLast = (answer: Answer): boolean => answer.type === 'applied' || answer.type === 'record';
+
+export const openCoreClient = (spread: SpreadTask, { clock, freshName }: Pick<Surroundings, 'clock' | 'freshName'>): CoreClient => {
   const waiting = new Map<string, (answer: Answer) => void>();
   let leaderAddress: string | undefined;
   let turn = 0;
@@ -31,54 +35,39 @@
     return candidates[turn % candidates.length];
   };
 
-  const pause = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, pauseMillis));
-
-  /** Puts the question once; the answer may still come when another try has begun, and counts then too. */
-  const askOnce = (address: string, question: Question, hear: (answer: Answer) => void): string => {
-    const ask = randomUUID();
-    waiting.set(ask, hear);
-    spread.send(address, { type: 'ask', ask, question });
-    return ask;
-  };
-
-  const within = <T>(promise: Promise<T>, budgetUs: Micros): Promise<T | undefined> => {
-    let timer: NodeJS.Timeout | undefined;
-    const passed = new Promise<undefined>((resolve) => {
-      timer = setTimeout(() => resolve(undefined), toMillis(budgetUs));
-    });
-    return Promise.race([promise, passed]).finally(() => clearTimeout(timer));
-  };
-
-  const isLast = (answer: Answer): boolean => answer.type === 'applied' || answer.type === 'record';
-
   return {
     ask: async (question, budgetUs) => {
-      const dueUs = steadyNow() + budgetUs;
+      const dueUs = clock.now() + budgetUs;
       const asks: string[] = [];
       let mayStand = false;
-      let lastAnswer: Answer | undefined;
+      let hearLast: (answer: Answer) => void = () => undefined;
+      /** A last word counts whichever try it answers, and however late within the budget. */
+      const lastWord = new Promise<Answer>((resolve) => {
+        hearLast = resolve;
+      });
+      const askAt = (address: string): Promise<Answer> =>
+        new Promise((resolve) => {
+          const ask = freshName();
+          asks.push(ask);
+          waiting.set(ask, (answer) => {
+            if (isLast(answer)) {
+              leaderAddress = address;
+              hearLast(answer);
+            } else resolve(answer);
+          });
+          spread.send(address, { type: 'ask', ask, question });
+        });
       try {
-        while (steadyNow() < dueUs) {
+        for (let leftUs = budgetUs; leftUs > 0; leftUs = dueUs - clock.now()) {
           const address = targetAddress();
-          if (address === undefined) {
-            await pause();
-            continue;
-          }
-          const answered = new Promise<Answer>((resolve) => {
-            const hear = (answer: Answer): void => {
-              if (isLast(answer)) lastAnswer ??= answer;
-              resolve(answer);
-            };
-            asks.push(askOnce(address, question, hear));
-          });
-          const answer = await within(answered, Math.min(tryBudgetUs, Math.max(1_000, dueUs - steadyNow())));
-          if (lastAnswer !== undefined) {
-            if (answer === lastAnswer) leaderAddress = address;
-            return Right(lastAnswer);
-          }
-          if (answer?.type !== 'not-leader') mayStand = true;
+          const answer =
+            address === undefined ? undefined : await within(clock, Promise.race([lastWord, askAt(address)]), Math.min(tryBudgetUs, leftUs));
+          if (answer !== undefined && isLast(answer)) return Right(answer);
+          if (address !== undefined && answer?.type !== 'not-leader') mayStand = true;
           leaderAddress = answer?.type === 'not-leader' && answer.leader !== address ? answer.leader : undefined;
-          if (leaderAddress === undefined) await pause();
+          if (leaderAddress !== undefined) continue;
+          const lateAnswer = await Promise.race([lastWord, paused(clock, pauseUs)]);
+          if (lateAnswer !== undefined) return Right(lateAnswer);
         }
         return Left(
           mayStand && question.type === 'propose'
--- /dev/null
+++ b/src/process/http/caller-over-http.ts
@@ -0,0 +1,38 @@
+import type { ServerResponse } from 'node:http';
+import type { CallerLink } from '../../router/delivery/caller-link.js';
+import { refusalStatusOf, unknownStatusOf } from '../router/error-status.js';
+import { reply, replyError } from './reply.js';
+
+/** The way back to a caller over HTTP. */
+export const callerOverHttp = (response: ServerResponse): CallerLink => {
+  const begin = (exchange: string): void => {
+    if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-exchange-id': exchange });
+  };
+  return {
+    isGone: () => response.destroyed,
+    onGone: (act) =>
+      void response.on('close', () => {
+        if (!response.writableFinished) act();
+      }),
+    piece: async (exchange, line) => {
+      begin(exchange);
+      if (!response.write(line))
+        await new Promise<void>((resolve) => {
+          response.once('drain', resolve);
+          response.once('close', resolve);
+        });
+      return !response.destroyed;
+    },
+    end: (exchange, pieces) => {
+      begin(exchange);
+      response.end(`${JSON.stringify({ end: true, pieces })}\n`);
+    },
+    answer: (exchange, text) => reply(response, 200, { exchange, answer: text }, { 'x-exchange-id': exchange }),
+    refuse: (error, exchange, retryAfterUs) => {
+      if (error.type === 'oversized-body') response.setHeader('connection', 'close');
+      replyError(response, refusalStatusOf(error.type), error, { outcome: 'refused', ...(exchange === undefined ? {} : { exchange }) }, retryAfterUs);
+    },
+    unknown: (error, facts) => replyError(response, unknownStatusOf(error.type), error, { outcome: 'unknown', ...facts }),
+    breakOff: () => void response.destroy(),
+  };
+};
--- /dev/null
+++ b/src/process/router/admission.ts
@@ -0,0 +1,104 @@
+import type { Either } from 'purify-ts';
+import { checked } from '../../common/checked.js';
+import type { ErrorType } from '../../common/error-type.js';
+import type { Micros } from '../../common/micros.js';
+import { typedError, type TypedError } from '../../common/typed-error.js';
+import type { CallerLink } from '../../router/delivery/caller-link.js';
+import { claimBudgetOf } from '../../router/exchange/claim-budget.js';
+import { exchangeBodySchema } from '../../router/exchange/exchange-body.js';
+import type { Rule } from '../../setup/document/rule.js';
+import type { CoreClient } from '../core-client.js';
+import type { Counters } from '../counters.js';
+import type { SpreadTask } from '../spread-task.js';
+import type { RefreshGate } from './refresh-gate.js';
+import type { RouterTask } from './router-task.js';
+
+/** What an exchange passes on its way in. */
+export type Admission = {
+  /** Takes what a caller sent, and answers every exchange in the end. */
+  readonly arrive: (sent: Either<TypedError, unknown>, givenKey: unknown, caller: CallerLink) => Promise<void>;
+};
+
+export type AdmissionParts = {
+  readonly router: RouterTask;
+  readonly spread: SpreadTask;
+  readonly core: CoreClient;
+  readonly gate: RefreshGate;
+  readonly counters: Counters;
+  /** Why new exchanges can not be taken; none when they can. */
+  readonly closedBy: () => ErrorType | undefined;
+};
+
+const comeBackUs: Micros = 1_000_000;
+const keyForm = /^[\x21-\x7e]{1,200}$/;
+
+const isKey = (givenKey: unknown): givenKey is string | undefined =>
+  givenKey === undefined || (typeof givenKey === 'string' && keyForm.test(givenKey));
+
+export const openAdmission = ({ router, spread, core, gate, counters, closedBy }: AdmissionParts): Admission => {
+  const refuse = (caller: CallerLink, error: TypedError, retryAfterUs?: Micros): void => {
+    counters.count(`refused.${error.type}`);
+    caller.refuse(error, undefined, retryAfterUs);
+  };
+
+  /** Claims a key of a run-once kind on the core before anything is delivered; the exchange that won it, if it did. */
+  const claimed = async (rule: Rule, givenKey: string, caller: CallerLink): Promise<string | undefined> => {
+    const exchange = router.nextExchange();
+    const key = `${rule.kind}/${givenKey}`;
+    const asked = await core.ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: spread.platformUs() } }, claimBudgetOf(rule));
+    return asked.caseOf<string | undefined>({
+      Left: (error) => {
+        refuse(caller, typedError('no-claim', `refused, nothing was delivered: the key could not be claimed (${error.message})`), comeBackUs);
+        return undefined;
+      },
+      Right: (answer) => {
+        const outcome = answer.type === 'applied' ? answer.outcome : undefined;
+        if (outcome?.type === 'claimed' && outcome.won) return exchange;
+        if (outcome?.type === 'claimed') {
+          counters.count('unknown.repeated-key');
+          caller.unknown(typedError('repeated-key', 'the key is claimed by an earlier exchange, which may have run'), { holder: outcome.holder });
+        } else refuse(caller, typedError('no-claim', 'refused, nothing was delivered: no more keys can be claimed'), comeBackUs);
+        return undefined;
+      },
+    });
+  };
+
+  return {
+    arrive: async (sent, givenKey, caller) => {
+      const parsed = sent.chain((value) =>
+        checked(exchangeBodySchema, value).mapLeft((faults) => typedError('bad-exchange', 'the exchange does not hold', faults)),
+      );
+      if (parsed.isLeft()) {
+        parsed.ifLeft((error) => refuse(caller, error));
+        return;
+      }
+      const body = parsed.unsafeCoerce();
+      if (!isKey(givenKey)) {
+        refuse(caller, typedError('bad-exchange', 'Idempotency-Key must be 1 to 200 visible characters'));
+        return;
+      }
+      const isFresh = await gate.pass();
+      const closing = isFresh ? closedBy() : 'not-ready';
+      if (closing !== undefined) {
+        refuse(caller, typedError(closing, 'refused: this node takes no exchanges now'), comeBackUs);
+        return;
+      }
+      const setup = router.view().record?.setup;
+      const rule = setup?.rules.find((knownRule) => knownRule.kind === body.kind);
+      if (setup === undefined || rule === undefined) {
+        refuse(caller, typedError('unknown-kind', `no rule is for kind ${body.kind}`));
+        return;
+      }
+      if (rule.repeatable || givenKey === undefined) {
+        router.accept({ rule, body, caller, claimed: undefined });
+        return;
+      }
+      if (router.inFlight() >= setup.pressure.slots) {
+        refuse(caller, typedError('over-pressure', 'refused: too many exchanges are under way'), comeBackUs);
+        return;
+      }
+      const exchange = await claimed(rule, givenKey, caller);
+      if (exchange !== undefined) router.accept({ rule, body, caller, claimed: { key: `${rule.kind}/${givenKey}`, exchange } });
+    },
+  };
+};
--- a/src/process/router/refresh-gate.ts
+++ b/src/process/router/refresh-gate.ts
@@ -1,46 +1,48 @@
-import { steadyNow, toMillis, type Micros } from '../../common/micros.js';
+import type { Clock } from '../../common/clock/clock.js';
+import type { Micros } from '../../common/micros.js';
 import type { SpreadTask } from '../spread-task.js';
 
 /** Holds new work back after a freeze until setup and list are known to be fresh. */
 export type RefreshGate = {
-  /** Notes that the process runs; after a long silence the gate shuts. */
-  readonly beat: () => void;
   /** Waits for the gate; false when nothing fresh could be had in time. */
   readonly pass: () => Promise<boolean>;
+  /** Every look measures the silence itself: news may be read before any timer has run. */
   readonly isShut: () => boolean;
 };
 
 const freezeSpanUs: Micros = 700_000;
 const passBudgetUs: Micros = 1_500_000;
 
-export const openRefreshGate = (spread: SpreadTask, tellFreeze: (spanUs: Micros) => void): RefreshGate => {
-  let beatUs = steadyNow();
+export const openRefreshGate = (spread: SpreadTask, clock: Clock, tellFreeze: (spanUs: Micros) => void): RefreshGate => {
+  let lookedUs = clock.now();
   let isShut = false;
   let waiting: ((isOpen: boolean) => void)[] = [];
+  const look = (): boolean => {
+    const nowUs = clock.now();
+    const silentUs = nowUs - lookedUs;
+    lookedUs = nowUs;
+    if (silentUs >= freezeSpanUs) {
+      isShut = true;
+      tellFreeze(silentUs);
+      spread.refresh();
+    }
+    return isShut;
+  };
   spread.events.on('refreshed', () => {
     isShut = false;
-    for (const resume of waiting) resume(true);
+    if (look()) return;
+    const resumes = waiting;
     waiting = [];
+    for (const resume of resumes) resume(true);
   });
-  const beat = (): void => {
-    const nowUs = steadyNow();
-    const silentUs = nowUs - beatUs;
-    beatUs = nowUs;
-    if (silentUs < freezeSpanUs) return;
-    isShut = true;
-    tellFreeze(silentUs);
-    spread.refresh();
-  };
   return {
-    beat,
-    isShut: () => isShut,
+    isShut: look,
     pass: () => {
-      beat();
-      if (!isShut) return Promise.resolve(true);
+      if (!look()) return Promise.resolve(true);
       return new Promise((resolve) => {
-        const budgetTimer = setTimeout(() => resolve(false), toMillis(passBudgetUs));
+        const takeBack = clock.after(passBudgetUs, () => resolve(false));
         waiting.push((isOpen) => {
-          clearTimeout(budgetTimer);
+          takeBack();
           resolve(isOpen);
         });
       });
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -1,20 +1,26 @@
+import { every } from '../../common/clock/every.js';
+import { paused } from '../../common/clock/paused.js';
 import type { ErrorType } from '../../common/error-type.js';
+import type { Micros } from '../../common/micros.js';
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
-import { openHttpServer } from '../http/http-server.js';
-import { addPlatformPaths } from '../http/platform-paths.js';
 import type { Log } from '../log.js';
 import type { NodeSettings } from '../settings/node-settings.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
-import { addExchangePaths } from './exchange-paths.js';
+import type { Surroundings } from '../surroundings/surroundings.js';
+import { openAdmission, type Admission } from './admission.js';
 import { openRefreshGate } from './refresh-gate.js';
 import { openRouterTask, type RouterTask } from './router-task.js';
 
-/** A router node with all its tasks. */
+/** A router node with all its tasks; only HTTP is added from outside. */
 export type RouterNode = {
   readonly spread: SpreadTask;
   readonly router: RouterTask;
   readonly counters: Counters;
+  readonly arrive: Admission['arrive'];
+  readonly unready: () => string | undefined;
+  /** Whether the node is about to stop, so that callers should look for another. */
+  readonly isStopping: () => boolean;
   readonly start: () => Promise<void>;
   /** Ends in order: unready, in flight to their end or the bound, then gone. */
   readonly stop: () => Promise<void>;
@@ -22,29 +28,34 @@
   readonly end: () => void;
 };
 
-const confirmBudgetUs = 1_000_000;
-const pauseMillis = 200;
-const lameDuckMillis = 1_000;
-const drainBudgetMillis = 8_000;
+export type RouterNodePlan = {
+  readonly settings: NodeSettings;
+  readonly log: Log;
+  readonly surroundings: Surroundings;
+  /** Makes the client that asks the core. */
+  readonly coreOf?: (spread: SpreadTask, surroundings: Surroundings) => CoreClient;
+};
 
-const pause = (millis: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, millis));
+const confirmBudgetUs: Micros = 1_000_000;
+const confirmPauseUs: Micros = 200_000;
+const lookSpanUs: Micros = 20_000;
+const lameDuckUs: Micros = 1_000_000;
+const drainBudgetUs: Micros = 8_000_000;
 
-/** Puts a router node together; `coreOf` makes the client that asks the core. */
-export const openRouterNode = (
-  settings: NodeSettings,
-  log: Log,
-  coreOf: (spread: SpreadTask) => CoreClient = openCoreClient,
-): RouterNode => {
+/** Puts a router node together. */
+export const openRouterNode = ({ settings, log, surroundings, coreOf = openCoreClient }: RouterNodePlan): RouterNode => {
+  const { clock } = surroundings;
   const counters = openCounters();
   const spread = openSpreadTask(
     { node: settings.node, role: 'router', address: settings.partners, http: settings.http, locality: settings.locality },
     settings.seeds,
     log,
     counters,
+    surroundings,
     settings.partnersListen,
   );
-  const core = coreOf(spread);
-  const gate = openRefreshGate(spread, (spanUs) => {
+  const core = coreOf(spread, surroundings);
+  const gate = openRefreshGate(spread, clock, (spanUs) => {
     counters.count('freezes');
     log.change('woke', { frozenUs: spanUs });
   });
@@ -54,28 +65,21 @@
     gate,
     log,
     counters,
+    surroundings,
     release: ({ key, exchange }) => {
       void core.ask({ type: 'propose', command: { type: 'release', key, exchange, atUs: spread.platformUs() } }, confirmBudgetUs);
     },
   });
-  const http = openHttpServer(settings.http, counters);
   let isConfirmed = false;
   let isStopping = false;
   let isDraining = false;
+  let endLooks = (): void => undefined;
 
   const closedBy = (): ErrorType | undefined => {
     if (isDraining) return 'draining';
     return isConfirmed && router.view().list !== undefined ? undefined : 'not-ready';
   };
-  const unready = (): string | undefined => {
-    if (isStopping) return 'stopping';
-    if (!isConfirmed) return 'no setup is confirmed by the core yet';
-    if (router.view().list === undefined) return 'no list of servers is known yet';
-    if (gate.isShut()) return 'woke from a freeze and is not fresh yet';
-    return spread.view().isolated ? 'isolated from all partners' : undefined;
-  };
-  addPlatformPaths(http, spread, counters, unready);
-  addExchangePaths(http, { router, spread, core, gate, counters, closedBy, isStopping: () => isStopping });
+  const { arrive } = openAdmission({ router, spread, core, gate, counters, closedBy });
 
   const confirm = async (): Promise<void> => {
     while (!isConfirmed && !isStopping) {
@@ -85,14 +89,14 @@
         isConfirmed = true;
         log.change('confirmed', { revision: answer.record.revision });
       });
-      if (!isConfirmed) await pause(pauseMillis);
+      if (!isConfirmed) await paused(clock, confirmPauseUs);
     }
   };
 
   const end = (): void => {
     isStopping = true;
+    endLooks();
     router.close();
-    void http.close();
     spread.close();
   };
 
@@ -100,21 +104,30 @@
     spread,
     router,
     counters,
+    arrive,
+    isStopping: () => isStopping,
+    unready: () => {
+      if (isStopping) return 'stopping';
+      if (!isConfirmed) return 'no setup is confirmed by the core yet';
+      if (router.view().list === undefined) return 'no list of servers is known yet';
+      if (gate.isShut()) return 'woke from a freeze and is not fresh yet';
+      return spread.view().isolated ? 'isolated from all partners' : undefined;
+    },
     start: async () => {
       await spread.start();
-      await http.listen();
       router.start();
+      endLooks = every(clock, lookSpanUs, gate.isShut);
       log.change('started', {});
       void confirm();
     },
     stop: async () => {
       isStopping = true;
       log.change('stopping', { inFlight: router.inFlight() });
-      const stopDueMillis = performance.now() + drainBudgetMillis;
-      await pause(lameDuckMillis);
+      const stopDueUs = clock.now() + drainBudgetUs;
+      await paused(clock, lameDuckUs);
       isDraining = true;
       router.drain();
-      while (router.inFlight() > 0 && performance.now() < stopDueMillis) await pause(20);
+      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, lookSpanUs);
       log.change('stopped', { cutOff: router.inFlight() });
       end();
     },
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -1,14 +1,16 @@
-import { randomBytes } from 'node:crypto';
-import type { ServerResponse } from 'node:http';
+import { every } from '../../common/clock/every.js';
+import { within } from '../../common/clock/within.js';
 import { openJournal } from '../../common/journal.js';
-import { steadyNow } from '../../common/micros.js';
+import type { Micros } from '../../common/micros.js';
 import { typedError } from '../../common/typed-error.js';
 import type { Decision } from '../../decision/machine/effect/decision.js';
 import type { DecisionEvent } from '../../decision/machine/event/decision-event.js';
 import { stepDecision } from '../../decision/machine/step/step.js';
 import { startDecisionView, type DecisionView } from '../../decision/machine/view/decision-view.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
-import { deliver, type DeliveryEnd } from '../../router/delivery/deliver.js';
+import type { CallerLink } from '../../router/delivery/caller-link.js';
+import { deliver } from '../../router/delivery/deliver.js';
+import type { DeliveryEnd } from '../../router/delivery/delivery-end.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
 import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
 import { openStoryBook, type StoryBook } from '../../router/explain/story-book.js';
@@ -19,10 +21,9 @@
 import { openProber } from '../../servers/probe/prober.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { Counters } from '../counters.js';
-import { reply, replyError } from '../http/reply.js';
 import type { Log } from '../log.js';
 import type { SpreadTask } from '../spread-task.js';
-import { refusalStatusOf, unknownStatusOf } from './error-status.js';
+import type { Surroundings } from '../surroundings/surroundings.js';
 import type { RefreshGate } from './refresh-gate.js';
 
 /** The task that owns the decision machine, the continuations and the links to servers. */
@@ -42,11 +43,12 @@
 export type Arrival = {
   readonly rule: Rule;
   readonly body: ExchangeBody;
-  readonly response: ServerResponse;
+  readonly caller: CallerLink;
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
 
-const tickMillis = 20;
+const tickUs: Micros = 20_000;
+const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
 
@@ -56,16 +58,18 @@
   readonly gate: RefreshGate;
   readonly log: Log;
   readonly counters: Counters;
+  readonly surroundings: Pick<Surroundings, 'clock' | 'dial' | 'freshName'>;
   /** Frees the key of an exchange that was refused. */
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
 
-export const openRouterTask = ({ node, spread, gate, log, counters, release }: RouterTaskParts): RouterTask => {
-  const boot = randomBytes(4).toString('hex');
+export const openRouterTask = ({ node, spread, gate, log, counters, surroundings, release }: RouterTaskParts): RouterTask => {
+  const { clock, dial, freshName } = surroundings;
+  const boot = freshName();
   const slab: Slab<Continuation> = openSlab();
   const tickets = new Map<string, Ticket>();
   const stories = openStoryBook(mostStories);
-  const pool = openLinkPool();
+  const pool = openLinkPool(dial);
   let madeDecisions: readonly Decision[] = [];
   let exchangeCount = 0;
   const journal = openJournal<DecisionView, DecisionEvent>(
@@ -79,12 +83,13 @@
   );
   const waitingEvents: DecisionEvent[] = [];
   let isTaking = false;
-  let tickTimer: NodeJS.Timeout | undefined;
+  let endTicks = (): void => undefined;
+  let tickedUs = clock.now();
 
-  const prober = openProber((key, isLight) => {
+  const prober = openProber(dial, clock, (key, isLight) => {
     log.change(isLight ? 'server light' : 'server dark', { server: key });
     if (!isLight) pool.cut(key);
-    take({ type: isLight ? 'light' : 'dark', at: steadyNow(), server: key });
+    take({ type: isLight ? 'light' : 'dark', at: clock.now(), server: key });
   });
 
   const find = (exchange: string): Continuation | undefined => {
@@ -110,7 +115,7 @@
     isTaking = false;
   };
 
-  const tell = (exchange: string, what: string, facts: object): void => stories.add(exchange, { at: steadyNow(), what, facts });
+  const tell = (exchange: string, what: string, facts: object): void => stories.add(exchange, { at: clock.now(), what, facts });
 
   const carryOut = (decision: Decision): void => {
     counters.count(`decisions.${decision.type}`);
@@ -142,32 +147,21 @@
         withContinuation(decision.exchange, (continuation) => {
           counters.count(`refused.${decision.error}`);
           if (continuation.claimedKey !== undefined) release({ key: continuation.claimedKey, exchange: decision.exchange });
-          replyError(
-            continuation.response,
-            refusalStatusOf(decision.error),
-            typedError(decision.error, 'refused: it did not run and will not'),
-            { outcome: 'refused', exchange: decision.exchange },
-            decision.retryAfterUs,
-          );
+          continuation.caller.refuse(typedError(decision.error, 'refused: it did not run and will not'), decision.exchange, decision.retryAfterUs);
         });
         return;
       case 'unknown':
         tell(decision.exchange, 'unknown', decision);
         withContinuation(decision.exchange, (continuation) => {
           counters.count(`unknown.${decision.error}`);
-          replyError(
-            continuation.response,
-            unknownStatusOf(decision.error),
-            typedError(decision.error, 'the outcome is unknown: it may have run'),
-            { outcome: 'unknown', exchange: decision.exchange },
-          );
+          continuation.caller.unknown(typedError(decision.error, 'the outcome is unknown: it may have run'), { exchange: decision.exchange });
         });
         return;
       case 'breakOff':
         tell(decision.exchange, 'breakOff', decision);
         withContinuation(decision.exchange, (continuation) => {
           counters.count('streams.brokenOff');
-          continuation.response.destroy();
+          continuation.caller.breakOff();
         });
         return;
     }
@@ -197,7 +191,7 @@
     const { exchange } = continuation;
     const { attempt } = decision;
     const unsent = (error: 'no-link' | 'wrong-service'): void =>
-      take({ type: 'failed', at: steadyNow(), exchange, attempt, sent: false, pieces: continuation.stream.pieces, error });
+      take({ type: 'failed', at: clock.now(), exchange, attempt, sent: false, pieces: continuation.stream.pieces, error });
     const isFresh = await gate.pass();
     const server = journal.view().list?.servers.find((listed) => serverKeyOf(listed) === decision.server);
     if (signal.aborted) return;
@@ -224,13 +218,18 @@
       unsent('no-link');
       return;
     }
-    take({ type: 'sent', at: steadyNow(), exchange, attempt });
+    take({ type: 'sent', at: clock.now(), exchange, attempt });
+    if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
     const ending = await deliver(continuation, link, decision.fromPiece, signal, {
       piece: (line) => givePiece(continuation, attempt, line, signal),
       answer: (text) => giveAnswer(continuation, attempt, text, signal),
     });
+    if (!signal.aborted) {
+      continuation.stream.dueUs = Number.POSITIVE_INFINITY;
+      endTry(continuation, attempt, ending);
+    }
+    if (ending.type === 'done' && (await within(clock, ending.rest, restBudgetUs)) !== true) link.close();
     pool.giveBack(link);
-    if (!signal.aborted) endTry(continuation, attempt, ending);
   };
 
   const endTry = (continuation: Continuation, attempt: number, ending: DeliveryEnd): void => {
@@ -240,9 +239,9 @@
         tell(exchange, 'done', { attempt, pieces: continuation.stream.pieces });
         counters.count('exchanges.done');
         continuation.stream.running = undefined;
-        if (continuation.isModel) giveEnd(continuation);
+        if (continuation.isModel) continuation.caller.end(exchange, continuation.stream.pieces);
         end(continuation);
-        take({ type: 'done', at: steadyNow(), exchange, attempt });
+        take({ type: 'done', at: clock.now(), exchange, attempt });
         return;
       case 'gone':
         leave(continuation);
@@ -252,7 +251,7 @@
         counters.count(`tries.failed.${ending.error}`);
         take({
           type: 'failed',
-          at: steadyNow(),
+          at: clock.now(),
           exchange,
           attempt,
           sent: true,
@@ -268,39 +267,45 @@
     counters.count('exchanges.abandoned');
     tell(continuation.exchange, 'abandoned', {});
     end(continuation);
-    take({ type: 'abandoned', at: steadyNow(), exchange: continuation.exchange });
+    take({ type: 'abandoned', at: clock.now(), exchange: continuation.exchange });
   };
 
   const givePiece = async (continuation: Continuation, attempt: number, line: string, signal: AbortSignal): Promise<boolean> => {
-    const { response, stream, exchange } = continuation;
-    if (signal.aborted || response.destroyed) return false;
-    if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-exchange-id': exchange });
+    const { caller, stream, exchange, rule } = continuation;
+    if (signal.aborted || caller.isGone()) return false;
     stream.pieces += 1;
-    const hasRoom = response.write(line);
-    if (stream.pieces === 1) take({ type: 'firstPiece', at: steadyNow(), exchange, attempt });
-    if (!hasRoom)
-      await new Promise<void>((resolve) => {
-        response.once('drain', resolve);
-        response.once('close', resolve);
-      });
-    return !response.destroyed;
-  };
-
-  const giveEnd = ({ response, stream, exchange }: Continuation): void => {
-    if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-exchange-id': exchange });
-    response.end(`${JSON.stringify({ end: true, pieces: stream.pieces })}\n`);
+    stream.dueUs = Number.POSITIVE_INFINITY;
+    const given = caller.piece(exchange, line);
+    if (stream.pieces === 1) take({ type: 'firstPiece', at: clock.now(), exchange, attempt });
+    const isThere = await given;
+    if (!signal.aborted) stream.dueUs = clock.now() + rule.silenceUs;
+    return isThere && !signal.aborted;
   };
 
   const giveAnswer = (continuation: Continuation, attempt: number, text: string, signal: AbortSignal): void => {
     if (signal.aborted) return;
-    take({ type: 'firstPiece', at: steadyNow(), exchange: continuation.exchange, attempt });
-    reply(continuation.response, 200, { exchange: continuation.exchange, answer: text }, { 'x-exchange-id': continuation.exchange });
+    take({ type: 'firstPiece', at: clock.now(), exchange: continuation.exchange, attempt });
+    continuation.caller.answer(continuation.exchange, text);
   };
 
-  spread.events.on('setup', (record) => take({ type: 'setup', at: steadyNow(), record }));
-  spread.events.on('time', (platformUs) => take({ type: 'time', at: steadyNow(), platformUs }));
+  /** Ends the tries whose servers fell silent in the middle of a stream. Time in which this process did not run is not theirs. */
+  const endSilentTries = (): void => {
+    const nowUs = clock.now();
+    const lateUs = Math.max(0, nowUs - tickedUs - 2 * tickUs);
+    tickedUs = nowUs;
+    for (const continuation of slab.values()) {
+      const { running, pieces } = continuation.stream;
+      continuation.stream.dueUs += lateUs;
+      if (running === undefined || nowUs < continuation.stream.dueUs) continue;
+      running.cancel();
+      endTry(continuation, running.attempt, { type: 'failed', error: 'silent', message: `nothing came after piece ${pieces - 1}` });
+    }
+  };
+
+  spread.events.on('setup', (record) => take({ type: 'setup', at: clock.now(), record }));
+  spread.events.on('time', (platformUs) => take({ type: 'time', at: clock.now(), platformUs }));
   spread.events.on('list', (list) => {
-    take({ type: 'list', at: steadyNow(), list });
+    take({ type: 'list', at: clock.now(), list });
     prober.watch(list.servers);
     pool.keepOnly(new Set(list.servers.map(serverKeyOf)));
   });
@@ -319,7 +324,7 @@
       exchangeCount += 1;
       return `${node}.${boot}.c${exchangeCount}`;
     },
-    accept: ({ rule, body, response, claimed }) => {
+    accept: ({ rule, body, caller, claimed }) => {
       const isModel = journal.view().stage.services.get(rule.service)?.type === 'model';
       const continuation = slab.put((ticket) => ({
         ticket,
@@ -327,9 +332,9 @@
         rule,
         isModel,
         body,
-        response,
+        caller,
         claimedKey: claimed?.key,
-        stream: { pieces: 0, running: undefined },
+        stream: { pieces: 0, running: undefined, dueUs: Number.POSITIVE_INFINITY },
       }));
       const { exchange } = continuation;
       tickets.set(exchange, continuation.ticket);
@@ -343,33 +348,31 @@
         listVersion: journal.view().list?.version ?? 0,
         steps: [],
       });
-      response.on('close', () => {
-        if (!response.writableFinished) leave(continuation);
-      });
+      caller.onGone(() => leave(continuation));
       take({
         type: 'exchange',
-        at: steadyNow(),
+        at: clock.now(),
         exchange,
         kind: rule.kind,
         prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
       });
     },
-    drain: () => take({ type: 'drain', at: steadyNow() }),
+    drain: () => take({ type: 'drain', at: clock.now() }),
     start: () => {
-      take({ type: 'node', at: steadyNow(), node });
-      tickTimer = setInterval(() => {
-        gate.beat();
-        take({ type: 'tick', at: steadyNow() });
-      }, tickMillis);
+      take({ type: 'node', at: clock.now(), node });
+      endTicks = every(clock, tickUs, () => {
+        endSilentTries();
+        take({ type: 'tick', at: clock.now() });
+      });
     },
     close: () => {
-      clearInterval(tickTimer);
+      endTicks();
       prober.close();
       pool.close();
       for (const continuation of slab.values()) {
         end(continuation);
-        continuation.response.destroy();
+        continuation.caller.breakOff();
       }
     },
   };
--- /dev/null
+++ b/src/process/router/serve-router.ts
@@ -0,0 +1,12 @@
+import { openHttpServer, type HttpServer } from '../http/http-server.js';
+import { addPlatformPaths } from '../http/platform-paths.js';
+import { addExchangePaths } from './exchange-paths.js';
+import type { RouterNode } from './router-node.js';
+
+/** The HTTP side of a router node: callers and the platform. */
+export const serveRouter = (node: RouterNode, address: string): HttpServer => {
+  const http = openHttpServer(address, node.counters);
+  addPlatformPaths(http, node.spread, node.counters, node.unready);
+  addExchangePaths(http, node);
+  return http;
+};
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from 'node:events';
-import { steadyNow, type Micros } from '../common/micros.js';
+import { every } from '../common/clock/every.js';
+import type { Micros } from '../common/micros.js';
 import type { ServerList } from '../servers/list/server-list.js';
 import type { SetupRecord } from '../setup/document/setup-record.js';
 import type { Frame } from '../spread/frame/frame.js';
-import { openPartnerLinks } from '../spread/link/partner-links.js';
 import type { SpreadEffect } from '../spread/machine/spread-effect.js';
 import type { SpreadEvent } from '../spread/machine/spread-event.js';
 import { startSpreadView, type SpreadView } from '../spread/machine/spread-view.js';
@@ -12,6 +12,7 @@
 import type { Counters } from './counters.js';
 import type { Log } from './log.js';
 import type { SpreadTaskEvents } from './spread-task-events.js';
+import type { Surroundings } from './surroundings/surroundings.js';
 
 /** The task that owns the partner links and what is spread over them. */
 export type SpreadTask = {
@@ -27,19 +28,20 @@
   readonly close: () => void;
 };
 
-const tickMillis = 50;
+const tickUs: Micros = 50_000;
 
 export const openSpreadTask = (
   self: Partner,
   seeds: readonly string[],
   log: Log,
   counters: Counters,
+  { clock, openPartnerLinks }: Pick<Surroundings, 'clock' | 'openPartnerLinks'>,
   listenAddress?: string,
 ): SpreadTask => {
   const links = openPartnerLinks(self.address, listenAddress);
   const events = new EventEmitter<SpreadTaskEvents>();
   let view = startSpreadView(self, seeds);
-  let tickTimer: NodeJS.Timeout | undefined;
+  let endTicks = (): void => undefined;
 
   const carryOut = (effect: SpreadEffect): void => {
     switch (effect.type) {
@@ -91,24 +93,24 @@
       case 'inquire':
       case 'setup':
       case 'list':
-        take({ type: 'frame', at: steadyNow(), from, frame });
+        take({ type: 'frame', at: clock.now(), from, frame });
     }
   });
 
   return {
     events,
     view: () => view,
-    platformUs: () => (view.offsetUs === undefined ? 0 : Math.max(0, steadyNow() + view.offsetUs)),
+    platformUs: () => (view.offsetUs === undefined ? 0 : Math.max(0, clock.now() + view.offsetUs)),
     start: async () => {
       await links.listen();
-      tickTimer = setInterval(() => take({ type: 'tick', at: steadyNow() }), tickMillis);
+      endTicks = every(clock, tickUs, () => take({ type: 'tick', at: clock.now() }));
     },
-    offerSetup: (record) => take({ type: 'setup', at: steadyNow(), record }),
-    offerList: (list) => take({ type: 'list', at: steadyNow(), list }),
-    refresh: () => take({ type: 'refresh', at: steadyNow() }),
+    offerSetup: (record) => take({ type: 'setup', at: clock.now(), record }),
+    offerList: (list) => take({ type: 'list', at: clock.now(), list }),
+    refresh: () => take({ type: 'refresh', at: clock.now() }),
     send: (address, frame) => links.send(address, frame),
     close: () => {
-      clearInterval(tickTimer);
+      endTicks();
       links.close();
     },
   };
--- /dev/null
+++ b/src/process/surroundings/real-surroundings.ts
@@ -0,0 +1,17 @@
+import { randomBytes } from 'node:crypto';
+import { steadyClock } from '../../common/clock/steady-clock.js';
+import { openRingFolder } from '../../disk/open-folder.js';
+import { openServerLink } from '../../servers/link/open-link.js';
+import { openTcpLinks } from '../../spread/link/tcp-links.js';
+import { listenForDiskTrouble } from '../rehearsed-disk.js';
+import type { Surroundings } from './surroundings.js';
+
+/** The world as a real process has it. */
+export const realSurroundings: Surroundings = {
+  clock: steadyClock,
+  chance: () => Math.random(),
+  freshName: () => randomBytes(6).toString('hex'),
+  openPartnerLinks: openTcpLinks,
+  dial: openServerLink,
+  openRing: (folder, sizes) => openRingFolder(folder, sizes, listenForDiskTrouble()),
+};
--- a/src/router/delivery/deliver.ts
+++ b/src/router/delivery/deliver.ts
@@ -1,56 +1,65 @@
-import type { Dispatcher } from 'undici';
 import { messageOf } from '../../common/typed-error.js';
 import type { DeliveryError } from '../../decision/machine/event/delivery-error.js';
 import type { ServerLink } from '../../servers/link/server-link.js';
 import type { Continuation } from '../exchange/continuation.js';
+import type { DeliveryEars } from './delivery-ears.js';
+import type { DeliveryEnd } from './delivery-end.js';
 import { parseStreamLine } from './piece.js';
 
-/** What a try tells while it runs. */
-export type DeliveryEars = {
-  readonly piece: (line: string) => Promise<boolean>;
-  readonly answer: (text: string) => void;
-};
-
-/** How a try ended. */
-export type DeliveryEnd =
-  | { readonly type: 'done' }
-  | { readonly type: 'gone' }
-  | { readonly type: 'failed'; readonly error: DeliveryError; readonly message: string };
-
 const mostAnswerBytes = 8 << 20;
 const mostLineBytes = 1 << 20;
 
 const failed = (error: DeliveryError, message: string): DeliveryEnd => ({ type: 'failed', error, message });
 
-const readStream = async (
-  continuation: Continuation,
-  body: Dispatcher.ResponseData['body'],
-  ears: DeliveryEars,
-): Promise<DeliveryEnd> => {
+/** Whether nothing more comes. */
+const endOf = (body: AsyncIterator<string>): Promise<boolean> =>
+  body.next().then(
+    (next) => next.done === true,
+    () => false,
+  );
+
+/** The lines of a body as they come whole. */
+const linesOf = async function* (body: AsyncIterator<string>): AsyncGenerator<string | undefined> {
   let rest = '';
-  body.setEncoding('utf8');
-  for await (const chunk of body) {
-    rest += String(chunk);
-    if (rest.length > mostLineBytes) return failed('bad-stream', 'a line of the stream is too long');
+  for (let next = await body.next(); next.done !== true; next = await body.next()) {
+    rest += next.value;
+    if (rest.length > mostLineBytes) yield undefined;
     for (let breakPlace = rest.indexOf('\n'); breakPlace >= 0; breakPlace = rest.indexOf('\n')) {
       const line = rest.slice(0, breakPlace);
       rest = rest.slice(breakPlace + 1);
-      if (line === '') continue;
-      const streamLine = parseStreamLine(line);
-      if (streamLine === undefined) return failed('bad-stream', 'a line of the stream is of no known form');
-      if (streamLine.type === 'end')
-        return streamLine.pieces === continuation.stream.pieces
-          ? { type: 'done' }
-          : failed('bad-stream', `the stream ended after ${streamLine.pieces} pieces, ${continuation.stream.pieces} were given on`);
-      if (streamLine.piece !== continuation.stream.pieces)
-        return failed('bad-stream', `piece ${continuation.stream.pieces} was due, ${streamLine.piece} came`);
-      if (!(await ears.piece(`${line}\n`))) return { type: 'gone' };
+      if (line !== '') yield line;
     }
   }
+};
+
+const readStream = async (continuation: Continuation, body: AsyncIterator<string>, ears: DeliveryEars): Promise<DeliveryEnd> => {
+  const lines = linesOf(body);
+  for (let next = await lines.next(); next.done !== true; next = await lines.next()) {
+    const line = next.value;
+    const streamLine = line === undefined ? undefined : parseStreamLine(line);
+    if (streamLine === undefined) return failed('bad-stream', 'a line of the stream is too long or of no known form');
+    if (streamLine.type === 'end')
+      return streamLine.pieces === continuation.stream.pieces
+        ? { type: 'done', rest: endOf(body) }
+        : failed('bad-stream', `the stream ended after ${streamLine.pieces} pieces, ${continuation.stream.pieces} were given on`);
+    if (streamLine.piece !== continuation.stream.pieces)
+      return failed('bad-stream', `piece ${continuation.stream.pieces} was due, ${streamLine.piece} came`);
+    if (!(await ears.piece(`${line}\n`))) return { type: 'gone' };
+  }
   return failed('link-lost', 'the stream broke off before its end');
 };
 
-/** Runs one try of an exchange over one confirmed link. */
+const readAnswer = async (body: AsyncIterator<string>, ears: DeliveryEars): Promise<DeliveryEnd> => {
+  let text = '';
+  for (let next = await body.next(); next.done !== true; next = await body.next()) {
+    text += next.value;
+    if (text.length > mostAnswerBytes) return failed('bad-stream', 'the answer is too large');
+  }
+  ears.answer(text);
+  return { type: 'done', rest: Promise.resolve(true) };
+};
+
+/** Runs one try of an exchange over one confirmed link. After a failure the link is closed. */
 export const deliver = async (
   continuation: Continuation,
   link: ServerLink,
@@ -59,34 +68,24 @@
   ears: DeliveryEars,
 ): Promise<DeliveryEnd> => {
   try {
-    const answer = await link.client.request({
-      method: 'POST',
-      path: '/exchanges',
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify({
+    const { status, body } = await link.deliver(
+      {
         exchange: continuation.exchange,
         service: continuation.rule.service,
         kind: continuation.rule.kind,
         opening: continuation.body.opening ?? '',
         text: continuation.body.text ?? '',
         fromPiece,
-      }),
+      },
       signal,
-    });
-    if (answer.statusCode !== 200) {
-      await answer.body.dump();
-      return failed(answer.statusCode === 503 || answer.statusCode === 429 ? 'turned-away' : 'server-error', `status ${answer.statusCode}`);
+    );
+    if (status !== 200) {
+      link.close();
+      return failed(status === 503 || status === 429 ? 'turned-away' : 'server-error', `status ${status}`);
     }
-    if (continuation.isModel) {
-      const end = await readStream(continuation, answer.body, ears);
-      if (end.type !== 'done') link.close();
-      else await answer.body.dump();
-      return end;
-    }
-    const text = await answer.body.text();
-    if (text.length > mostAnswerBytes) return failed('bad-stream', 'the answer is too large');
-    ears.answer(text);
-    return { type: 'done' };
+    const end = await (continuation.isModel ? readStream(continuation, body, ears) : readAnswer(body, ears));
+    if (end.type !== 'done') link.close();
+    return end;
   } catch (thrown) {
     link.close();
     return failed('link-lost', messageOf(thrown));
--- /dev/null
+++ b/src/router/delivery/delivery-ears.ts
@@ -0,0 +1,5 @@
+/** What a try tells while it runs. */
+export type DeliveryEars = {
+  readonly piece: (line: string) => Promise<boolean>;
+  readonly answer: (text: string) => void;
+};
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -1,5 +1,6 @@
-import type { ServerResponse } from 'node:http';
+import type { Micros } from '../../common/micros.js';
 import type { Rule } from '../../setup/document/rule.js';
+import type { CallerLink } from '../delivery/caller-link.js';
 import type { Ticket } from '../slab/ticket.js';
 import type { ExchangeBody } from './exchange-body.js';
 import type { RunningTry } from './running-try.js';
@@ -11,8 +12,9 @@
   readonly rule: Rule;
   readonly isModel: boolean;
   readonly body: ExchangeBody;
-  readonly response: ServerResponse;
+  readonly caller: CallerLink;
   /** The key that was claimed for it, if any. */
   readonly claimedKey: string | undefined;
-  readonly stream: { pieces: number; running: RunningTry | undefined };
+  /** `dueUs` is when the running try counts as silent unless its next piece has come. */
+  readonly stream: { pieces: number; running: RunningTry | undefined; dueUs: Micros };
 };
--- a/src/servers/link/link-pool.ts
+++ b/src/servers/link/link-pool.ts
@@ -2,7 +2,7 @@
 import type { TypedError } from '../../common/typed-error.js';
 import type { ListedServer } from '../list/listed-server.js';
 import { serverKeyOf, type ServerKey } from '../list/server-key.js';
-import { openServerLink } from './open-link.js';
+import type { Dial } from './dial.js';
 import type { ServerLink } from './server-link.js';
 
 /** The open links to all listed servers. A link carries one exchange at a time. */
@@ -19,7 +19,7 @@
 
 const mostIdle = 32;
 
-export const openLinkPool = (): LinkPool => {
+export const openLinkPool = (dial: Dial): LinkPool => {
   const idleLinks = new Map<ServerKey, ServerLink[]>();
   const allLinks = new Set<ServerLink>();
   const forget = (link: ServerLink): void => {
@@ -33,7 +33,7 @@
         if (link.isOpen()) return Right(link);
         allLinks.delete(link);
       }
-      const opened = await openServerLink(server);
+      const opened = await dial(server);
       return opened.ifRight((link) => allLinks.add(link));
     },
     giveBack: (link) => {
--- a/src/servers/link/open-link.ts
+++ b/src/servers/link/open-link.ts
@@ -1,24 +1,47 @@
-import { Either, Left, Right } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
-import { object, string } from 'yup';
-import { checked } from '../../common/checked.js';
-import { parseJson } from '../../common/json.js';
-import { messageOf, typedError, type TypedError } from '../../common/typed-error.js';
-import type { ListedServer } from '../list/listed-server.js';
-import { serverKeyOf } from '../list/server-key.js';
+import { messageOf, typedError } from '../../common/typed-error.js';
+import { serverKeyOf, type ServerKey } from '../list/server-key.js';
+import { confirmIdentity } from './confirm-identity.js';
+import type { Dial } from './dial.js';
 import type { ServerLink } from './server-link.js';
 
-const identitySchema = object({
-  id: string().required(),
-  incarnation: string().required(),
-  service: string().required(),
-}).required();
-
 const dialBudgetMillis = 1_000;
 const confirmBudgetMillis = 2_000;
+const probeBudgetMillis = 1_000;
+
+const chunksOf = async function* (body: AsyncIterable<unknown>): AsyncGenerator<string> {
+  for await (const chunk of body) yield String(chunk);
+};
+
+const linkOver = (client: Client, key: ServerKey, isOpen: () => boolean, close: () => void): ServerLink => ({
+  key,
+  isOpen,
+  close,
+  confirm: async () => {
+    try {
+      const answer = await client.request({ method: 'GET', path: '/identity', signal: AbortSignal.timeout(probeBudgetMillis) });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  },
+  deliver: async (order, signal) => {
+    const answer = await client.request({
+      method: 'POST',
+      path: '/exchanges',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      signal,
+    });
+    answer.body.setEncoding('utf8');
+    return { status: answer.statusCode, body: chunksOf(answer.body) };
+  },
+});
 
 /** Dials a server once and makes it say who it is, on the same connection that will carry the exchanges. */
-export const openServerLink = async (server: ListedServer): Promise<Either<TypedError, ServerLink>> => {
+export const openServerLink: Dial = async (server) => {
   const connector = buildConnector({ timeout: dialBudgetMillis });
   let dials = 0;
   let isOpen = true;
@@ -46,23 +69,15 @@
       path: '/identity',
       signal: AbortSignal.timeout(confirmBudgetMillis),
     });
-    const text = await confirmed.body.text();
-    const identity = parseJson(text, 'bad-message')
-      .toMaybe()
-      .chain((value) => checked(identitySchema, value).toMaybe())
-      .extractNullable();
-    if (
-      identity === null ||
-      identity.id !== server.id ||
-      identity.incarnation !== server.incarnation ||
-      identity.service !== server.service
-    ) {
+    const confirmation = confirmIdentity(server, await confirmed.body.text());
+    if (confirmation.isLeft()) {
       close();
-      return Left(typedError('bad-message', `${server.address} is not ${serverKeyOf(server)}`));
+      return confirmation;
     }
-    return isOpen ? Right({ key: serverKeyOf(server), client, isOpen: () => isOpen, close }) : Left(typedError('link-error', 'the link closed'));
+    return isOpen ? Right(linkOver(client, serverKeyOf(server), () => isOpen, close)) : Left(typedError('link-error', 'the link closed'));
   } catch (thrown) {
     close();
-    return Left(typedError('link-error', messageOf(thrown)));
+    const message = messageOf(thrown);
+    return Left(typedError(message.includes('ECONNREFUSED') ? 'link-refused' : 'link-error', message));
   }
 };
--- a/src/servers/link/server-link.ts
+++ b/src/servers/link/server-link.ts
@@ -1,10 +1,14 @@
-import type { Client } from 'undici';
 import type { ServerKey } from '../list/server-key.js';
+import type { ServerOrder } from './server-order.js';
+import type { ServerReceipt } from './server-receipt.js';
 
 /** One TCP connection to one confirmed server. When the connection ends the link ends; it never dials again. */
 export type ServerLink = {
   readonly key: ServerKey;
-  readonly client: Client;
   readonly isOpen: () => boolean;
   readonly close: () => void;
+  /** Asks whether the server still answers on this link. */
+  readonly confirm: () => Promise<boolean>;
+  /** Hands an order over; it is lost with the link. Aborting it ends the link. */
+  readonly deliver: (order: ServerOrder, signal: AbortSignal) => Promise<ServerReceipt>;
 };
--- a/src/servers/probe/prober.ts
+++ b/src/servers/probe/prober.ts
@@ -1,7 +1,9 @@
+import type { Clock } from '../../common/clock/clock.js';
+import type { Micros } from '../../common/micros.js';
+import type { Dial } from '../link/dial.js';
+import type { ServerLink } from '../link/server-link.js';
 import type { ListedServer } from '../list/listed-server.js';
 import { serverKeyOf, type ServerKey } from '../list/server-key.js';
-import { openServerLink } from '../link/open-link.js';
-import type { ServerLink } from '../link/server-link.js';
 
 /** Asks every listed server now and then whether it is still itself. */
 export type Prober = {
@@ -9,13 +11,12 @@
   readonly close: () => void;
 };
 
-const probeMillis = 500;
-const probeBudgetMillis = 1_000;
+const probeSpanUs: Micros = 500_000;
 const missesUntilDark = 3;
 
 /** `tell` hears of each change: true when a server answers as itself, false when it went dark. */
-export const openProber = (tell: (key: ServerKey, isLight: boolean) => void): Prober => {
-  const watched = new Map<ServerKey, { readonly server: ListedServer; readonly timer: NodeJS.Timeout }>();
+export const openProber = (dial: Dial, clock: Clock, tell: (key: ServerKey, isLight: boolean) => void): Prober => {
+  const watched = new Map<ServerKey, () => void>();
   const links = new Map<ServerKey, ServerLink>();
   const misses = new Map<ServerKey, number>();
   const lights = new Map<ServerKey, boolean>();
@@ -30,65 +31,54 @@
     tell(key, isLight);
   };
 
+  const redial = async (server: ListedServer): Promise<void> => {
+    const key = serverKeyOf(server);
+    const opened = await dial(server);
+    opened
+      .ifRight((link) => {
+        if (watched.has(key)) links.set(key, link);
+        else link.close();
+        settle(key, true, true);
+      })
+      .ifLeft((error) => settle(key, false, error.type === 'bad-message' || error.type === 'link-refused'));
+  };
+
   const probe = async (server: ListedServer): Promise<void> => {
     const key = serverKeyOf(server);
     const knownLink = links.get(key);
-    if (knownLink === undefined || !knownLink.isOpen()) {
-      const opened = await openServerLink(server);
-      opened
-        .ifRight((link) => {
-          if (watched.has(key)) links.set(key, link);
-          else link.close();
-          settle(key, true, true);
-        })
-        .ifLeft((error) => {
-          links.delete(key);
-          settle(key, false, error.type === 'bad-message' || error.message.includes('ECONNREFUSED'));
-        });
-      return;
-    }
-    try {
-      const answer = await knownLink.client.request({
-        method: 'GET',
-        path: '/identity',
-        signal: AbortSignal.timeout(probeBudgetMillis),
-      });
-      await answer.body.dump();
-      settle(key, answer.statusCode === 200, false);
-    } catch {
-      knownLink.close();
-      links.delete(key);
-      settle(key, false, false);
-    }
+    if (knownLink === undefined || !knownLink.isOpen()) return redial(server);
+    if (await knownLink.confirm()) return settle(key, true, false);
+    knownLink.close();
+    links.delete(key);
+    settle(key, false, false);
   };
 
-  const plan = (server: ListedServer, afterMillis: number): void => {
-    const timer = setTimeout(() => {
+  const plan = (server: ListedServer, afterUs: Micros): void => {
+    const takeBack = clock.after(afterUs, () => {
       void probe(server).finally(() => {
-        if (watched.has(serverKeyOf(server))) plan(server, probeMillis);
+        if (watched.has(serverKeyOf(server))) plan(server, probeSpanUs);
       });
-    }, afterMillis);
-    watched.set(serverKeyOf(server), { server, timer });
+    });
+    watched.set(serverKeyOf(server), takeBack);
+  };
+
+  const forget = (key: ServerKey): void => {
+    watched.get(key)?.();
+    watched.delete(key);
+    links.get(key)?.close();
+    links.delete(key);
+    misses.delete(key);
+    lights.delete(key);
   };
 
   return {
     watch: (servers) => {
       const keys = new Set(servers.map(serverKeyOf));
-      for (const [key, { timer }] of watched) {
-        if (keys.has(key)) continue;
-        clearTimeout(timer);
-        watched.delete(key);
-        links.get(key)?.close();
-        links.delete(key);
-        misses.delete(key);
-        lights.delete(key);
-      }
-      servers.filter((server) => !watched.has(serverKeyOf(server))).forEach((server, index) => plan(server, (index * probeMillis) / Math.max(1, servers.length)));
-    },
-    close: () => {
-      for (const { timer } of watched.values()) clearTimeout(timer);
-      watched.clear();
-      for (const link of links.values()) link.close();
+      for (const key of [...watched.keys()]) if (!keys.has(key)) forget(key);
+      servers
+        .filter((server) => !watched.has(serverKeyOf(server)))
+        .forEach((server, index) => plan(server, (index * probeSpanUs) / Math.max(1, servers.length)));
     },
+    close: () => [...watched.keys()].forEach(forget),
   };
 };
--- a/src/setup/check/setup-schema.ts
+++ b/src/setup/check/setup-schema.ts
@@ -35,6 +35,7 @@
   resumable: boolean().required(),
   budgetUs: micros(10_000, 60 * minute),
   firstPieceUs: micros(10_000, 60 * minute),
+  silenceUs: micros(10_000, 60 * minute),
 }).noUnknown();
 
 export const setupSchema = object({
--- a/src/setup/document/rule.ts
+++ b/src/setup/document/rule.ts
@@ -12,4 +12,6 @@
   readonly budgetUs: Micros;
   /** How long a first piece may take before a repeatable exchange is tried elsewhere. */
   readonly firstPieceUs: Micros;
+  /** How long a stream may be silent between two pieces before its server counts as lost to it. */
+  readonly silenceUs: Micros;
 };
--- a/src/sim/core/core-faults.ts
+++ b/src/sim/core/core-faults.ts
@@ -1,18 +1,17 @@
 import { oneOf } from '../../common/chance.js';
-import type { CoreFleet } from './core-fleet.js';
-import type { CoreMachine } from './core-machine.js';
-import { usualDiskUs } from './core-machine.js';
+import type { AskedCore, CoreFleet } from './core-fleet.js';
+import { usualDiskUs, type SimControl } from './sim-control.js';
 
 const second = 1_000_000;
 
-type Fault = { readonly name: string; readonly bring: (fleet: CoreFleet) => void };
+type Fault = { readonly name: string; readonly bring: (fleet: AskedCore) => void };
 
-const anyMachine = (fleet: CoreFleet): CoreMachine | undefined => oneOf(fleet.world.chance, fleet.machines);
+const anyMachine = (fleet: CoreFleet): SimControl | undefined => oneOf(fleet.world.chance, fleet.machines);
 
-const upAgain = (fleet: CoreFleet, machine: CoreMachine): void =>
+const upAgain = (fleet: CoreFleet, machine: SimControl): void =>
   fleet.world.after(200_000 + fleet.world.chance() * 4 * second, machine.start);
 
-const isolate = (fleet: CoreFleet, machine: CoreMachine, inward: boolean, outward: boolean): void => {
+const isolate = (fleet: CoreFleet, machine: SimControl, inward: boolean, outward: boolean): void => {
   for (const other of fleet.machines) {
     if (other === machine) continue;
     if (outward) fleet.network.cut(machine.address(), other.address());
@@ -66,8 +65,8 @@
     bring: (fleet) => {
       const machine = anyMachine(fleet);
       if (machine === undefined) return;
-      machine.freeze();
-      fleet.world.after(500_000 + fleet.world.chance() * 5 * second, machine.wake);
+      machine.node.freeze();
+      fleet.world.after(500_000 + fleet.world.chance() * 5 * second, machine.node.wake);
     },
   },
   {
@@ -119,6 +118,28 @@
       fleet.world.after(2 * second, () => machine?.slowDisk(usualDiskUs));
     },
   },
+  {
+    name: 'full disk of the leader',
+    bring: (fleet) => {
+      const machine = fleet.leader();
+      machine?.fillDisk(true);
+      fleet.world.after(2 * second, () => {
+        machine?.fillDisk(false);
+        machine?.start();
+      });
+    },
+  },
+  {
+    name: 'power lost at all at once, just after a yes',
+    bring: (fleet) => {
+      void fleet.client.ask({ type: 'propose', command: { type: 'claim', key: `yes-${fleet.world.now()}`, exchange: 'x', atUs: 0 } }, 2 * second).then(() => {
+        for (const machine of fleet.machines) {
+          machine.kill();
+          upAgain(fleet, machine);
+        }
+      });
+    },
+  },
   {
     name: 'lost disk',
     bring: (fleet) => {
@@ -131,7 +152,7 @@
 ];
 
 /** Brings a fault now and then, until a moment. */
-export const bringFaults = (fleet: CoreFleet, untilUs: number, tell: (name: string) => void): void => {
+export const bringFaults = (fleet: AskedCore, untilUs: number, tell: (name: string) => void): void => {
   const next = (): void => {
     if (fleet.world.now() >= untilUs) return;
     const fault = oneOf(fleet.world.chance, faults);
@@ -147,7 +168,8 @@
   fleet.network.heal();
   for (const machine of fleet.machines) {
     machine.slowDisk(usualDiskUs);
-    machine.wake();
+    machine.fillDisk(false);
+    machine.node.wake();
     machine.start();
   }
 };
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -1,72 +1,73 @@
 import type { Micros } from '../../common/micros.js';
-import type { Answer } from '../../control/machine/answer.js';
-import type { ControlEffect } from '../../control/machine/control-effect.js';
-import { openNetwork, type Network } from '../world/network.js';
-import { openWorld, type World } from '../world/world.js';
-import { openCoreMachine, type CoreMachine } from './core-machine.js';
+import { openCoreClient, type CoreClient } from '../../process/core-client.js';
+import { openCounters } from '../../process/counters.js';
+import type { Log } from '../../process/log.js';
+import { openSpreadTask } from '../../process/spread-task.js';
+import { openSimNode } from '../process/sim-node.js';
+import { simSurroundingsOf, type SimCommons } from '../process/sim-surroundings.js';
+import { openNetwork } from '../world/network.js';
+import { openWorld } from '../world/world.js';
+import { openCoreRules, type CoreRules } from './core-rules.js';
+import { openSimControl, type SimControl } from './sim-control.js';
 
-/** Three core machines in a virtual world, and what they were heard to do. */
-export type CoreFleet = {
-  readonly world: World;
-  readonly network: Network;
-  readonly machines: readonly CoreMachine[];
-  readonly leader: () => CoreMachine | undefined;
-  readonly onEffect: (hear: (machine: CoreMachine, effect: ControlEffect) => void) => void;
-  readonly onUnkept: (hear: (what: string) => void) => void;
-  readonly ask: (
-    machine: CoreMachine,
-    make: (ask: string) => Parameters<CoreMachine['post']>[0],
-    hear: (answer: Answer) => void,
-  ) => void;
-  readonly playFor: (span: Micros) => void;
+/** Three core machines in a virtual world, and what is watched of them. */
+export type CoreFleet = SimCommons & {
+  readonly machines: readonly SimControl[];
+  readonly rules: CoreRules;
+  readonly leader: () => SimControl | undefined;
+  readonly playFor: (span: Micros) => Promise<void>;
 };
 
-export const openCoreFleet = (seed: number): CoreFleet => {
+/** A core alone in its world, and a process that asks it. */
+export type AskedCore = CoreFleet & { readonly client: CoreClient };
+
+export const localities = ['a', 'b', 'c'] as const;
+const quietLog: Log = { change: () => undefined };
+
+export const openCoreFleet = (seed: number): AskedCore => {
   const world = openWorld(seed);
-  return openCoreIn(world, openNetwork(world));
+  const commons: SimCommons = { world, network: openNetwork(world), ports: new Map(), serverAt: () => undefined };
+  const fleet = openCoreIn(commons);
+  const surroundings = simSurroundingsOf(commons, 'client', 'client:1', openSimNode(world).begin());
+  const spread = openSpreadTask(
+    { node: 'client', role: 'router', address: 'client:1', http: 'client:1/http', locality: 'a' },
+    fleet.machines.map((machine) => machine.address()),
+    quietLog,
+    openCounters(),
+    surroundings,
+  );
+  void spread.start();
+  return { ...fleet, client: openCoreClient(spread, surroundings) };
 };
 
 /** A core in a world that holds more than the core. */
-export const openCoreIn = (world: World, network: Network): CoreFleet => {
-  const seeds = ['core-a:1', 'core-b:1', 'core-c:1'];
-  const listeners: ((machine: CoreMachine, effect: ControlEffect) => void)[] = [];
-  const unkeptListeners: ((what: string) => void)[] = [];
-  const asks = new Map<string, (answer: Answer) => void>();
-  let askCount = 0;
-  const machines: readonly CoreMachine[] = seeds.map((address, index) =>
-    openCoreMachine(`c${index + 1}`, address, {
-      world,
-      network,
-      seeds,
-      machineAt: (target) => machines.find((machine) => machine.address() === target && machine.isUp()),
-      hearUnkept: (_machine, what) => {
-        for (const listener of unkeptListeners) listener(what);
-      },
-      hear: (machine, effect) => {
-        if (effect.type === 'answer') {
-          const hear = asks.get(effect.ask);
-          asks.delete(effect.ask);
-          hear?.(effect.answer);
-        }
-        for (const listener of listeners) listener(machine, effect);
-      },
-    }),
-  );
+export const openCoreIn = (commons: SimCommons): CoreFleet => {
+  const { world } = commons;
+  const rules = openCoreRules(world);
+  const bornAddresses = ['core-a:1', 'core-b:1', 'core-c:1'];
+  const seeds = (): readonly string[] => (machines.length === 0 ? bornAddresses : machines.map((machine) => machine.address()));
+  const machines: SimControl[] = [];
+  for (const [place, bornAddress] of bornAddresses.entries())
+    machines.push(
+      openSimControl({
+        name: `c${place + 1}`,
+        locality: localities[place] ?? 'a',
+        bornAddress,
+        seeds,
+        commons,
+        logOf: (control) => rules.logOf(() => control.view().identity),
+        hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
+      }),
+    );
   machines.forEach((machine) => world.after(world.chance() * 300_000, machine.start));
   return {
-    world,
-    network,
+    ...commons,
     machines,
+    rules,
     leader: () =>
-      [...machines].filter((machine) => machine.isUp() && machine.view().role === 'leader').sort((left, right) => right.view().term - left.view().term)[0],
-    onEffect: (hear) => void listeners.push(hear),
-    onUnkept: (hear) => void unkeptListeners.push(hear),
-    ask: (machine, make, hear) => {
-      askCount += 1;
-      const ask = `ask-${askCount}`;
-      asks.set(ask, hear);
-      machine.post(make(ask));
-    },
+      machines
+        .filter((machine) => machine.isUp() && machine.view().role === 'leader')
+        .sort((left, right) => right.view().term - left.view().term)[0],
     playFor: (span) => world.playUntil(world.now() + span),
   };
 };
--- a/src/sim/core/core-rules.ts
+++ b/src/sim/core/core-rules.ts
@@ -1,4 +1,5 @@
-import type { CoreFleet } from './core-fleet.js';
+import type { Log } from '../../process/log.js';
+import type { World } from '../world/world.js';
 
 /** What a run of the core must never show, gathered as it goes. */
 export type CoreRules = {
@@ -6,28 +7,30 @@
   readonly breakRule: (what: string) => void;
   /** The name of the setup that stands at a revision. */
   readonly nameAt: (revision: number) => string | undefined;
+  /** The log of one process, read as it is written. */
+  readonly logOf: (identity: () => string) => Log;
 };
 
-/** Listens to every machine: one leader a term, one setup a revision, no revision back on one machine's life. */
-export const watchCore = (fleet: CoreFleet): CoreRules => {
+/** Listens to every process: one leader a term, one setup a revision. */
+export const openCoreRules = (world: World): CoreRules => {
   const brokenRules: string[] = [];
   const leaderOfTerm = new Map<number, string>();
   const nameOfRevision = new Map<number, string>();
-  const breakRule = (what: string): void => void brokenRules.push(`at ${fleet.world.now()} us: ${what}`);
-  fleet.onEffect((machine, effect) => {
-    if (effect.type === 'role' && effect.role === 'leader') {
-      const known = leaderOfTerm.get(effect.term);
-      const identity = machine.view().identity;
-      if (known !== undefined && known !== identity) breakRule(`term ${effect.term} had two leaders, ${known} and ${identity}`);
-      leaderOfTerm.set(effect.term, identity);
-    }
-    if (effect.type === 'taken') {
-      const { revision, setup } = effect.record;
-      const known = nameOfRevision.get(revision);
-      if (known !== undefined && known !== setup.name) breakRule(`revision ${revision} is ${known} and ${setup.name}`);
-      nameOfRevision.set(revision, setup.name);
-    }
-  });
-  fleet.onUnkept((what) => breakRule(`kept-before-said: ${what}`));
-  return { broken: () => brokenRules, breakRule, nameAt: (revision) => nameOfRevision.get(revision) };
+  const breakRule = (what: string): void => void brokenRules.push(`at ${world.now()} us: ${what}`);
+  const oneEach = (known: Map<number, string>, place: number, name: string, rule: string): void => {
+    const former = known.get(place);
+    if (former !== undefined && former !== name) breakRule(`${rule} ${place} had ${former} and ${name}`);
+    known.set(place, name);
+  };
+  return {
+    broken: () => brokenRules,
+    breakRule,
+    nameAt: (revision) => nameOfRevision.get(revision),
+    logOf: (identity) => ({
+      change: (what, facts) => {
+        if (what === 'role' && facts['role'] === 'leader') oneEach(leaderOfTerm, Number(facts['term']), identity(), 'term');
+        if (what === 'setup in force') oneEach(nameOfRevision, Number(facts['revision']), String(facts['name']), 'revision');
+      },
+    }),
+  };
 };
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -1,19 +1,17 @@
 import { wholeBelow } from '../../common/chance.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { sampleSetup } from '../sample-setup.js';
-import { askCore } from './core-client.js';
+import { askDesk } from './ask-desk.js';
 import { bringFaults, endFaults } from './core-faults.js';
 import { openCoreFleet } from './core-fleet.js';
-import { watchCore } from './core-rules.js';
 
 const second = 1_000_000;
 const troubleEndsUs = 45 * second;
 const recoveryUs = 12 * second;
 
-const play = (seed: number): SimRun => {
+const play = async (seed: number): Promise<SimRun> => {
   const fleet = openCoreFleet(seed);
-  const rules = watchCore(fleet);
-  const { world } = fleet;
+  const { world, rules } = fleet;
   const counts = { taken: 0, lostRace: 0, unknown: 0, reads: 0, claimsWon: 0, claimsRepeated: 0 };
   const faults: string[] = [];
   const takenNames = new Map<number, string>();
@@ -26,12 +24,13 @@
     proposals += 1;
     const name = `setup-${proposals}`;
     const setup = sampleSetup(name);
-    askCore(fleet, { type: 'propose', command: { type: 'setup', proposal: name, expected, setup, atUs: world.now() } }, 4 * second, (word) => {
-      if (word?.type !== 'applied' || word.outcome.type !== 'proposal') {
+    askDesk(fleet, (desk) => desk.put(setup, name, expected), (word) => {
+      if (word?.type === 'refused') refusedNames.add(name);
+      if (word?.type !== 'decided') {
         counts.unknown += 1;
         return;
       }
-      const { outcome } = word.outcome;
+      const { outcome } = word;
       if (outcome.type === 'taken') {
         counts.taken += 1;
         if (outcome.revision !== expected + 1) rules.breakRule(`${name} was taken as ${outcome.revision} though it was for ${expected}`);
@@ -49,10 +48,10 @@
 
   const read = (use: (revision: number) => void): void => {
     const leastRevision = newestToldRevision;
-    askCore(fleet, { type: 'read' }, 2 * second, (word) => {
-      if (word?.type !== 'record') return;
+    askDesk(fleet, (desk) => desk.read(), (word) => {
+      if (word?.type !== 'record' && word?.type !== 'none') return;
       counts.reads += 1;
-      const revision = word.record?.revision ?? 0;
+      const revision = word.type === 'record' ? word.record.revision : 0;
       if (revision < leastRevision) rules.breakRule(`a read gave revision ${revision} after ${leastRevision} was told`);
       use(revision);
     });
@@ -61,17 +60,19 @@
   const claim = (): void => {
     const key = `key-${wholeBelow(world.chance, 60)}`;
     const exchange = `x-${world.now()}-${wholeBelow(world.chance, 1_000_000)}`;
-    askCore(fleet, { type: 'propose', command: { type: 'claim', key, exchange, atUs: world.now() } }, 2 * second, (word) => {
-      if (word?.type !== 'applied' || word.outcome.type !== 'claimed') return;
-      if (!word.outcome.won) {
-        counts.claimsRepeated += 1;
-        return;
-      }
-      counts.claimsWon += 1;
-      const holder = claimHolders.get(key);
-      if (holder !== undefined && holder !== exchange) rules.breakRule(`${key} was won by ${holder} and ${exchange}`);
-      claimHolders.set(key, exchange);
-    });
+    void fleet.client.ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: world.now() } }, 2 * second).then((asked) =>
+      asked.ifRight((word) => {
+        if (word.type !== 'applied' || word.outcome.type !== 'claimed') return;
+        if (!word.outcome.won) {
+          counts.claimsRepeated += 1;
+          return;
+        }
+        counts.claimsWon += 1;
+        const holder = claimHolders.get(key);
+        if (holder !== undefined && holder !== exchange) rules.breakRule(`${key} was won by ${holder} and ${exchange}`);
+        claimHolders.set(key, exchange);
+      }),
+    );
   };
 
   const operate = (): void => {
@@ -98,26 +99,21 @@
   world.after(2 * second, operate);
   world.after(2 * second, claimOn);
   bringFaults(fleet, troubleEndsUs, (name) => faults.push(`${Math.round(world.now() / 1000)} ms: ${name}`));
-  world.playUntil(troubleEndsUs);
+  await world.playUntil(troubleEndsUs);
   endFaults(fleet);
   let isBack = false;
   const tryPut = (): void =>
     read((revision) => {
       proposals += 1;
       const name = `setup-${proposals}`;
-      askCore(
-        fleet,
-        { type: 'propose', command: { type: 'setup', proposal: name, expected: revision, setup: sampleSetup(name), atUs: world.now() } },
-        2 * second,
-        (word) => {
-          if (word?.type === 'applied' && word.outcome.type === 'proposal' && word.outcome.outcome.type === 'taken') isBack = true;
-        },
-      );
+      askDesk(fleet, (desk) => desk.put(sampleSetup(name), name, revision), (word) => {
+        if (word?.type === 'decided' && word.outcome.type === 'taken') isBack = true;
+      });
     });
   for (let attempt = 0; attempt < 5; attempt += 1) world.after(attempt * 2 * second, tryPut);
-  world.playUntil(troubleEndsUs + recoveryUs);
+  await world.playUntil(troubleEndsUs + recoveryUs);
   if (!isBack) rules.breakRule('no setup could be taken within 12 s after trouble ended');
-  world.playUntil(troubleEndsUs + recoveryUs + 15 * second);
+  await world.playUntil(troubleEndsUs + recoveryUs + 15 * second);
 
   const revisions = fleet.machines.map((machine) => machine.view().state.record?.revision ?? 0);
   if (new Set(revisions).size > 1) rules.breakRule(`the machines ended at revisions ${revisions.join(', ')}`);
--- /dev/null
+++ b/src/sim/core/sim-control.ts
@@ -0,0 +1,166 @@
+import type { Micros } from '../../common/micros.js';
+import { lastIndexOf } from '../../control/machine/log-reading.js';
+import { startControlView, type ControlView } from '../../control/machine/control-view.js';
+import { openControlNode, type ControlNode } from '../../process/control/control-node.js';
+import type { Log } from '../../process/log.js';
+import type { PartnerLinks } from '../../spread/link/partner-links.js';
+import { openMemoryFiles } from '../disk/memory-files.js';
+import { openSimNode, type SimNode } from '../process/sim-node.js';
+import { simSurroundingsOf, type SimCommons } from '../process/sim-surroundings.js';
+import { openSaid } from './said.js';
+
+/** A core machine in the virtual world: the tasks that ship, on a virtual clock, virtual links and a disk in memory. */
+export type SimControl = {
+  readonly name: string;
+  readonly locality: string;
+  readonly address: () => string;
+  readonly node: SimNode;
+  /** Its tasks; none while it is down. */
+  readonly tasks: () => ControlNode | undefined;
+  /** What its machine knew last. */
+  readonly view: () => ControlView;
+  readonly isUp: () => boolean;
+  readonly start: () => void;
+  /** Power is lost: of what was not synced some may be there, some torn, some gone. */
+  readonly kill: () => void;
+  /** Ends in order, then calls back. */
+  readonly terminate: (ended: () => void) => void;
+  readonly loseDisk: (newAddress?: string) => void;
+  readonly slowDisk: (syncUs: Micros) => void;
+  /** From now on writes fail, or do not. A machine that can not write ends itself. */
+  readonly fillDisk: (isFull: boolean) => void;
+  /** Does something as this machine; not at all when it is down. */
+  readonly hear: (act: (tasks: ControlNode) => void) => boolean;
+};
+
+export type SimControlPlan = {
+  readonly name: string;
+  readonly locality: string;
+  readonly bornAddress: string;
+  readonly seeds: () => readonly string[];
+  readonly commons: SimCommons;
+  readonly logOf: (control: SimControl) => Log;
+  /** Hears of a machine whose disk gives back something else than it said. */
+  readonly hearUnkept: (what: string) => void;
+};
+
+const ringFiles = 3;
+const ringFileBytes = 1 << 20;
+export const usualDiskUs: Micros = 2_000;
+
+export const openSimControl = ({ name, locality, bornAddress, seeds, commons, logOf, hearUnkept }: SimControlPlan): SimControl => {
+  const { world } = commons;
+  const node = openSimNode(world);
+  const said = openSaid();
+  const usedIdentities = new Set<string>();
+  let address = bornAddress;
+  let syncUs = usualDiskUs;
+  let isFull = false;
+  let isEmpty = true;
+  let tasks: ControlNode | undefined;
+  let lastView = startControlView(name, address, seeds());
+  const emptyFiles = () =>
+    openMemoryFiles(ringFiles, ringFileBytes, undefined, () => ({
+      fails: isFull,
+      untilSynced: () => new Promise((resolve) => world.after(syncUs * (0.5 + world.chance()), () => node.hear(resolve))),
+    }));
+  let files = emptyFiles();
+
+  const end = (): void => {
+    lastView = control.view();
+    tasks = undefined;
+    node.kill();
+  };
+
+  const born = (made: ControlNode): void => {
+    const view = made.control.view();
+    if (isEmpty && usedIdentities.has(view.identity)) hearUnkept(`${view.identity} came back without its disk`);
+    if (isEmpty) said.forget();
+    isEmpty = false;
+    usedIdentities.add(view.identity);
+    const lost = said.lostBy(view);
+    if (lost !== undefined) hearUnkept(`${name}: ${lost} (its log ends at ${lastIndexOf(view)})`);
+    tasks = made;
+    void made.start();
+  };
+
+  const control: SimControl = {
+    name,
+    locality,
+    address: () => address,
+    node,
+    tasks: () => tasks,
+    view: () => tasks?.control.view() ?? lastView,
+    isUp: node.isUp,
+    start: () => {
+      if (node.isUp()) return;
+      const life = node.begin();
+      const surroundings = simSurroundingsOf(commons, name, address, life, files.files);
+      const openPartnerLinks = (linkAddress: string): PartnerLinks => {
+        const links = surroundings.openPartnerLinks(linkAddress);
+        return {
+          ...links,
+          send: (target, frame) => {
+            if (frame.type === 'control') said.note(frame.to, frame.message);
+            links.send(target, frame);
+          },
+        };
+      };
+      const fail = (): void => {
+        if (!life.isOver()) control.kill();
+      };
+      void openControlNode({
+        settings: { node: name, locality, http: `${address}/http`, partners: address, seeds: seeds(), data: name, ringFiles, ringFileBytes },
+        log: logOf(control),
+        surroundings: { ...surroundings, openPartnerLinks },
+        fail,
+      })
+        .run()
+        .then((opened) =>
+          opened
+            .ifRight((made) => {
+              if (!life.isOver()) born(made);
+            })
+            .ifLeft((error) => {
+              if (life.isOver()) return;
+              if (error.type === 'damaged-disk') hearUnkept(`${name} can not read its disk: ${error.message}`);
+              end();
+            }),
+        );
+    },
+    kill: () => {
+      if (!node.isUp()) return;
+      end();
+      files = files.afterPowerLoss(() => world.chance() < 0.5);
+    },
+    terminate: (ended) => {
+      const leaving = tasks;
+      if (leaving === undefined) return;
+      node.hear(() => {
+        void leaving.stop().then(() => {
+          if (tasks === leaving) end();
+          ended();
+        });
+      });
+    },
+    loseDisk: (newAddress) => {
+      control.kill();
+      files = emptyFiles();
+      isEmpty = true;
+      address = newAddress ?? address;
+    },
+    slowDisk: (newSyncUs) => {
+      syncUs = newSyncUs;
+    },
+    fillDisk: (isFullNow) => {
+      isFull = isFullNow;
+    },
+    hear: (act) => {
+      const present = tasks;
+      if (present === undefined) return false;
+      node.hear(() => act(present));
+      return true;
+    },
+  };
+  return control;
+};
--- a/tests/disk/memory-files.ts
+++ b/src/sim/disk/memory-files.ts
@@ -1,4 +1,5 @@
-import type { RingFile } from '../../src/disk/ring-file.js';
+import type { RingFile } from '../../disk/ring-file.js';
+import { quietMemory, type MemoryTrouble } from './memory-trouble.js';
 
 /** Files in memory that keep what was synced apart from what was only written. */
 export type MemoryFiles = {
@@ -13,7 +14,12 @@
 
 type Write = { readonly offset: number; readonly bytes: Buffer };
 
-export const openMemoryFiles = (count: number, size: number, start?: readonly Buffer[]): MemoryFiles => {
+export const openMemoryFiles = (
+  count: number,
+  size: number,
+  start?: readonly Buffer[],
+  trouble: () => MemoryTrouble = () => quietMemory,
+): MemoryFiles => {
   const counts = { writes: 0, syncs: 0 };
   let failingWrite = Number.POSITIVE_INFINITY;
   const synced: Buffer[] = Array.from({ length: count }, (_, index) => Buffer.from(start?.[index] ?? Buffer.alloc(size)));
@@ -30,15 +36,16 @@
       read: () => Promise.resolve(seen(index)),
       write: (offset, bytes) => {
         counts.writes += 1;
-        if (counts.writes >= failingWrite) return Promise.reject(new Error('no space is left'));
+        if (counts.writes >= failingWrite || trouble().fails) return Promise.reject(new Error('no space is left'));
         unsynced[index]?.push({ offset, bytes: Buffer.from(bytes) });
         return Promise.resolve();
       },
-      sync: () => {
+      sync: async () => {
         counts.syncs += 1;
-        synced[index] = seen(index);
-        unsynced[index] = [];
-        return Promise.resolve();
+        const writes = unsynced[index] ?? [];
+        const toSync = writes.length;
+        await trouble().untilSynced();
+        for (const write of writes.splice(0, toSync)) write.bytes.copy(synced[index] ?? Buffer.alloc(0), write.offset);
       },
       close: () => Promise.resolve(),
     }),
@@ -64,6 +71,7 @@
           }
           return left;
         }),
+        trouble,
       );
     },
   };
--- a/src/sim/fleet/fleet-faults.ts
+++ b/src/sim/fleet/fleet-faults.ts
@@ -229,7 +229,7 @@
   callers.crowd(0);
   callers.speed(1);
   for (const machine of fleet.core.machines) {
-    machine.wake();
+    machine.node.wake();
     machine.start();
   }
   for (const router of fleet.routers) {
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -2,7 +2,7 @@
 import { checkFewRefusals, checkNoCuts, checkRecovery } from '../../rehearsal/checker/check-answers.js';
 import { checkAlways } from '../../rehearsal/checker/check-history.js';
 import type { History } from '../../rehearsal/history/history.js';
-import { askCore } from '../core/core-client.js';
+import { askDesk } from '../core/ask-desk.js';
 import { sampleSetup } from '../sample-setup.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { endFleetFaults, fleetFaults, type FleetFault } from './fleet-faults.js';
@@ -22,23 +22,18 @@
 
 const put = (fleet: SimFleet, name: string, expected: number, routers: number): void => {
   const askedUs = fleet.world.now();
-  askCore(
-    fleet.core,
-    { type: 'propose', command: { type: 'setup', proposal: name, expected, setup: sampleSetup(name, routers), atUs: fleet.platform.now() } },
-    4 * second,
-    (word) => {
-      const outcome = word?.type === 'applied' && word.outcome.type === 'proposal' ? word.outcome.outcome : undefined;
-      fleet.history.puts.push({
-        proposal: name,
-        expected,
-        name,
-        askedUs,
-        toldUs: fleet.world.now(),
-        outcome: outcome === undefined ? 'unknown' : outcome.type === 'taken' ? 'taken' : 'lost-race',
-        revision: outcome?.revision,
-      });
-    },
-  );
+  askDesk(fleet.core, (desk) => desk.put(sampleSetup(name, routers), name, expected), (word) => {
+    const outcome = word?.type === 'decided' ? word.outcome : undefined;
+    fleet.history.puts.push({
+      proposal: name,
+      expected,
+      name,
+      askedUs,
+      toldUs: fleet.world.now(),
+      outcome: outcome === undefined ? (word?.type === 'refused' ? 'refused' : 'unknown') : outcome.type === 'taken' ? 'taken' : 'lost-race',
+      revision: outcome?.revision,
+    });
+  });
 };
 
 const openAll = (fleet: SimFleet, sizes: FleetSizes): void => {
@@ -52,9 +47,9 @@
 const operateOn = (fleet: SimFleet, routers: number): void => {
   let proposals = 0;
   const again = (): void => {
-    askCore(fleet.core, { type: 'read' }, 2 * second, (word) => {
-      if (word?.type !== 'record') return;
-      const revision = word.record?.revision ?? 0;
+    askDesk(fleet.core, (desk) => desk.read(), (word) => {
+      if (word?.type !== 'record' && word?.type !== 'none') return;
+      const revision = word.type === 'record' ? word.record.revision : 0;
       proposals += 1;
       put(fleet, `setup-${proposals}`, revision, routers);
       if (fleet.world.chance() < 0.4) {
@@ -84,7 +79,7 @@
 };
 
 const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
-  ...fleet.rules.broken(),
+  ...fleet.core.rules.broken(),
   ...[
     ...checkAlways(fleet.history, onceKinds),
     ...checkRecovery(fleet.history, troubleEndsUs),
@@ -98,7 +93,7 @@
 
 const playWith =
   ({ sizes, faults, planned }: Play) =>
-  (seed: number): SimRun => {
+  async (seed: number): Promise<SimRun> => {
     const fleet = openSimFleet(seed, sizes.routers);
     const callers = openSimCallers(fleet, sizes.callsPerSecond);
     const faultsTold: string[] = [];
@@ -115,11 +110,11 @@
     };
     fleet.world.after(warmUpUs + 3 * second, troubleOn);
     fleet.world.after(warmUpUs + 3 * second, () => planned?.(fleet, told));
-    fleet.world.playUntil(troubleEndsUs);
+    await fleet.world.playUntil(troubleEndsUs);
     if (planned === undefined) endFleetFaults(fleet, callers);
-    fleet.world.playUntil(endUs);
+    await fleet.world.playUntil(endUs);
     callers.stop();
-    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) fleet.world.playUntil(endUs + waited * second);
+    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) await fleet.world.playUntil(endUs + waited * second);
     return { broken: sumUp(fleet, callers.underWay(), planned !== undefined), counts: countEnds(fleet.history), faults: faultsTold };
   };
 
--- a/src/sim/fleet/sim-callers.ts
+++ b/src/sim/fleet/sim-callers.ts
@@ -1,6 +1,10 @@
 import { oneOf, wholeBelow } from '../../common/chance.js';
 import type { CallEnd } from '../../rehearsal/history/call-record.js';
+import { toRetrySeconds } from '../../common/micros.js';
+import { writeWorkText } from '../../rehearsal/stand-in/work-text.js';
+import { parseStreamLine } from '../../router/delivery/piece.js';
 import type { SimFleet } from './sim-fleet.js';
+import type { SimCaller } from './sim-router.js';
 
 /** Callers of a virtual fleet. */
 export type SimCallers = {
@@ -42,7 +46,6 @@
       if (isEnded) return;
       isEnded = true;
       underWay.delete(running);
-      const isWhole = end !== 'complete' || pieces.length === kind.pieces;
       history.calls.push({
         work,
         call: name,
@@ -53,7 +56,7 @@
         startUs,
         firstPieceUs,
         endUs: world.now(),
-        end: isWhole ? end : 'malformed',
+        end,
         status: 0,
         pieces,
         wanted: kind.pieces,
@@ -61,22 +64,26 @@
         error,
       });
     };
-    world.after(200 + world.chance() * 1_000, () =>
-      router.accept({
-        work,
-        call: name,
-        kind: kind.kind,
-        key: kind.once ? work : undefined,
-        opening,
-        pieces: kind.pieces,
-        hearPiece: (text) => {
-          if (isEnded) return;
-          firstPieceUs ??= world.now();
-          pieces.push(text);
-        },
-        hearEnd,
-      }),
-    );
+    const caller: SimCaller = {
+      isEnded: () => isEnded,
+      isGone: () => isEnded,
+      onGone: () => undefined,
+      piece: (_exchange, text) => {
+        const line = parseStreamLine(text.trimEnd());
+        if (isEnded || line?.type !== 'piece') return Promise.resolve(false);
+        firstPieceUs ??= world.now();
+        pieces.push(line.text);
+        return Promise.resolve(true);
+      },
+      end: (_exchange, count) => hearEnd(count === pieces.length && count === kind.pieces ? 'complete' : 'malformed', undefined, undefined),
+      answer: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
+      refuse: (error, _exchange, retryAfterUs) => hearEnd('refused', error.type, retryAfterUs === undefined ? undefined : String(toRetrySeconds(retryAfterUs))),
+      unknown: (error) => hearEnd(error.type === 'repeated-key' ? 'repeated' : 'unknown', error.type, undefined),
+      breakOff: () => hearEnd('cut', 'broken off', undefined),
+      lose: () => hearEnd(pieces.length > 0 ? 'cut' : 'lost', 'node gone', undefined),
+    };
+    const body = { kind: kind.kind, opening, text: writeWorkText({ work, call: name, pieces: kind.pieces }) };
+    world.after(200 + world.chance() * 1_000, () => router.accept(body, kind.once ? work : undefined, caller));
   };
 
   const one = (): void => {
--- a/src/sim/fleet/sim-fleet.ts
+++ b/src/sim/fleet/sim-fleet.ts
@@ -1,14 +1,12 @@
 import { openHistory, type History } from '../../rehearsal/history/history.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
-import { openCoreIn, type CoreFleet } from '../core/core-fleet.js';
-import { watchCore, type CoreRules } from '../core/core-rules.js';
+import { localities, openCoreIn, type CoreFleet } from '../core/core-fleet.js';
+import type { SimCommons } from '../process/sim-surroundings.js';
 import { openNetwork, type Network } from '../world/network.js';
 import { openWorld, type World } from '../world/world.js';
-import { openSimNode, type SimNode } from './sim-node.js';
 import { openSimPlatform, type SimPlatform } from './sim-platform.js';
 import { openSimRouter, type SimRouter } from './sim-router.js';
 import { openSimServer, type SimServer } from './sim-server.js';
-import { openSimSpread, type SimSpread } from './sim-spread.js';
 
 /** A whole fleet in a virtual world. */
 export type SimFleet = {
@@ -16,7 +14,6 @@
   readonly network: Network;
   readonly history: History;
   readonly core: CoreFleet;
-  readonly rules: CoreRules;
   readonly routers: readonly SimRouter[];
   readonly platform: SimPlatform;
   /** Servers that run now. */
@@ -32,61 +29,28 @@
   const world = openWorld(seed);
   const network = openNetwork(world);
   const history = openHistory();
-  const core = openCoreIn(world, network);
-  const rules = watchCore(core);
-  const coreNodes = new Map<string, SimNode>();
-  const spreads = new Map<string, SimSpread>();
-  const spreadAt = (address: string): SimSpread | undefined => {
-    const machine = core.machines.find((known) => known.address() === address);
-    return spreads.get(machine?.name ?? address);
-  };
-  const seeds = (): readonly string[] => core.machines.map((machine) => machine.address());
-  for (const machine of core.machines) {
-    const node = openSimNode(world);
-    const spread = openSimSpread({
-      name: machine.name,
-      role: 'control',
-      address: machine.address,
-      seeds,
-      node,
-      world,
-      network,
-      spreadAt,
-      hear: () => undefined,
-    });
-    coreNodes.set(machine.name, node);
-    spreads.set(machine.name, spread);
-    machine.follow({ begin: () => (node.begin(), spread.begin()), kill: node.kill, freeze: node.freeze, wake: node.wake });
-  }
-  core.onEffect((machine, effect) => {
-    if (effect.type !== 'taken') return;
-    coreNodes.get(machine.name)?.run(() => spreads.get(machine.name)?.take({ type: 'setup', at: world.now(), record: effect.record }));
-  });
-
   const servers = new Map<string, SimServer>();
   const leaving = new Map<string, number>();
   const listedAt = new Map<SimServer, number>();
   let serverCount = 0;
-  const routers = Array.from({ length: routerCount }, (_, index) =>
-    openSimRouter({
-      name: `r${index + 1}`,
+  const serverAt = (address: string): SimServer | undefined =>
+    [...servers.values()].find((server) => server.listed.address === address && server.isUp());
+  const commons: SimCommons = { world, network, ports: new Map(), serverAt };
+  const core = openCoreIn(commons);
+  const routers = Array.from({ length: routerCount }, (_, index) => {
+    const name = `r${index + 1}`;
+    return openSimRouter({
+      name,
+      locality: localities[index % 3] ?? 'a',
       address: `router-${index + 1}:1`,
-      seeds,
-      world,
-      network,
-      core,
-      spreadAt,
-      serverAt: (address) => [...servers.values()].find((server) => server.listed.address === address && server.isUp()),
-    }),
-  );
-  for (const router of routers) spreads.set(router.address, router.spread);
+      seeds: () => core.machines.map((machine) => machine.address()),
+      commons,
+      log: core.rules.logOf(() => name),
+    });
+  });
   const platform = openSimPlatform(world, network, history, routers, [
-    ...routers.map((router) => ({ address: () => router.address, node: router.node, spread: router.spread })),
-    ...core.machines.flatMap((machine) => {
-      const node = coreNodes.get(machine.name);
-      const spread = spreads.get(machine.name);
-      return node === undefined || spread === undefined ? [] : [{ address: machine.address, node, spread }];
-    }),
+    ...routers.map((router) => ({ address: () => router.address, spread: () => router.tasks()?.spread, node: router.node })),
+    ...core.machines.map((machine) => ({ address: machine.address, spread: () => machine.tasks()?.spread, node: machine.node })),
   ]);
 
   const showServers = (): void => {
@@ -106,7 +70,6 @@
     network,
     history,
     core,
-    rules,
     routers,
     platform,
     servers: () => [...servers.values()].filter((server) => server.isUp()),
@@ -117,7 +80,7 @@
         incarnation: `i${serverCount}`,
         service,
         address: address ?? `10.9.0.${serverCount % 250}:${1000 + serverCount}`,
-        locality: 'a',
+        locality: localities[serverCount % 3] ?? 'a',
         listedAtUs: platform.now(),
         state: 'up',
       };
--- a/src/sim/fleet/sim-platform.ts
+++ b/src/sim/fleet/sim-platform.ts
@@ -5,9 +5,9 @@
 import type { ServerList } from '../../servers/list/server-list.js';
 import type { Network } from '../world/network.js';
 import type { World } from '../world/world.js';
-import type { SimNode } from './sim-node.js';
+import type { SpreadTask } from '../../process/spread-task.js';
+import type { SimNode } from '../process/sim-node.js';
 import type { SimRouter } from './sim-router.js';
-import type { SimSpread } from './sim-spread.js';
 
 /** The virtual platform: it keeps the list and knows which routers are ready. */
 export type SimPlatform = {
@@ -18,7 +18,7 @@
   readonly start: () => void;
 };
 
-export type Reachable = { readonly address: () => string; readonly node: SimNode; readonly spread: SimSpread };
+export type Reachable = { readonly address: () => string; readonly node: SimNode; readonly spread: () => SpreadTask | undefined };
 
 const probeUs = 200_000;
 const pushUs = 1_000_000;
@@ -37,7 +37,10 @@
 
   const push = (target: Reachable): void => {
     const pushed = list;
-    network.send('platform', target.address(), () => target.node.run(() => target.spread.take({ type: 'list', at: world.now(), list: pushed })));
+    network.send('platform', target.address(), () => {
+      const spread = target.spread();
+      if (spread !== undefined) target.node.hear(() => spread.offerList(pushed));
+    });
   };
   const pushOn = (target: Reachable): void => {
     push(target);
@@ -53,8 +56,8 @@
         boot: router.node.boot(),
         atUs: world.now(),
         ready: router.isReady(),
-        revision: router.spread.view().record?.revision ?? 0,
-        version: router.spread.view().list?.version ?? 0,
+        revision: router.tasks()?.spread.view().record?.revision ?? 0,
+        version: router.tasks()?.spread.view().list?.version ?? 0,
       });
     world.after(probeUs, () => probe(router));
   };
--- /dev/null
+++ b/src/sim/fleet/sim-server-ears.ts
@@ -0,0 +1,6 @@
+/** What hears a server's receipt, in order. */
+export type SimServerEars = {
+  readonly head: (status: number) => void;
+  readonly chunk: (text: string) => void;
+  readonly end: () => void;
+};
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -1,33 +1,28 @@
 import type { Micros } from '../../common/micros.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
 import type { History } from '../../rehearsal/history/history.js';
-import { pieceText } from '../../rehearsal/stand-in/work-text.js';
+import { pieceText, readWorkText } from '../../rehearsal/stand-in/work-text.js';
+import type { ServerOrder } from '../../servers/link/server-order.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { World } from '../world/world.js';
-
-/** What a router asks of a server. */
-export type SimDelivery = {
-  readonly exchange: string;
-  readonly service: string;
-  readonly kind: string;
-  readonly opening: string;
-  readonly work: string;
-  readonly call: string;
-  readonly pieces: number;
-  readonly fromPiece: number;
-};
-
-/** What a server sends back, in order. */
-export type SimLine = { readonly type: 'piece'; readonly piece: number; readonly text: string } | { readonly type: 'end'; readonly pieces: number };
+import type { SimServerEars } from './sim-server-ears.js';
+import type { ServerMood } from './server-mood.js';
 
 /** A back end in the virtual world. */
 export type SimServer = {
   readonly listed: ListedServer;
   readonly isUp: () => boolean;
   readonly isDark: () => boolean;
-  readonly run: (delivery: SimDelivery, send: (line: SimLine) => void) => void;
+  readonly run: (order: ServerOrder, ears: SimServerEars) => void;
+  /** Does something as soon as the server is not dark. */
+  readonly whenLight: (act: () => void) => void;
+  /** Notes a connection; it is told when the server crashes. */
+  readonly remember: (lose: () => void) => void;
+  readonly forget: (lose: () => void) => void;
   readonly crash: () => void;
   readonly goDark: (span: Micros) => void;
+  /** Changes how it treats orders from now on; probes are answered all the same. */
+  readonly become: (mood: ServerMood) => void;
 };
 
 const coldPrefillUs = 250_000;
@@ -36,57 +31,96 @@
 
 export const openSimServer = (world: World, history: History, listed: ListedServer): SimServer => {
   const rememberedOpenings = new Set<string>();
+  const connections = new Set<() => void>();
+  const isModel = listed.service !== 'status';
   let isUp = true;
   let darkUntilUs = 0;
   let prefills = 0;
-  const afterDark = (act: () => void): void => {
+  let mood: ServerMood = 'well';
+  const whenLight = (act: () => void): void => {
     if (!isUp) return;
-    if (world.now() < darkUntilUs) world.after(darkUntilUs - world.now(), () => afterDark(act));
+    if (world.now() < darkUntilUs) world.after(darkUntilUs - world.now(), () => whenLight(act));
     else act();
   };
+  const spanOf = (span: Micros): Micros => (mood === 'slow' ? span * 20 : span) * (0.5 + world.chance());
+
+  const stream = (work: string, pieces: number, fromPiece: number, ears: SimServerEars): void => {
+    const sendFrom = (piece: number): void =>
+      whenLight(() => {
+        if (piece >= pieces) {
+          ears.chunk(`${JSON.stringify({ end: true, pieces })}\n`);
+          ears.end();
+          return;
+        }
+        if (mood === 'stuck') {
+          world.after(pieceUs, () => sendFrom(piece));
+          return;
+        }
+        ears.chunk(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
+        world.after(spanOf(pieceUs), () => sendFrom(piece + 1));
+      });
+    ears.head(200);
+    sendFrom(fromPiece);
+  };
+
   return {
     listed,
     isUp: () => isUp,
     isDark: () => world.now() < darkUntilUs,
+    whenLight,
+    remember: (lose) => void connections.add(lose),
+    forget: (lose) => void connections.delete(lose),
     crash: () => {
       isUp = false;
+      for (const lose of connections) lose();
+      connections.clear();
     },
     goDark: (span) => {
       darkUntilUs = Math.max(darkUntilUs, world.now() + Math.ceil(span));
     },
-    run: (delivery, send) => {
+    become: (newMood) => {
+      mood = newMood;
+    },
+    run: (order, ears) => {
       const reachedUs = world.now();
-      afterDark(() => {
-        const opening = prefixOf(listed.service, delivery.opening);
+      whenLight(() => {
+        if (mood === 'erring') {
+          ears.head(world.chance() < 0.5 ? 503 : 500);
+          ears.end();
+          return;
+        }
+        const { work, call, pieces } = readWorkText(order.text);
+        const opening = prefixOf(listed.service, order.opening);
         history.runs.push({
           server: listed.id,
           incarnation: listed.incarnation,
           ownService: listed.service,
-          askedService: delivery.service,
-          call: delivery.call,
-          work: delivery.work,
-          kind: delivery.kind,
-          exchange: delivery.exchange,
-          fromPiece: delivery.fromPiece,
+          askedService: order.service,
+          call,
+          work,
+          kind: order.kind,
+          exchange: order.exchange,
+          fromPiece: order.fromPiece,
           opening,
           atUs: reachedUs,
         });
-        const cold = delivery.pieces > 0 && !rememberedOpenings.has(opening);
-        if (cold) history.coldCalls.add(`${delivery.call}@${listed.id}`);
+        if (!isModel) {
+          world.after(spanOf(warmPrefillUs), () =>
+            whenLight(() => {
+              ears.head(200);
+              ears.chunk(JSON.stringify({ status: 'well', work }));
+              ears.end();
+            }),
+          );
+          return;
+        }
+        const cold = !rememberedOpenings.has(opening);
+        if (cold) history.coldCalls.add(`${call}@${listed.id}`);
         prefills += 1;
-        const sendFrom = (piece: number): void =>
-          afterDark(() => {
-            if (piece >= delivery.pieces) {
-              send({ type: 'end', pieces: delivery.pieces });
-              return;
-            }
-            send({ type: 'piece', piece, text: pieceText(delivery.work, piece) });
-            world.after(pieceUs * (0.5 + world.chance()), () => sendFrom(piece + 1));
-          });
-        world.after((cold ? coldPrefillUs * Math.min(4, prefills) : warmPrefillUs) * (0.7 + world.chance() * 0.6), () => {
+        world.after(spanOf(cold ? coldPrefillUs * Math.min(4, prefills) : warmPrefillUs), () => {
           prefills -= 1;
           rememberedOpenings.add(opening);
-          sendFrom(delivery.fromPiece);
+          whenLight(() => stream(work, pieces, order.fromPiece, ears));
         });
       });
     },
--- /dev/null
+++ b/src/sim/process/chunk-queue.ts
@@ -0,0 +1,48 @@
+/** Chunks that are put at one end and read at the other. */
+export type ChunkQueue = {
+  readonly put: (chunk: string) => void;
+  readonly end: () => void;
+  readonly fail: (error: Error) => void;
+  readonly chunks: AsyncIterator<string>;
+};
+
+type Waiter = { readonly resolve: (next: IteratorResult<string, undefined>) => void; readonly reject: (error: Error) => void };
+
+export const openChunkQueue = (): ChunkQueue => {
+  const waitingChunks: string[] = [];
+  let waiter: Waiter | undefined;
+  let isEnded = false;
+  let failure: Error | undefined;
+  const serve = (): void => {
+    if (waiter === undefined) return;
+    const { resolve, reject } = waiter;
+    const chunk = waitingChunks.shift();
+    if (chunk === undefined && !isEnded && failure === undefined) return;
+    waiter = undefined;
+    if (chunk !== undefined) resolve({ done: false, value: chunk });
+    else if (failure !== undefined) reject(failure);
+    else resolve({ done: true, value: undefined });
+  };
+  return {
+    put: (chunk) => {
+      waitingChunks.push(chunk);
+      serve();
+    },
+    end: () => {
+      isEnded = true;
+      serve();
+    },
+    fail: (error) => {
+      if (isEnded) return;
+      failure = error;
+      serve();
+    },
+    chunks: {
+      next: () =>
+        new Promise((resolve, reject) => {
+          waiter = { resolve, reject };
+          serve();
+        }),
+    },
+  };
+};
--- a/src/sim/sim-run.ts
+++ b/src/sim/sim-run.ts
@@ -10,5 +10,5 @@
 export type SimScenario = {
   readonly name: string;
   readonly about: string;
-  readonly play: (seed: number) => SimRun;
+  readonly play: (seed: number) => Promise<SimRun>;
 };
--- a/src/sim/world/world.ts
+++ b/src/sim/world/world.ts
@@ -6,8 +6,8 @@
   readonly now: () => Micros;
   readonly chance: Chance;
   readonly after: (span: Micros, act: () => void) => void;
-  /** Plays everything that happens before a moment. */
-  readonly playUntil: (moment: Micros) => void;
+  /** Plays everything that happens before a moment; all that a happening sets going comes to rest before the next one. */
+  readonly playUntil: (moment: Micros) => Promise<void>;
 };
 
 type Due = { readonly moment: Micros; readonly order: number; readonly act: () => void };
@@ -15,6 +15,9 @@
 const isBefore = (left: Due, right: Due): boolean =>
   left.moment < right.moment || (left.moment === right.moment && left.order < right.order);
 
+/** Waits until no promise has anything left to do. */
+const atRest = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
 export const openWorld = (seed: number): World => {
   const chance = seededChance(seed);
   const heap: Due[] = [];
@@ -63,11 +66,13 @@
       order += 1;
       push({ moment: nowUs + Math.max(0, Math.round(span)), order, act });
     },
-    playUntil: (moment) => {
+    playUntil: async (moment) => {
+      await atRest();
       for (let next = heap[0]; next !== undefined && next.moment <= moment; next = heap[0]) {
         pop();
         nowUs = next.moment;
         next.act();
+        await atRest();
       }
       nowUs = Math.max(nowUs, moment);
     },
--- /dev/null
+++ b/src/spread/link/tcp-links.ts
@@ -0,0 +1,118 @@
+import { EventEmitter } from 'node:events';
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { deserialize, serialize } from 'bson';
+import { object, string, mixed } from 'yup';
+import { checked } from '../../common/checked.js';
+import type { Frame } from '../frame/frame.js';
+import { isFrame } from '../frame/frame-guard.js';
+import { addressParts } from './address-parts.js';
+import type { LinkEvents } from './link-events.js';
+import type { PartnerLinks } from './partner-links.js';
+
+const mostFrameBytes = 64 << 20;
+const mostWaitingBytes = 64 << 20;
+const redialMillis = 200;
+const dialBudgetMillis = 2_000;
+
+const envelopeSchema = object({ from: string().required(), frame: mixed(isFrame).required() }).required();
+
+type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[] };
+
+const readFrames = (socket: Socket, events: EventEmitter<LinkEvents>): void => {
+  let pending: Buffer = Buffer.alloc(0);
+  socket.on('data', (chunk: Buffer) => {
+    pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+    while (pending.length >= 4) {
+      const frameLength = pending.readInt32LE(0);
+      if (frameLength < 5 || frameLength > mostFrameBytes) {
+        events.emit('badFrame');
+        socket.destroy();
+        return;
+      }
+      if (pending.length < frameLength) return;
+      const frameBytes = pending.subarray(0, frameLength);
+      pending = pending.subarray(frameLength);
+      try {
+        checked(envelopeSchema, deserialize(frameBytes)).ifRight(({ from, frame }) => events.emit('frame', from, frame)).ifLeft(() => events.emit('badFrame'));
+      } catch {
+        events.emit('badFrame');
+        socket.destroy();
+        return;
+      }
+    }
+  });
+};
+
+/** Links over TCP, a BSON document a frame; `address` is where partners reach this process. */
+export const openTcpLinks = (address: string, listenAddress = address): PartnerLinks => {
+  const events = new EventEmitter<LinkEvents>();
+  const outLinks = new Map<string, OutLink>();
+  const redialAfter = new Map<string, number>();
+  const inSockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    inSockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => inSockets.delete(socket));
+    readFrames(socket, events);
+  });
+  let isClosed = false;
+
+  const dial = (target: string): OutLink | undefined => {
+    if ((redialAfter.get(target) ?? 0) > performance.now()) return undefined;
+    const { host, port } = addressParts(target);
+    const socket = createConnection({ host, port });
+    const waiting: Uint8Array[] = [];
+    let isOpen = false;
+    socket.setNoDelay(true);
+    const dialTimer = setTimeout(() => socket.destroy(), dialBudgetMillis);
+    socket.on('connect', () => {
+      clearTimeout(dialTimer);
+      isOpen = true;
+      for (const bytes of waiting.splice(0)) socket.write(bytes);
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      clearTimeout(dialTimer);
+      if (outLinks.get(target)?.socket === socket) outLinks.delete(target);
+      redialAfter.set(target, performance.now() + redialMillis);
+    });
+    socket.resume();
+    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting };
+    outLinks.set(target, outLink);
+    return outLink;
+  };
+
+  const send = (target: string, frame: Frame): void => {
+    if (isClosed) return;
+    const outLink = outLinks.get(target) ?? dial(target);
+    if (outLink === undefined) return;
+    const bytes = serialize({ from: address, frame });
+    if (!outLink.isOpen()) {
+      if (outLink.waiting.length < 256) outLink.waiting.push(bytes);
+      return;
+    }
+    if (outLink.socket.writableLength > mostWaitingBytes) outLink.socket.destroy();
+    else outLink.socket.write(bytes);
+  };
+
+  return {
+    events,
+    listen: () =>
+      new Promise((resolve, reject) => {
+        const { host, port } = addressParts(listenAddress);
+        server.once('error', reject);
+        server.listen(port, host, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    send,
+    close: () => {
+      isClosed = true;
+      server.close();
+      for (const socket of inSockets) socket.destroy();
+      for (const { socket } of outLinks.values()) socket.destroy();
+    },
+  };
+};
--- a/src/spread/machine/spread-view.ts
+++ b/src/spread/machine/spread-view.ts
@@ -16,8 +16,8 @@
   readonly digestUs: Micros;
   readonly digests: number;
   readonly heardUs: Micros;
-  /** When a partner was last asked for news. */
-  readonly askedUs: Micros;
+  /** When a partner was last asked for news, and up to which revision and version. */
+  readonly asked: { readonly atUs: Micros; readonly revision: number; readonly version: number };
   readonly isolated: boolean;
   readonly inquiry: number;
   readonly refreshing: boolean;
@@ -34,7 +34,7 @@
   digestUs: 0,
   digests: 0,
   heardUs: Number.NEGATIVE_INFINITY,
-  askedUs: Number.NEGATIVE_INFINITY,
+  asked: { atUs: Number.NEGATIVE_INFINITY, revision: 0, version: 0 },
   isolated: true,
   inquiry: 0,
   refreshing: false,
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -105,22 +105,32 @@
     (timedView) => {
       const isAnswer = timedView.refreshing && digest.inquiry === timedView.inquiry;
       const isFresh = isAnswer && digest.revision <= revisionOf(timedView) && digest.version <= versionOf(timedView);
-      const lacks = digest.revision > revisionOf(timedView) || digest.version > versionOf(timedView);
-      const mayAsk = lacks && timedView.atUs >= timedView.askedUs + askSpanUs;
+      const { asked } = timedView;
+      const isPending = timedView.atUs < asked.atUs + askSpanUs;
+      const hadRevision = isPending ? Math.max(asked.revision, revisionOf(timedView)) : revisionOf(timedView);
+      const hadVersion = isPending ? Math.max(asked.version, versionOf(timedView)) : versionOf(timedView);
+      const lacks = digest.revision > hadRevision || digest.version > hadVersion;
       return stepped(
-        { ...timedView, refreshing: timedView.refreshing && !isFresh, askedUs: mayAsk ? timedView.atUs : timedView.askedUs },
+        {
+          ...timedView,
+          refreshing: timedView.refreshing && !isFresh,
+          asked: lacks
+            ? { atUs: timedView.atUs, revision: Math.max(digest.revision, hadRevision), version: Math.max(digest.version, hadVersion) }
+            : asked,
+        },
         ...(isFresh ? [{ type: 'refreshed' as const }] : []),
-        ...(mayAsk ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView) }] : []),
+        ...(lacks ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView, hadRevision, hadVersion) }] : []),
       );
     },
   );
 };
 
-const inquiryOf = (view: SpreadView): SpreadFrame => ({
+/** Asks for all that is newer than what is had, or is already on its way from another partner. */
+const inquiryOf = (view: SpreadView, revision = revisionOf(view), version = versionOf(view)): SpreadFrame => ({
   type: 'inquire',
   inquiry: view.inquiry,
-  revision: revisionOf(view),
-  version: versionOf(view),
+  revision,
+  version,
 });
 
 const onFrame = (view: SpreadView, from: string, frame: SpreadFrame): SpreadStep => {
--- a/tests/control/operator.test.ts
+++ b/tests/control/operator.test.ts
@@ -7,6 +7,7 @@
 import { openCounters } from '../../src/process/counters.js';
 import { openHttpServer, type HttpServer } from '../../src/process/http/http-server.js';
 import { addOperatorPaths } from '../../src/process/http/operator-paths.js';
+import { openOperatorDesk } from '../../src/process/operator/operator-desk.js';
 import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 import { bareCore } from '../router/loopback.js';
@@ -16,7 +17,7 @@
 const withOperator = async (core: CoreClient, use: (call: (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown, headers?: Readonly<Record<string, string>>) => Promise<Told>) => Promise<void>): Promise<void> => {
   const [port] = await freePorts(1);
   const http: HttpServer = openHttpServer(`127.0.0.1:${port}`, openCounters());
-  addOperatorPaths(http, core, () => 0);
+  addOperatorPaths(http, openOperatorDesk(core, () => 0));
   await http.listen();
   try {
     await use(async (method, path, body, headers = {}) => {
--- a/tests/disk/disk-ring.test.ts
+++ b/tests/disk/disk-ring.test.ts
@@ -3,7 +3,7 @@
 import { seededChance, wholeBelow } from '../../src/common/chance.js';
 import { openDiskRing, type DiskRing } from '../../src/disk/disk-ring.js';
 import { firstRecordOffset } from '../../src/disk/record-format.js';
-import { openMemoryFiles, type MemoryFiles } from './memory-files.js';
+import { openMemoryFiles, type MemoryFiles } from '../../src/sim/disk/memory-files.js';
 
 const fileBytes = 1024;
 
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -5,6 +5,8 @@
 import { startControlState } from '../../src/control/state/control-state.js';
 import type { CoreClient } from '../../src/process/core-client.js';
 import { openRouterNode, type RouterNode } from '../../src/process/router/router-node.js';
+import { serveRouter } from '../../src/process/router/serve-router.js';
+import { realSurroundings } from '../../src/process/surroundings/real-surroundings.js';
 import { openHistory, type History } from '../../src/rehearsal/history/history.js';
 import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { openStandInServer, usualFigures } from '../../src/rehearsal/stand-in/open-server.js';
@@ -76,7 +78,13 @@
   const [httpPort, partnerPort, ...serverPorts] = await freePorts(2 + models + webs);
   const http = `127.0.0.1:${httpPort}`;
   const partners = `127.0.0.1:${partnerPort}`;
-  const node = openRouterNode({ node: 'r1', locality: 'a', http, partners, seeds: [partners, partners, partners] }, quietLog, bareCore);
+  const node = openRouterNode({
+    settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners, partners, partners] },
+    log: quietLog,
+    surroundings: realSurroundings,
+    coreOf: bareCore,
+  });
+  const served = serveRouter(node, http);
   const figures = { ...usualFigures, prefillMicrosPerByte: 1, warmPrefillMillis: 1, pieceMillis };
   let version = 0;
   const show = (servers: readonly ListedServer[]): void => {
@@ -89,6 +97,7 @@
       index < models ? open(listedAt(`m${index}`, 'model', port), 'model') : open(listedAt(`w${index}`, 'status', port), 'web'),
     ),
   );
+  await served.listen();
   await node.start();
   show(servers.map((server) => server.listed));
   return {
@@ -114,6 +123,7 @@
     close: () => {
       for (const server of servers) server.crash();
       node.end();
+      void served.close();
     },
   };
 };
--- a/tests/sim/restart-in-split.test.ts
+++ b/tests/sim/restart-in-split.test.ts
@@ -1,30 +1,25 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { askCore } from '../../src/sim/core/core-client.js';
+import { askDesk } from '../../src/sim/core/ask-desk.js';
 import { openSimFleet, type SimFleet } from '../../src/sim/fleet/sim-fleet.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 
 const second = 1_000_000;
 
 const take = (fleet: SimFleet, name: string, expected: number): void =>
-  askCore(
-    fleet.core,
-    { type: 'propose', command: { type: 'setup', proposal: name, expected, setup: sampleSetup(name, 4), atUs: fleet.platform.now() } },
-    4 * second,
-    () => undefined,
-  );
+  askDesk(fleet.core, (desk) => desk.put(sampleSetup(name, 4), name, expected), () => undefined);
 
-const revisionOf = (fleet: SimFleet, place: number): number | undefined => fleet.routers[place]?.spread.view().record?.revision;
+const revisionOf = (fleet: SimFleet, place: number): number | undefined => fleet.routers[place]?.tasks()?.spread.view().record?.revision;
 
-test('a router that restarts among partners with an older setup is not ready before the core has spoken', () => {
+test('a router that restarts among partners with an older setup is not ready before the core has spoken', async () => {
   const fleet = openSimFleet(11, 4);
-  const play = (span: number): void => fleet.world.playUntil(fleet.world.now() + span);
+  const play = (span: number): Promise<void> => fleet.world.playUntil(fleet.world.now() + span);
   fleet.openServer('model');
   fleet.showServers();
   for (const router of fleet.routers) router.start();
   fleet.platform.start();
   fleet.world.after(2 * second, () => take(fleet, 'one', 0));
-  play(5 * second);
+  await play(5 * second);
   assert.equal([0, 1, 2, 3].map((place) => revisionOf(fleet, place)), [1, 1, 1, 1]);
 
   const addressOf = (place: number): string => fleet.routers[place]?.address ?? '';
@@ -38,7 +33,7 @@
   };
   cut([addressOf(2), addressOf(3)], [addressOf(0), addressOf(1), ...core]);
   take(fleet, 'two', 1);
-  play(2 * second);
+  await play(2 * second);
   assert.equal([0, 1, 2, 3].map((place) => revisionOf(fleet, place)), [2, 2, 1, 1]);
 
   const [restarted] = fleet.routers;
@@ -47,11 +42,11 @@
   cut([addressOf(2), addressOf(3)], [addressOf(1), ...core]);
   restarted?.kill();
   restarted?.start();
-  play(3 * second);
+  await play(3 * second);
   assert.is(revisionOf(fleet, 0), 1, 'it has heard the older setup');
   assert.is(restarted?.isReady(), false);
   fleet.network.heal();
-  play(2 * second);
+  await play(2 * second);
   assert.is(revisionOf(fleet, 0), 2);
   assert.is(restarted?.isReady(), true);
 });
--- a/tests/spread/spread.test.ts
+++ b/tests/spread/spread.test.ts
@@ -1,7 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { openSimNode } from '../../src/sim/fleet/sim-node.js';
-import { openSimSpread, type SimSpread } from '../../src/sim/fleet/sim-spread.js';
+import { openCounters } from '../../src/process/counters.js';
+import { openSpreadTask, type SpreadTask } from '../../src/process/spread-task.js';
+import { openSimNode } from '../../src/sim/process/sim-node.js';
+import type { SimPorts } from '../../src/sim/process/sim-ports.js';
+import { simSurroundingsOf } from '../../src/sim/process/sim-surroundings.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 import { openNetwork, type Network } from '../../src/sim/world/network.js';
 import { openWorld, type World } from '../../src/sim/world/world.js';
@@ -12,95 +15,85 @@
 
 const recordAt = (revision: number): SetupRecord => ({ revision, takenAtUs: 0, setup: sampleSetup(`setup-${revision}`), epochs: [] });
 
-type Group = { readonly world: World; readonly network: Network; readonly spreads: readonly SimSpread[]; readonly counts: Map<string, number>; readonly addresses: readonly string[] };
+type Group = {
+  readonly world: World;
+  readonly network: Network;
+  readonly ports: SimPorts;
+  readonly spreads: readonly SpreadTask[];
+  readonly counts: Map<string, number>;
+  readonly addresses: readonly string[];
+};
 
 /** Twelve processes that know three seeds; frames are counted by type. */
 const openGroup = (seed: number): Group => {
   const world = openWorld(seed);
+  const network = openNetwork(world);
   const counts = new Map<string, number>();
-  const plain = openNetwork(world);
+  const ports: SimPorts = new Map();
   const addresses = Array.from({ length: 12 }, (_, index) => `node-${index}:1`);
-  const spreads: SimSpread[] = [];
-  for (const address of addresses) {
-    const node = openSimNode(world);
-    const spread = openSimSpread({
-      name: address.slice(0, -2),
-      role: 'router',
-      address: () => address,
-      seeds: () => addresses.slice(0, 3),
-      node,
-      world,
-      network: plain,
-      spreadAt: (target) => {
-        const place = addresses.indexOf(target);
-        const reached = spreads[place];
-        return reached === undefined
-          ? undefined
-          : {
-              ...reached,
-              receive: (from, frame) => {
-                counts.set(frame.type, (counts.get(frame.type) ?? 0) + 1);
-                reached.receive(from, frame);
-              },
-            };
-      },
-      hear: () => undefined,
+  const spreads = addresses.map((address) => {
+    const surroundings = simSurroundingsOf({ world, network, ports, serverAt: () => undefined }, address, address, openSimNode(world).begin());
+    const node = address.slice(0, -2);
+    const spread = openSpreadTask({ node, role: 'router', address, http: `${address}/http`, locality: 'a' }, addresses.slice(0, 3), { change: () => undefined }, openCounters(), surroundings);
+    void spread.start();
+    const listener = ports.get(address);
+    ports.set(address, (from, frame) => {
+      counts.set(frame.type, (counts.get(frame.type) ?? 0) + 1);
+      listener?.(from, frame);
     });
-    node.begin();
-    spreads.push(spread);
-  }
-  spreads.forEach((spread) => spread.begin());
-  return { world, network: plain, spreads, counts, addresses };
+    return spread;
+  });
+  return { world, network, ports, spreads, counts, addresses };
 };
 
-test('twelve processes find each other from three seeds', () => {
+test('twelve processes find each other from three seeds', async () => {
   const { world, spreads } = openGroup(1);
-  world.playUntil(3 * second);
+  await world.playUntil(3 * second);
   assert.equal(new Set(spreads.map((spread) => spread.view().partners.size)), new Set([11]));
 });
 
-test('news reaches everyone soon, and its whole text goes about once to each', () => {
+test('news reaches everyone soon, and its whole text goes about once to each', async () => {
   for (let seed = 1; seed <= 10; seed += 1) {
     const { world, spreads, counts } = openGroup(seed);
-    world.playUntil(3 * second);
-    spreads[5]?.take({ type: 'setup', at: world.now(), record: recordAt(1) });
-    spreads[7]?.take({ type: 'list', at: world.now(), list: listOf(1, 50, foundersAt(3, 0)) });
-    world.playUntil(world.now() + 250_000);
+    await world.playUntil(3 * second);
+    spreads[5]?.offerSetup(recordAt(1));
+    spreads[7]?.offerList(listOf(1, 50, foundersAt(3, 0)));
+    await world.playUntil(world.now() + 250_000);
     assert.equal(new Set(spreads.map((spread) => [spread.view().record?.revision, spread.view().list?.version].join())), new Set(['1,1']));
-    world.playUntil(world.now() + 2 * second);
+    await world.playUntil(world.now() + 2 * second);
     assert.ok((counts.get('setup') ?? 0) <= 15, `seed ${seed}: ${counts.get('setup')} whole setups were sent to 11 processes`);
     assert.ok((counts.get('list') ?? 0) <= 15, `seed ${seed}: ${counts.get('list')} whole lists were sent`);
   }
 });
 
-test('news passes round a cut, an older text changes nothing, and a split heals', () => {
-  const { world, network, spreads, addresses } = openGroup(3);
-  world.playUntil(3 * second);
+test('news passes round a cut, an older text changes nothing, and a split heals', async () => {
+  const { world, network, ports, spreads, addresses } = openGroup(3);
+  await world.playUntil(3 * second);
   for (const address of addresses.slice(1, 11)) network.cut(addresses[0] ?? '', address);
-  spreads[0]?.take({ type: 'setup', at: world.now(), record: recordAt(2) });
-  world.playUntil(world.now() + 2 * second);
+  spreads[0]?.offerSetup(recordAt(2));
+  await world.playUntil(world.now() + 2 * second);
   assert.is(spreads[6]?.view().record?.revision, 2);
-  spreads[6]?.receive(addresses[4] ?? '', { type: 'setup', record: recordAt(1) });
+  ports.get(addresses[6] ?? '')?.(addresses[4] ?? '', { type: 'setup', record: recordAt(1) });
   assert.is(spreads[6]?.view().record?.revision, 2);
   network.heal();
   for (const left of addresses.slice(0, 6)) for (const right of addresses.slice(6)) {
       network.cut(left, right);
       network.cut(right, left);
     }
-  spreads[0]?.take({ type: 'list', at: world.now(), list: listOf(4, 50, []) });
-  world.playUntil(world.now() + 2 * second);
+  spreads[0]?.offerList(listOf(4, 50, []));
+  await world.playUntil(world.now() + 2 * second);
   assert.equal(spreads.map((spread) => spread.view().list?.version), [4, 4, 4, 4, 4, 4, ...Array.from({ length: 6 }, () => undefined)]);
   network.heal();
-  world.playUntil(world.now() + second);
+  await world.playUntil(world.now() + second);
   assert.equal(new Set(spreads.map((spread) => spread.view().list?.version)), new Set([4]));
 });
 
-test('the platform time that nodes keep only grows and never runs ahead', () => {
+test('the platform time that nodes keep only grows and never runs ahead', async () => {
   const { world, spreads } = openGroup(4);
-  world.playUntil(3 * second);
+  await world.playUntil(3 * second);
   const bornUs = 900 * second;
-  spreads[2]?.take({ type: 'list', at: world.now(), list: listOf(1, bornUs + world.now(), []) });
-  world.playUntil(world.now() + second);
+  spreads[2]?.offerList(listOf(1, bornUs + world.now(), []));
+  await world.playUntil(world.now() + second);
   for (const spread of spreads) {
     const behindUs = bornUs + world.now() - spread.platformUs();
     assert.ok(behindUs >= 0 && behindUs < 10_000, `${behindUs} us behind`);
