--- a/src/process/http/platform-paths.ts
+++ b/src/process/http/platform-paths.ts
@@ -1,5 +1,6 @@
 import { typedError } from '../../common/typed-error.js';
 import { checkList } from '../../servers/list/check-list.js';
+import { setupDigestOf } from '../../setup/document/setup-digest.js';
 import type { Counters } from '../counters.js';
 import type { SpreadTask } from '../spread-task.js';
 import type { HttpServer } from './http-server.js';
@@ -50,6 +51,7 @@
       self: view.self,
       partners: [...view.partners.values()].map(({ partner, heardUs }) => ({ ...partner, ageUs: view.atUs - heardUs })),
       revision: view.record?.revision ?? 0,
+      digest: view.record === undefined ? undefined : setupDigestOf(view.record.setup),
       version: view.list?.version ?? 0,
     });
   });
--- a/src/rehearsal/checker/check-answers.ts
+++ b/src/rehearsal/checker/check-answers.ts
@@ -18,13 +18,6 @@
     .filter((call) => call.end === 'cut' || call.end === 'lost' || call.end === 'unknown')
     .map((call) => ({ rule: 'planned-changes-cut-nothing', detail: `${call.call} at ${call.node} ended ${call.end} (${call.status} ${call.error ?? ''})` }));
 
-export const checkFewRefusals = (history: History, mostRefusedShare: number): readonly Finding[] => {
-  const refused = history.calls.filter((call) => call.end === 'refused');
-  return refused.length > Math.max(2, history.calls.length * mostRefusedShare)
-    ? [{ rule: 'almost-no-refusals', detail: `${refused.length} of ${history.calls.length} calls were refused: ${[...new Set(refused.map((call) => call.error))].join(', ')}` }]
-    : [];
-};
-
 const recoveryUs = 12_000_000;
 
 /** Whatever begins twelve seconds after trouble has ended must end well. */
@@ -35,3 +28,22 @@
       rule: 'back-within-twelve-seconds',
       detail: `${call.call} at ${call.node} ended ${call.end} ${Math.round((call.startUs - troubleEndUs) / 1000)} ms after trouble ended (${call.error ?? ''})`,
     }));
+
+/** Twelve seconds after trouble has ended every router must be ready, and stay so. */
+export const checkReadyAgain = (history: History, troubleEndUs: number, plannedOnly: boolean): readonly Finding[] =>
+  history.nodes
+    .filter((node) => node.role === 'router')
+    .flatMap(({ node }) => {
+      const looks = history.watches.filter((watch) => watch.node === node && watch.atUs > troubleEndUs + recoveryUs);
+      const unready = looks.find((watch) => !watch.ready);
+      if (looks.length === 0 && !plannedOnly) return [{ rule: 'back-within-twelve-seconds', detail: `${node} was not heard of again after trouble ended` }];
+      return unready === undefined || plannedOnly
+        ? []
+        : [{ rule: 'back-within-twelve-seconds', detail: `${node} was not ready ${Math.round((unready.atUs - troubleEndUs) / 1000)} ms after trouble ended` }];
+    });
+
+/** A stream may go on at a later piece only where its kind allows that. */
+export const checkResumes = (history: History, resumableKinds: ReadonlySet<string>): readonly Finding[] =>
+  history.runs
+    .filter((run) => run.fromPiece > 0 && !resumableKinds.has(run.kind))
+    .map((run) => ({ rule: 'resumed-where-allowed', detail: `${run.call} of kind ${run.kind} went on at piece ${run.fromPiece}` }));
--- a/src/rehearsal/history/watch-record.ts
+++ b/src/rehearsal/history/watch-record.ts
@@ -7,5 +7,7 @@
   readonly atUs: Micros;
   readonly ready: boolean;
   readonly revision: number;
+  /** Of the setup that it shows as in force. */
+  readonly digest: string | undefined;
   readonly version: number;
 };
--- a/src/rehearsal/launcher/cut-relays.ts
+++ b/src/rehearsal/launcher/cut-relays.ts
@@ -12,6 +12,8 @@
   readonly close: () => void;
 };
 
+export type CutEars = { readonly cut: (from: string, to: string) => void; readonly heal: () => void };
+
 const envelopeSchema = object({ from: string().required() }).required();
 
 /** Who speaks on a link, from its first frame; none while that is not whole yet. */
@@ -22,7 +24,8 @@
     .orDefault('unknown');
 };
 
-export const openCutRelays = (): CutRelays => {
+/** `ears` hears what is cut from whom, and when all is healed. */
+export const openCutRelays = (ears: CutEars): CutRelays => {
   const cuts = new Set<string>();
   const servers: Server[] = [];
   const sockets = new Set<Socket>();
@@ -71,12 +74,16 @@
     cut: (from, to, oneWay = false) => {
       for (const left of from)
         for (const right of to) {
-          cuts.add(`${left}>${right}`);
-          if (!oneWay) cuts.add(`${right}>${left}`);
+          for (const [speaker, listener] of oneWay ? [[left, right]] : [[left, right], [right, left]]) {
+            if (speaker === undefined || listener === undefined) continue;
+            cuts.add(`${speaker}>${listener}`);
+            ears.cut(speaker, listener);
+          }
         }
     },
     heal: () => {
       cuts.clear();
+      ears.heal();
       for (const flush of flushes) flush();
     },
     close: () => {
--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -2,6 +2,7 @@
 import { closeSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import type { OutageType } from '../history/outage-type.js';
 import type { LaunchedNode, NodeAddresses } from './launched-node.js';
 
 const mainPath = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
@@ -15,6 +16,8 @@
   readonly partnersListen: string;
   readonly seeds: readonly string[];
   readonly folder: string;
+  /** Hears when the process is hit and when it is whole again. */
+  readonly tell: (type: 'begins' | 'ends', what: OutageType) => void;
 };
 
 /** What is still to be ended when this process ends. */
@@ -55,6 +58,7 @@
   return {
     node: plan.node,
     role: plan.role,
+    locality: plan.locality,
     get http() {
       return addresses.http;
     },
@@ -63,6 +67,7 @@
     },
     boot: () => boot,
     start: () => {
+      plan.tell('ends', 'down');
       boot += 1;
       writeSettings();
       const logFile = openSync(logPath, 'a');
@@ -71,21 +76,33 @@
     },
     kill: async () => {
       if (child === undefined) return;
+      plan.tell('ends', 'frozen');
+      plan.tell('ends', 'disk');
+      plan.tell('begins', 'down');
       child.kill('SIGKILL');
       await exited(child);
     },
     terminate: async () => {
       if (child === undefined) return null;
       child.kill('SIGTERM');
-      return exited(child);
+      const code = await exited(child);
+      plan.tell('begins', 'down');
+      return code;
     },
     ended: async () => (child === undefined ? null : exited(child)),
-    freeze: () => void child?.kill('SIGSTOP'),
-    wake: () => void child?.kill('SIGCONT'),
+    freeze: () => {
+      plan.tell('begins', 'frozen');
+      child?.kill('SIGSTOP');
+    },
+    wake: () => {
+      plan.tell('ends', 'frozen');
+      child?.kill('SIGCONT');
+    },
     loseDisk: () => {
       if (data !== undefined) rmSync(data, { recursive: true, force: true });
     },
     troubleDisk: (trouble) => {
+      plan.tell(trouble.fails || trouble.delayMillis > 0 ? 'begins' : 'ends', 'disk');
       if (child?.connected === true) child.send(trouble);
     },
     move: (newAddresses) => {
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -10,6 +10,7 @@
 
 /** A process of the system under rehearsal, and what can be done to it. */
 export type LaunchedNode = RehearsedNode & {
+  readonly locality: string;
   readonly partners: string;
   readonly start: () => void;
   readonly kill: () => Promise<void>;
--- /dev/null
+++ b/src/rehearsal/run/acts/core-acts.ts
@@ -0,0 +1,60 @@
+import { oneOf } from '../../../common/chance.js';
+import { noTrouble } from '../../../disk/disk-trouble.js';
+import { freePorts } from '../../launcher/free-ports.js';
+import type { FaultAct } from './fault-act.js';
+
+export const loseDisk: FaultAct = async (parts) => {
+  const control = oneOf(parts.chance, parts.controls);
+  if (control === undefined) return;
+  await control.kill();
+  control.loseDisk();
+  await parts.pause(1_000);
+  control.start();
+  await parts.pause(9_000);
+};
+
+/** A core machine comes back empty at new addresses; whoever starts from then on is given the new seeds. */
+export const moveCore: FaultAct = async (parts) => {
+  const { controls, routers, relays } = parts;
+  const control = oneOf(parts.chance, controls);
+  const router = oneOf(parts.chance, routers);
+  if (control === undefined || router === undefined) return;
+  await control.kill();
+  control.loseDisk();
+  const [http = 0, partners = 0, partnersListen = 0] = await freePorts(3);
+  const moved = { http: `127.0.0.1:${http}`, partners: `127.0.0.1:${partners}`, partnersListen: `127.0.0.1:${partnersListen}` };
+  control.move(moved);
+  await relays.open(moved.partners, moved.partnersListen);
+  for (const node of [...controls, ...routers]) node.reseed(controls.map((known) => known.partners));
+  control.start();
+  await parts.pause(9_000);
+  await router.kill();
+  router.start();
+  await parts.ready(router);
+};
+
+/** Every sync of the leader takes so much longer, for a while. */
+const delayLeaderDisk =
+  (delayMillis: number, spanMillis: number): FaultAct =>
+  async (parts) => {
+    const leader = await parts.leader();
+    if (leader === undefined) return;
+    leader.troubleDisk({ delayMillis, fails: false });
+    await parts.pause(spanMillis);
+    leader.troubleDisk(noTrouble);
+  };
+
+export const slowLeaderDisk = delayLeaderDisk(150, 5_000);
+
+export const stallLeaderDisk = delayLeaderDisk(4_000, 4_000);
+
+/** The leader's disk is full; it ends itself and comes back. */
+export const fillDisk: FaultAct = async (parts) => {
+  const control = await parts.leader();
+  if (control === undefined) return;
+  control.troubleDisk({ delayMillis: 0, fails: true });
+  await Promise.race([control.ended(), parts.pause(10_000)]);
+  if (control.isRunning()) throw new Error('a core machine went on with a full disk');
+  await parts.pause(1_000);
+  control.start();
+};
--- /dev/null
+++ b/src/rehearsal/run/acts/node-acts.ts
@@ -0,0 +1,72 @@
+import { oneOf } from '../../../common/chance.js';
+import type { LaunchedNode } from '../../launcher/launched-node.js';
+import type { RehearsalParts } from '../rehearsal-parts.js';
+import type { FaultAct } from './fault-act.js';
+
+export const restarted = async (node: LaunchedNode, parts: RehearsalParts, millis: number): Promise<void> => {
+  await node.kill();
+  await parts.pause(millis);
+  node.start();
+};
+
+export const frozen = async (node: LaunchedNode, parts: RehearsalParts, millis: number): Promise<void> => {
+  node.freeze();
+  await parts.pause(millis);
+  node.wake();
+};
+
+const withRouter =
+  (act: (router: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultAct =>
+  async (parts) => {
+    const router = oneOf(parts.chance, parts.routers);
+    if (router !== undefined) await act(router, parts);
+  };
+
+const withLeader =
+  (act: (leader: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultAct =>
+  async (parts) => {
+    const leader = await parts.leader();
+    if (leader !== undefined) await act(leader, parts);
+  };
+
+export const killRouter: FaultAct = withRouter((router, parts) => restarted(router, parts, 1_000));
+
+export const killHalf: FaultAct = async (parts) => {
+  await Promise.all(parts.routers.filter((_, place) => place % 2 === 0).map((router) => restarted(router, parts, 1_500)));
+};
+
+export const killAllRouters: FaultAct = async (parts) => {
+  await Promise.all(parts.routers.map((router) => restarted(router, parts, 1_500)));
+};
+
+/** Every process of the fleet at once, core machines too. */
+export const killAll: FaultAct = async (parts) => {
+  await Promise.all([...parts.controls, ...parts.routers].map((node) => restarted(node, parts, 1_500)));
+};
+
+export const freezeRouter: FaultAct = withRouter((router, parts) => frozen(router, parts, 4_000));
+
+export const killLeader: FaultAct = withLeader((leader, parts) => restarted(leader, parts, 1_500));
+
+export const freezeLeader: FaultAct = withLeader((leader, parts) => frozen(leader, parts, 4_000));
+
+export const killLeaderAndRouter: FaultAct = async (parts) => {
+  await Promise.all([killLeader(parts), killRouter(parts)]);
+};
+
+/** Restarts every router in turn, in order, as the platform does. */
+export const rollRouters: FaultAct = async (parts) => {
+  for (const router of parts.routers) {
+    await router.terminate();
+    router.start();
+    await parts.ready(router);
+  }
+};
+
+export const rollControls: FaultAct = async (parts) => {
+  for (const control of parts.controls) {
+    await control.terminate();
+    control.start();
+    await parts.ready(control);
+  }
+};
--- a/src/rehearsal/run/rehearsal-parts.ts
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -21,8 +21,6 @@
   readonly routers: readonly LaunchedNode[];
   readonly setup: Setup;
   readonly relays: CutRelays;
-  /** Writes down a time of trouble, so that rules which it suspends can be told apart. */
-  readonly trouble: (name: string, act: () => Promise<void>) => Promise<void>;
   /** The core machine that says it leads. */
   readonly leader: () => Promise<LaunchedNode | undefined>;
   /** Waits until the platform has seen a node ready in its present life. */
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -9,8 +9,9 @@
 import { httpCall } from '../../cli/http-call.js';
 import { checkSetup } from '../../setup/check/check-setup.js';
 import type { Setup } from '../../setup/document/setup.js';
-import { seededChance } from '../../common/chance.js';
+import { oneOf, seededChance } from '../../common/chance.js';
 import { checkHistory } from '../checker/check-history.js';
+import { termsOf } from '../checker/terms-of.js';
 import type { Finding } from '../checker/finding.js';
 import type { Deployment } from '../deployment/deployment.js';
 import { openHistory, type History } from '../history/history.js';
@@ -21,8 +22,9 @@
 import { openCallers } from '../stand-in/caller.js';
 import { usualFigures } from '../stand-in/open-server.js';
 import { openPlatform } from '../stand-in/platform.js';
+import { httpDesk } from '../stand-in/http-desk.js';
+import { openOperator } from '../stand-in/operator.js';
 import { readNumbers } from '../stand-in/read-numbers.js';
-import { putSetup } from './operator.js';
 import type { RehearsalParts } from './rehearsal-parts.js';
 import type { Scenario } from './scenario.js';
 import { openStageHands } from './stage-hands.js';
@@ -43,12 +45,14 @@
   readonly history: History;
   readonly findings: readonly Finding[];
   readonly folder: string;
+  readonly serviceOf: (kind: string) => string;
   readonly servers: readonly { readonly id: string; readonly coldPrefills: number }[];
 };
 
 const localities = ['a', 'b', 'c'] as const;
 const packageRoot = fileURLToPath(new URL('../../../../', import.meta.url));
 const startBudgetUs = 30_000_000;
+const readSpanMillis = 1_000;
 
 export const readExampleSetup = (path: string): EitherAsync<TypedError, Setup> =>
   EitherAsync.liftEither(
@@ -80,13 +84,19 @@
       const folder = mkdtempSync(join(tmpdir(), 'ledgehill-'));
       const chance = seededChance(seed);
       const history = openHistory();
-      const relays = openCutRelays();
+      const nodeAt = (address: string): string => nodes.find((node) => node.partners === address)?.node ?? address;
+      const relays = openCutRelays({
+        cut: (from, to) => void history.troubles.push({ type: 'cut', atUs: steadyNow(), from: nodeAt(from), to: nodeAt(to) }),
+        heal: () => void history.troubles.push({ type: 'heal', atUs: steadyNow() }),
+      });
       const ports = await freePorts(3 * (3 + deployment.routers));
       const address = (place: number): string => `127.0.0.1:${ports[place]}`;
       const seeds = [0, 1, 2].map((index) => address(index * 3 + 1));
-      const nodes = Array.from({ length: 3 + deployment.routers }, (_, index) =>
-        planNode({
-          node: index < 3 ? `control-${index + 1}` : `router-${index - 2}`,
+      const nodes: readonly LaunchedNode[] = Array.from({ length: 3 + deployment.routers }, (_, index) => {
+        const node = index < 3 ? `control-${index + 1}` : `router-${index - 2}`;
+        return planNode({
+          node,
+          tell: (type, what) => void history.troubles.push({ type, atUs: steadyNow(), who: node, what }),
           role: index < 3 ? 'control' : 'router',
           locality: localities[index % 3] ?? 'a',
           http: address(index * 3),
@@ -94,24 +104,18 @@
           partnersListen: address(index * 3 + 2),
           seeds,
           folder,
-        }),
-      );
+        });
+      });
+      for (const { node, role } of nodes) history.nodes.push({ node, role });
       const controls = nodes.slice(0, 3);
       const routers = nodes.slice(3);
       const platform = openPlatform(nodes, history, chance);
       const callers = openCallers(history);
       const hands = openStageHands(deployment, platform, history, usualFigures);
       const traffic = openTraffic(deployment, platform, callers, chance);
-      let proposals = 0;
-      const put: RehearsalParts['put'] = (wanted, expected, control = controls[0]) => {
-        proposals += 1;
-        return putSetup(history, control?.http ?? '', wanted, `rehearsal-${proposals}`, expected);
-      };
-      const trouble: RehearsalParts['trouble'] = async (name, act) => {
-        const fromUs = steadyNow();
-        await act();
-        history.faults.push({ name, fromUs, untilUs: steadyNow() });
-      };
+      const deskOf = (control: LaunchedNode | undefined) => httpDesk(() => control?.http ?? '');
+      const operator = openOperator(history, steadyNow, httpDesk(() => oneOf(chance, controls)?.http ?? ''));
+      const put: RehearsalParts['put'] = (wanted, expected, control = controls[0]) => operator.put(wanted, expected, deskOf(control));
       const leader: RehearsalParts['leader'] = async () => {
         for (const control of controls) {
           const answer = await httpCall({ method: 'GET', address: control.http, path: '/counters' }).run();
@@ -123,7 +127,7 @@
         const boot = node.boot();
         await until(() => history.watches.some((watch) => watch.node === node.node && watch.boot === boot && watch.ready));
       };
-      const parts: RehearsalParts = { deployment, history, chance, platform, hands, traffic, controls, routers, setup, relays, trouble, leader, ready, put, pause };
+      const parts: RehearsalParts = { deployment, history, chance, platform, hands, traffic, controls, routers, setup, relays, leader, ready, put, pause };
 
       const endAll = async (): Promise<void> => {
         platform.close();
@@ -158,6 +162,7 @@
 
         const startedUs = steadyNow();
         traffic.start();
+        const reading = setInterval(() => void operator.read(), readSpanMillis);
         const acts = scenario.acts.map(async (act) => {
           await pause(act.atShare * seconds * 1000);
           tell(`act: ${act.name}`);
@@ -167,9 +172,14 @@
         await Promise.all(acts);
         await traffic.stop();
         await pause(2_500);
+        clearInterval(reading);
+        await operator.settle(false);
+        await operator.settle(true);
+        await operator.read();
         return {
           history,
-          findings: checkHistory(history, deployment, { plannedOnly: scenario.plannedOnly, mostRefusedShare: scenario.mostRefusedShare, troubleEndUs: startedUs + scenario.troubleEndsShare * seconds * 1_000_000 }),
+          findings: checkHistory(history, termsOf(setup, scenario.plannedOnly, startedUs + scenario.troubleEndsShare * seconds * 1_000_000)),
+          serviceOf: termsOf(setup, scenario.plannedOnly, 0).serviceOf,
           folder,
           servers: hands.servers().map((server) => ({ id: server.listed.id, coldPrefills: server.coldPrefills() })),
         };
--- a/src/rehearsal/run/scenario.ts
+++ b/src/rehearsal/run/scenario.ts
@@ -16,8 +16,6 @@
   readonly seconds: number;
   /** Whether nothing but planned changes goes on, so that nothing may be cut off. */
   readonly plannedOnly: boolean;
-  /** The part of calls that may be refused; more is a finding. */
-  readonly mostRefusedShare: number;
   /** The share of the running time after which all trouble is over; 12 s later service must be back. */
   readonly troubleEndsShare: number;
   readonly size: (deployment: Deployment) => Deployment;
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -1,14 +1,20 @@
 import { steadyNow } from '../../common/micros.js';
 import type { Setup } from '../../setup/document/setup.js';
 import type { Deployment } from '../deployment/deployment.js';
-import * as acts from './fault-acts.js';
-import type { FaultAct } from './fault-acts.js';
+import * as core from './acts/core-acts.js';
+import type { FaultAct } from './acts/fault-act.js';
+import * as links from './acts/link-acts.js';
+import * as localities from './acts/locality-acts.js';
+import * as nodes from './acts/node-acts.js';
+import * as servers from './acts/server-acts.js';
+import * as setups from './acts/setup-acts.js';
+import * as traffic from './acts/traffic-acts.js';
 import type { Scenario, ScenarioAct } from './scenario.js';
 
 const second = 1_000_000;
 
 /** Nothing but planned changes: nothing may be cut off, hardly anything refused, at any time. */
-const planned = { plannedOnly: true, mostRefusedShare: 0.002, troubleEndsShare: 1 } as const;
+const planned = { plannedOnly: true, troubleEndsShare: 1 } as const;
 
 const asGiven = (deployment: Deployment): Deployment => deployment;
 
@@ -38,15 +44,12 @@
 
 const quickWarmup = (setup: Setup): Setup => ({ ...setup, warmup: { ...setup.warmup, boundUs: 6 * second, settleUs: 4 * second } });
 
-const mostRefusedInTrouble = 0.03;
-
 /** Four faults one after another in the first part of the time, and then time to come back. */
 const faulty = (name: string, about: string, faults: readonly (readonly [string, FaultAct])[]): Scenario => ({
   name,
   about,
   seconds: 75,
   plannedOnly: false,
-  mostRefusedShare: mostRefusedInTrouble,
   troubleEndsShare: 0.72,
   size: asGiven,
   setup: quickWarmup,
@@ -63,9 +66,9 @@
     size: smaller,
     setup: (setup) => ({ ...setup, fleet: { routers: 3 }, warmup: { ...setup.warmup, boundUs: 3 * second, settleUs: 2 * second } }),
     acts: [
-      { atShare: 0.1, name: 'join', act: acts.join },
-      { atShare: 0.2, name: 'leave', act: acts.leaveOne },
-      { atShare: 0.5, name: 'setup change', act: acts.changeSetup },
+      { atShare: 0.1, name: 'join', act: servers.join },
+      { atShare: 0.2, name: 'leave', act: servers.leaveOne },
+      { atShare: 0.5, name: 'setup change', act: setups.changeSetup },
     ],
   },
   {
@@ -76,10 +79,10 @@
     size: asGiven,
     setup: (setup) => setup,
     acts: [
-      { atShare: 0.15, name: 'join', act: acts.join },
-      { atShare: 0.4, name: 'setup change', act: acts.changeSetup },
-      { atShare: 0.5, name: 'leave', act: acts.leaveOne },
-      { atShare: 0.65, name: 'join again', act: acts.join },
+      { atShare: 0.15, name: 'join', act: servers.join },
+      { atShare: 0.4, name: 'setup change', act: setups.changeSetup },
+      { atShare: 0.5, name: 'leave', act: servers.leaveOne },
+      { atShare: 0.65, name: 'join again', act: servers.join },
     ],
   },
   joining('join-warm', 'one server joins, with warm-up, single-flight and pace', (setup) => setup),
@@ -96,57 +99,81 @@
     size: asGiven,
     setup: quickWarmup,
     acts: [
-      { atShare: 0.08, name: 'roll servers', act: acts.rollServers },
-      { atShare: 0.1, name: 'roll routers', act: acts.rollRouters },
-      { atShare: 0.7, name: 'roll core machines', act: acts.rollControls },
+      { atShare: 0.08, name: 'roll servers', act: servers.rollServers },
+      { atShare: 0.1, name: 'roll routers', act: nodes.rollRouters },
+      { atShare: 0.7, name: 'roll core machines', act: nodes.rollControls },
     ],
   },
   faulty('kills', 'routers killed alone and half of them at once, the leader of the core killed', [
-    ['kill a router', acts.killRouter],
-    ['kill the leader', acts.killLeader],
-    ['kill half of the routers', acts.killHalf],
-    ['change the setup', acts.changeSetup],
+    ['kill a router', nodes.killRouter],
+    ['kill the leader', nodes.killLeader],
+    ['kill half of the routers', nodes.killHalf],
+    ['change the setup', setups.changeSetup],
   ]),
   faulty('freezes', 'routers and the leader of the core freeze and wake', [
-    ['freeze a router', acts.freezeRouter],
-    ['freeze the leader', acts.freezeLeader],
-    ['an address passes to another service in a freeze', acts.reuseAddress],
-    ['change the setup', acts.changeSetup],
+    ['freeze a router', nodes.freezeRouter],
+    ['freeze the leader', nodes.freezeLeader],
+    ['an address passes to another service in a freeze', servers.reuseAddress],
+    ['change the setup', setups.changeSetup],
   ]),
   faulty('servers', 'model servers crash, go dark alone and all together; a server joins', [
-    ['a server crashes', acts.crashServer],
-    ['a server goes dark', acts.darkServer],
-    ['a server joins', acts.join],
-    ['all model servers go dark', acts.allDark],
+    ['a server crashes', servers.crashServer],
+    ['a server goes dark', servers.darkServer],
+    ['a server joins', servers.join],
+    ['all model servers go dark', servers.allDark],
   ]),
   faulty('cuts', 'the core is cut off and split, a router is isolated, while the setup changes', [
-    ['cut the core off', acts.cutCoreOff],
-    ['split the core', acts.splitCore],
-    ['change the setup', acts.changeSetup],
-    ['isolate a router', acts.isolateRouter],
+    ['cut the core off', links.cutCoreOff],
+    ['split the core', links.splitCore],
+    ['change the setup', setups.changeSetup],
+    ['isolate a router', links.isolateRouter],
   ]),
   faulty('core', 'a core machine comes back empty, operators race, put bursts, a large and a faulty setup', [
-    ['operators race', acts.raceOperators],
-    ['a core machine loses its disk', acts.loseDisk],
-    ['operators race again', acts.raceOperators],
-    ['kill the leader', acts.killLeader],
+    ['operators race', setups.raceOperators],
+    ['a core machine loses its disk', core.loseDisk],
+    ['operators race again', setups.raceOperators],
+    ['kill the leader', nodes.killLeader],
   ]),
   faulty('disks', "the leader's disk is slow, stalls, is full; the setup changes meanwhile", [
-    ['the disk of the leader is slow', acts.slowLeaderDisk],
-    ['change the setup', acts.changeSetup],
-    ['the disk of the leader stalls', acts.stallLeaderDisk],
-    ['the disk of the leader is full', acts.fillDisk],
+    ['the disk of the leader is slow', core.slowLeaderDisk],
+    ['change the setup', setups.changeSetup],
+    ['the disk of the leader stalls', core.stallLeaderDisk],
+    ['the disk of the leader is full', core.fillDisk],
   ]),
   faulty('moves', 'a core machine comes back empty at a new address, seeds move, a server leaves in a split', [
-    ['a core machine moves', acts.moveCore],
-    ['change the setup', acts.changeSetup],
-    ['a server leaves in a split', acts.leaveInSplit],
-    ['kill the leader', acts.killLeader],
+    ['a core machine moves', core.moveCore],
+    ['change the setup', setups.changeSetup],
+    ['a server leaves in a split', links.leaveInSplit],
+    ['kill the leader', nodes.killLeader],
   ]),
   faulty('crowd', 'traffic jumps to three times, most of it on one opening, and one last fault', [
-    ['a crowd on one opening', acts.crowd],
-    ['a server crashes', acts.crashServer],
-    ['another crowd', acts.crowd],
-    ['kill a router', acts.killRouter],
+    ['a crowd on one opening', traffic.crowd],
+    ['a server crashes', servers.crashServer],
+    ['another crowd', traffic.crowd],
+    ['kill a router', nodes.killRouter],
+  ]),
+  faulty('localities', 'one locality of three is lost whole, then split off, while the setup changes', [
+    ['a locality is lost', localities.loseLocality],
+    ['change the setup', setups.changeSetup],
+    ['a locality is split off', localities.splitLocality],
+    ['change the setup again', setups.changeSetup],
+  ]),
+  faulty('many', 'all routers killed at once, then every process of the fleet, then two faults at a time', [
+    ['kill all routers', nodes.killAllRouters],
+    ['kill every process', nodes.killAll],
+    ['split the core and kill a router', links.splitAndKill],
+    ['kill the leader and a router', nodes.killLeaderAndRouter],
+  ]),
+  faulty('grey', 'servers that answer probes are slow, err or fall silent; servers leave in a warm-up and in a carry-over', [
+    ['a server turns grey', servers.greyServer],
+    ['a server leaves in its warm-up', servers.leaveInWarmUp],
+    ['a server leaves in a carry-over', servers.leaveInCarryOver],
+    ['another server turns grey', servers.greyServer],
+  ]),
+  faulty('bursts', 'large setups in a fast burst, operators race, the leader is killed in between', [
+    ['a burst of large setups', setups.burstOfLarge],
+    ['operators race', setups.raceOperators],
+    ['kill the leader', nodes.killLeader],
+    ['another burst of large setups', setups.burstOfLarge],
   ]),
 ];
--- a/src/rehearsal/run/summary.ts
+++ b/src/rehearsal/run/summary.ts
@@ -1,3 +1,4 @@
+import { countRefusals } from '../checker/check-refusals.js';
 import type { CallEnd, CallRecord } from '../history/call-record.js';
 import type { History } from '../history/history.js';
 import type { RehearsalEnd } from './rehearse.js';
@@ -33,7 +34,7 @@
   });
 
 /** The figures of a rehearsal, for people and for notes. */
-export const summaryOf = ({ history, findings, servers }: RehearsalEnd) => {
+export const summaryOf = ({ history, findings, servers, serviceOf }: RehearsalEnd) => {
   const ends: Partial<Record<CallEnd, number>> = {};
   for (const call of history.calls) ends[call.end] = (ends[call.end] ?? 0) + 1;
   const waits = waitsOf(history.calls);
@@ -43,6 +44,7 @@
     calls: history.calls.length,
     ends,
     errors,
+    refusals: countRefusals(history, serviceOf),
     runs: history.runs.length,
     coldRuns: history.coldCalls.size,
     joins: joinsOf(history),
--- /dev/null
+++ b/src/rehearsal/stand-in/http-desk.ts
@@ -0,0 +1,60 @@
+import { object, string } from 'yup';
+import { checked } from '../../common/checked.js';
+import { typedError, type TypedError } from '../../common/typed-error.js';
+import { httpCall, type HttpAnswer, type HttpCall } from '../../cli/http-call.js';
+import type { OperatorDesk } from '../../process/operator/operator-desk.js';
+import type { OperatorWord } from '../../process/operator/operator-word.js';
+import { recordSchema } from '../../setup/check/record-schema.js';
+import { readNumbers } from './read-numbers.js';
+
+const outcomeSchema = object({ outcome: string().required() });
+
+const wordOf = (proposal: string, { status, body }: HttpAnswer): OperatorWord => {
+  const { revision = 0, newest = 0 } = readNumbers(body, ['revision', 'newest']);
+  const outcome = checked(outcomeSchema, body).map((told) => told.outcome).orDefault('');
+  switch (status) {
+    case 200:
+      return outcome === 'void'
+        ? { type: 'decided', proposal, outcome: { type: 'void', revision: newest } }
+        : { type: 'decided', proposal, outcome: { type: 'taken', revision } };
+    case 409:
+      return { type: 'decided', proposal, outcome: { type: outcome === 'void' ? 'void' : 'lost-race', revision: newest } };
+    case 202:
+      return { type: 'unknown', proposal, error: typedError('undecided', 'the core gave no last word') };
+    case 422:
+      return { type: 'refused', error: typedError('invalid-setup', JSON.stringify(body)) };
+    default:
+      return { type: 'refused', error: typedError('unreachable', `status ${status}`) };
+  }
+};
+
+/** An operator's way to a core machine over HTTP. A call that breaks may have been heard. */
+export const httpDesk = (address: () => string): OperatorDesk => {
+  const told = async (proposal: string, call: Omit<HttpCall, 'address'>): Promise<OperatorWord> =>
+    (await httpCall({ ...call, address: address() }).run()).caseOf<OperatorWord>({
+      Left: (error: TypedError) => ({ type: 'unknown', proposal, error }),
+      Right: (answer) => wordOf(proposal, answer),
+    });
+  return {
+    read: async () =>
+      (await httpCall({ method: 'GET', address: address(), path: '/operator/setup' }).run()).caseOf<OperatorWord>({
+        Left: (error) => ({ type: 'refused', error }),
+        Right: ({ status, body }) => {
+          if (status === 404) return { type: 'none' };
+          return checked(recordSchema, body).caseOf<OperatorWord>({
+            Left: () => ({ type: 'refused', error: typedError('unreachable', `status ${status}`) }),
+            Right: (record) => ({ type: 'record', record }),
+          });
+        },
+      }),
+    put: (value, proposal, expected) =>
+      told(proposal, {
+        method: 'PUT',
+        path: '/operator/setup',
+        headers: { 'proposal-id': proposal, ...(expected === undefined ? {} : { 'if-match': `"${expected}"` }) },
+        body: JSON.stringify(value),
+      }),
+    ask: (proposal) => told(proposal, { method: 'GET', path: `/operator/proposals/${proposal}` }),
+    withdraw: (proposal) => told(proposal, { method: 'DELETE', path: `/operator/proposals/${proposal}` }),
+  };
+};
--- a/src/rehearsal/stand-in/open-server.ts
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -5,8 +5,10 @@
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import { addressParts } from '../../spread/link/address-parts.js';
 import type { History } from '../history/history.js';
+import type { OutageType } from '../history/outage-type.js';
 import type { RunRecord } from '../history/run-record.js';
 import { readExchange, type ServerExchange } from './read-exchange.js';
+import type { ServerMood } from './server-mood.js';
 import type { StandInServer } from './stand-in-server.js';
 import { pieceText, readWorkText } from './work-text.js';
 
@@ -45,6 +47,8 @@
   let prefills = 0;
   let waitingPrefills: (() => void)[] = [];
   let light: Promise<void> = Promise.resolve();
+  let mood: ServerMood = 'well';
+  const tell = (type: 'begins' | 'ends', what: OutageType): void => void history.troubles.push({ type, atUs: steadyNow(), who: listed.id, what });
 
   const prefill = async (opening: string): Promise<boolean> => {
     const prefix = prefixOf(listed.service, opening);
@@ -90,8 +94,9 @@
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     for (let piece = exchange.fromPiece; piece < pieces && !response.destroyed; piece += 1) {
       await light;
+      while (mood === 'stuck' && !response.destroyed) await pause(figures.pieceMillis);
       response.write(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
-      await pause(figures.pieceMillis);
+      await pause(mood === 'slow' ? figures.pieceMillis * 20 : figures.pieceMillis);
     }
     response.end(`${JSON.stringify({ end: true, pieces })}\n`);
   };
@@ -107,6 +112,10 @@
       reply(response, 400, { error: 'bad exchange' });
       return;
     }
+    if (mood === 'erring') {
+      reply(response, 503, { error: 'erring' });
+      return;
+    }
     if (runs >= figures.mostRuns) {
       reply(response, 503, { error: 'full' });
       return;
@@ -130,19 +139,30 @@
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
+  history.servers.push({ server: listed.id, service: listed.service, openedUs: steadyNow() });
+  tell('ends', 'down');
   return {
     listed,
     coldPrefills: () => coldPrefills,
     crash: () => {
+      tell('begins', 'down');
       server.close();
       server.closeAllConnections();
     },
+    become: (newMood) => {
+      mood = newMood;
+      tell(newMood === 'well' ? 'ends' : 'begins', 'grey');
+    },
     goDark: () => {
       let wake: () => void = () => undefined;
       light = new Promise((resolve) => {
         wake = resolve;
       });
-      return () => wake();
+      tell('begins', 'dark');
+      return () => {
+        tell('ends', 'dark');
+        wake();
+      };
     },
   };
 };
--- a/src/rehearsal/stand-in/platform.ts
+++ b/src/rehearsal/stand-in/platform.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici';
-import { object, boolean } from 'yup';
+import { boolean, number, object, string } from 'yup';
 import { checked } from '../../common/checked.js';
 import { steadyNow } from '../../common/micros.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
@@ -7,7 +7,6 @@
 import { oneOf, type Chance } from '../../common/chance.js';
 import { noteLeaves } from '../history/note-leaves.js';
 import type { History } from '../history/history.js';
-import { readNumbers } from './read-numbers.js';
 
 /** A node as the platform and the operators reach it. */
 export type RehearsedNode = {
@@ -32,6 +31,7 @@
 const probeBudgetMillis = 800;
 const listMillis = 1_000;
 
+const watchedSchema = object({ revision: number().required(), digest: string().optional(), version: number().required() }).required();
 const readySchema = object({ ready: boolean().required() }).required();
 
 export const openPlatform = (nodes: readonly RehearsedNode[], history: History, chance: Chance): Platform => {
@@ -65,8 +65,8 @@
       if (isReady) ready.add(node.node);
       else ready.delete(node.node);
       const counters = await request(`http://${node.http}/partners`, { signal });
-      const { revision, version } = readNumbers(await counters.body.json(), ['revision', 'version']);
-      history.watches.push({ node: node.node, boot, atUs: steadyNow(), ready: isReady, revision: revision ?? 0, version: version ?? 0 });
+      const { revision, digest, version } = await watchedSchema.validate(await counters.body.json());
+      history.watches.push({ node: node.node, boot, atUs: steadyNow(), ready: isReady, revision, digest, version });
     } catch {
       ready.delete(node.node);
     }
--- a/src/rehearsal/stand-in/stand-in-server.ts
+++ b/src/rehearsal/stand-in/stand-in-server.ts
@@ -1,3 +1,4 @@
+import type { ServerMood } from './server-mood.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 
 /** A back end of the rehearsal. */
@@ -8,4 +9,6 @@
   readonly crash: () => void;
   /** Stops answering but keeps its links, until the returned call. */
   readonly goDark: () => () => void;
+  /** Changes how it treats orders from now on; probes are answered all the same. */
+  readonly become: (mood: ServerMood) => void;
 };
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -26,7 +26,7 @@
 
 export const openCoreFleet = (seed: number): AskedCore => {
   const world = openWorld(seed);
-  const commons: SimCommons = { world, network: openNetwork(world), ports: new Map(), serverAt: () => undefined };
+  const commons: SimCommons = { world, network: openNetwork(world), ports: new Map(), serverAt: () => undefined, note: () => undefined };
   const fleet = openCoreIn(commons);
   const surroundings = simSurroundingsOf(commons, 'client', 'client:1', openSimNode(world).begin());
   const spread = openSpreadTask(
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -1,7 +1,7 @@
 import { wholeBelow } from '../../common/chance.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { sampleSetup } from '../sample-setup.js';
-import { askDesk } from './ask-desk.js';
+import { simDesk } from './sim-desk.js';
 import { bringFaults, endFaults } from './core-faults.js';
 import { openCoreFleet } from './core-fleet.js';
 
@@ -12,6 +12,7 @@
 const play = async (seed: number): Promise<SimRun> => {
   const fleet = openCoreFleet(seed);
   const { world, rules } = fleet;
+  const desk = simDesk(fleet);
   const counts = { taken: 0, lostRace: 0, unknown: 0, reads: 0, claimsWon: 0, claimsRepeated: 0 };
   const faults: string[] = [];
   const takenNames = new Map<number, string>();
@@ -24,9 +25,9 @@
     proposals += 1;
     const name = `setup-${proposals}`;
     const setup = sampleSetup(name);
-    askDesk(fleet, (desk) => desk.put(setup, name, expected), (word) => {
-      if (word?.type === 'refused') refusedNames.add(name);
-      if (word?.type !== 'decided') {
+    void desk.put(setup, name, expected).then((word) => {
+      if (word.type === 'refused') refusedNames.add(name);
+      if (word.type !== 'decided') {
         counts.unknown += 1;
         return;
       }
@@ -48,8 +49,8 @@
 
   const read = (use: (revision: number) => void): void => {
     const leastRevision = newestToldRevision;
-    askDesk(fleet, (desk) => desk.read(), (word) => {
-      if (word?.type !== 'record' && word?.type !== 'none') return;
+    void desk.read().then((word) => {
+      if (word.type !== 'record' && word.type !== 'none') return;
       counts.reads += 1;
       const revision = word.type === 'record' ? word.record.revision : 0;
       if (revision < leastRevision) rules.breakRule(`a read gave revision ${revision} after ${leastRevision} was told`);
@@ -106,8 +107,8 @@
     read((revision) => {
       proposals += 1;
       const name = `setup-${proposals}`;
-      askDesk(fleet, (desk) => desk.put(sampleSetup(name), name, revision), (word) => {
-        if (word?.type === 'decided' && word.outcome.type === 'taken') isBack = true;
+      void desk.put(sampleSetup(name), name, revision).then((word) => {
+        if (word.type === 'decided' && word.outcome.type === 'taken') isBack = true;
       });
     });
   for (let attempt = 0; attempt < 5; attempt += 1) world.after(attempt * 2 * second, tryPut);
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -50,7 +50,7 @@
 
 export const openSimControl = ({ name, locality, bornAddress, seeds, commons, logOf, hearUnkept }: SimControlPlan): SimControl => {
   const { world } = commons;
-  const node = openSimNode(world);
+  const node = openSimNode(world, (type, what) => commons.note(type, name, what));
   const said = openSaid();
   const usedIdentities = new Set<string>();
   let address = bornAddress;
@@ -151,9 +151,11 @@
     },
     slowDisk: (newSyncUs) => {
       syncUs = newSyncUs;
+      commons.note(newSyncUs > usualDiskUs ? 'begins' : 'ends', name, 'disk');
     },
     fillDisk: (isFullNow) => {
       isFull = isFullNow;
+      commons.note(isFullNow ? 'begins' : 'ends', name, 'disk');
     },
     hear: (act) => {
       const present = tasks;
--- a/src/sim/fleet/fleet-faults.ts
+++ b/src/sim/fleet/fleet-faults.ts
@@ -1,4 +1,6 @@
 import { oneOf } from '../../common/chance.js';
+import { localities } from '../core/core-fleet.js';
+import type { SimControl } from '../core/sim-control.js';
 import type { SimCallers } from './sim-callers.js';
 import type { SimFleet } from './sim-fleet.js';
 import type { SimRouter } from './sim-router.js';
@@ -35,10 +37,9 @@
     }
 };
 
-/** Ends all cuts after a while; the history tells from when to when nodes may have been out of reach. */
+/** Ends all cuts after a while. */
 const healLater = (fleet: SimFleet): void => {
   const span = Math.ceil(within(fleet, 2 * second, 5 * second));
-  fleet.history.faults.push({ name: 'cut', fromUs: fleet.world.now(), untilUs: fleet.world.now() + span });
   fleet.world.after(span, fleet.network.heal);
 };
 
@@ -56,6 +57,21 @@
   });
 };
 
+const killCore = (fleet: SimFleet, machine: SimControl): void => {
+  machine.kill();
+  fleet.world.after(within(fleet, 500_000, 2 * second), machine.start);
+};
+
+/** All that stands in one locality, drawn by lot. */
+const localityOf = (fleet: SimFleet) => {
+  const locality = oneOf(fleet.world.chance, localities);
+  return {
+    inside: fleet.routers.filter((router) => router.locality === locality),
+    machines: fleet.core.machines.filter((machine) => machine.locality === locality),
+    servers: fleet.servers().filter((server) => server.listed.locality === locality),
+  };
+};
+
 export const fleetFaults: readonly FleetFault[] = [
   {
     name: 'kill a router',
@@ -64,6 +80,60 @@
       if (router !== undefined) killRouter(fleet, router);
     },
   },
+  { name: 'kill all routers', bring: (fleet) => fleet.routers.forEach((router) => killRouter(fleet, router)) },
+  {
+    name: 'kill every process',
+    bring: (fleet) => {
+      fleet.routers.forEach((router) => killRouter(fleet, router));
+      for (const machine of fleet.core.machines) killCore(fleet, machine);
+    },
+  },
+  {
+    name: 'lose a whole locality',
+    bring: (fleet) => {
+      const { inside, machines, servers } = localityOf(fleet);
+      inside.forEach((router) => killRouter(fleet, router));
+      for (const machine of machines) killCore(fleet, machine);
+      for (const server of servers) crashServer(fleet, server);
+    },
+  },
+  {
+    name: 'split a whole locality off',
+    bring: (fleet) => {
+      const { inside, machines, servers } = localityOf(fleet);
+      const own = [...inside.map((router) => router.address), ...machines.map((machine) => machine.address()), ...servers.map((server) => server.listed.address)];
+      const others = [...addressesOf(fleet), ...fleet.servers().map((server) => server.listed.address)].filter((address) => !own.includes(address));
+      cutApart(fleet, own, others, false);
+      healLater(fleet);
+    },
+  },
+  {
+    name: 'a server turns grey',
+    bring: (fleet) => {
+      const server = anyModel(fleet);
+      server?.become(oneOf(fleet.world.chance, ['slow', 'stuck', 'erring'] as const) ?? 'slow');
+      fleet.world.after(within(fleet, 2 * second, 4 * second), () => server?.become('well'));
+    },
+  },
+  {
+    name: 'a server leaves in its warm-up',
+    bring: (fleet) => {
+      const joiner = fleet.openServer('model');
+      fleet.showServers();
+      fleet.world.after(2 * second, () => fleet.leave(joiner));
+    },
+  },
+  {
+    name: 'a server leaves in the middle of a carry-over',
+    bring: (fleet) => {
+      const server = anyModel(fleet);
+      if (server !== undefined) crashServer(fleet, server);
+      fleet.world.after(150_000, () => {
+        const leaver = anyModel(fleet);
+        if (leaver !== undefined) fleet.leave(leaver);
+      });
+    },
+  },
   { name: 'kill half of the routers', bring: (fleet) => fleet.routers.filter((_, place) => place % 2 === 0).forEach((router) => killRouter(fleet, router)) },
   {
     name: 'freeze a router',
@@ -122,7 +192,6 @@
       router.node.freeze();
       cutApart(fleet, [router.address], others, false);
       fleet.network.cut('platform', router.address);
-      fleet.history.faults.push({ name: 'cut', fromUs: fleet.world.now(), untilUs: fleet.world.now() + span });
       fleet.world.after(span, () => {
         fleet.network.heal();
         router.node.wake();
@@ -213,9 +282,11 @@
   {
     name: 'a crowd on one opening',
     bring: (fleet, callers) => {
+      fleet.history.troubles.push({ type: 'begins', atUs: fleet.world.now(), who: 'callers', what: 'crowd' });
       callers.crowd(0.7);
       callers.speed(3);
       fleet.world.after(5 * second, () => {
+        fleet.history.troubles.push({ type: 'ends', atUs: fleet.world.now(), who: 'callers', what: 'crowd' });
         callers.crowd(0);
         callers.speed(1);
       });
@@ -228,6 +299,7 @@
   fleet.network.heal();
   callers.crowd(0);
   callers.speed(1);
+  for (const server of fleet.servers()) server.become('well');
   for (const machine of fleet.core.machines) {
     machine.node.wake();
     machine.start();
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -1,8 +1,11 @@
 import { oneOf } from '../../common/chance.js';
-import { checkFewRefusals, checkNoCuts, checkRecovery } from '../../rehearsal/checker/check-answers.js';
-import { checkAlways } from '../../rehearsal/checker/check-history.js';
+import { checkHistory } from '../../rehearsal/checker/check-history.js';
+import { countRefusals } from '../../rehearsal/checker/check-refusals.js';
+import { termsOf } from '../../rehearsal/checker/terms-of.js';
 import type { History } from '../../rehearsal/history/history.js';
-import { askDesk } from '../core/ask-desk.js';
+import { openOperator } from '../../rehearsal/stand-in/operator.js';
+import { simDesk } from '../core/sim-desk.js';
+import type { Setup } from '../../setup/document/setup.js';
 import { sampleSetup } from '../sample-setup.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { endFleetFaults, fleetFaults, type FleetFault } from './fleet-faults.js';
@@ -13,29 +16,11 @@
 const warmUpUs = 8 * second;
 const troubleEndsUs = 40 * second;
 const endUs = troubleEndsUs + 20 * second;
+/** By then every put has had its time, and what is read is the end of the story. */
+const lastLookUs = endUs + 14 * second;
 
 export type FleetSizes = { readonly routers: number; readonly models: number; readonly webs: number; readonly callsPerSecond: number };
 
-const mostRefusedShare = 0.002;
-
-const onceKinds = new Set(['summary']);
-
-const put = (fleet: SimFleet, name: string, expected: number, routers: number): void => {
-  const askedUs = fleet.world.now();
-  askDesk(fleet.core, (desk) => desk.put(sampleSetup(name, routers), name, expected), (word) => {
-    const outcome = word?.type === 'decided' ? word.outcome : undefined;
-    fleet.history.puts.push({
-      proposal: name,
-      expected,
-      name,
-      askedUs,
-      toldUs: fleet.world.now(),
-      outcome: outcome === undefined ? (word?.type === 'refused' ? 'refused' : 'unknown') : outcome.type === 'taken' ? 'taken' : 'lost-race',
-      revision: outcome?.revision,
-    });
-  });
-};
-
 const openAll = (fleet: SimFleet, sizes: FleetSizes): void => {
   for (let place = 0; place < sizes.models; place += 1) fleet.openServer('model');
   for (let place = 0; place < sizes.webs; place += 1) fleet.openServer('status');
@@ -44,30 +29,43 @@
   fleet.platform.start();
 };
 
+/** An operator who changes, races, bursts, errs, and asks after what it was not told. */
 const operateOn = (fleet: SimFleet, routers: number): void => {
-  let proposals = 0;
+  const { world, history, core } = fleet;
+  const operator = openOperator(history, world.now, simDesk(core));
+  let setups = 0;
+  const next = (): Setup => {
+    setups += 1;
+    return sampleSetup(`setup-${setups}`, routers);
+  };
+  const change = async (): Promise<void> => {
+    const revision = await operator.read();
+    if (revision === undefined) return;
+    const firstPut = operator.put(next(), revision);
+    if (world.chance() < 0.4) void operator.put(next(), revision);
+    if (world.chance() < 0.2) void operator.put({ ...next(), tiers: [] }, revision);
+    const first = await firstPut;
+    if (first.outcome === 'taken' && world.chance() < 0.2)
+      for (let place = 0; place < 4; place += 1) await operator.put(next(), undefined);
+  };
   const again = (): void => {
-    askDesk(fleet.core, (desk) => desk.read(), (word) => {
-      if (word?.type !== 'record' && word?.type !== 'none') return;
-      const revision = word.type === 'record' ? word.record.revision : 0;
-      proposals += 1;
-      put(fleet, `setup-${proposals}`, revision, routers);
-      if (fleet.world.chance() < 0.4) {
-        proposals += 1;
-        put(fleet, `setup-${proposals}`, revision, routers);
-      }
-    });
-    fleet.world.after(second + fleet.world.chance() * 3 * second, again);
+    if (world.now() >= endUs) return;
+    void change();
+    world.after(second + world.chance() * 3 * second, again);
+  };
+  const lookOn = (): void => {
+    if (world.now() < lastLookUs) world.after(1.5 * second, lookOn);
+    void operator.read();
+    void operator.settle(world.chance() < 0.5);
   };
-  fleet.world.after(2 * second, again);
+  world.after(2 * second, again);
+  world.after(3 * second, lookOn);
 };
 
 const countEnds = (history: History): Record<string, number> => {
   const counts: Record<string, number> = { calls: history.calls.length, runs: history.runs.length };
-  for (const call of history.calls) {
-    counts[call.end] = (counts[call.end] ?? 0) + 1;
-    if (call.end === 'refused') counts[`refused.${call.error}`] = (counts[`refused.${call.error}`] ?? 0) + 1;
-  }
+  for (const call of history.calls) counts[call.end] = (counts[call.end] ?? 0) + 1;
+  for (const [name, count] of Object.entries(countRefusals(history, termsOf(sampleSetup('terms'), false, 0).serviceOf))) counts[`refused ${name}`] = count;
   return counts;
 };
 
@@ -81,9 +79,7 @@
 const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
   ...fleet.core.rules.broken(),
   ...[
-    ...checkAlways(fleet.history, onceKinds),
-    ...checkRecovery(fleet.history, troubleEndsUs),
-    ...(isPlanned ? [...checkNoCuts(fleet.history), ...checkFewRefusals(fleet.history, mostRefusedShare)] : []),
+    ...checkHistory(fleet.history, termsOf(sampleSetup('terms'), isPlanned, isPlanned ? endUs : troubleEndsUs)),
   ]
     .slice(0, 9)
     .map((finding) => `${finding.rule}: ${finding.detail}`),
@@ -114,7 +110,8 @@
     if (planned === undefined) endFleetFaults(fleet, callers);
     await fleet.world.playUntil(endUs);
     callers.stop();
-    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) await fleet.world.playUntil(endUs + waited * second);
+    await fleet.world.playUntil(lastLookUs + 2 * second);
+    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) await fleet.world.playUntil(lastLookUs + (2 + waited) * second);
     return { broken: sumUp(fleet, callers.underWay(), planned !== undefined), counts: countEnds(fleet.history), faults: faultsTold };
   };
 
--- a/src/sim/fleet/sim-callers.ts
+++ b/src/sim/fleet/sim-callers.ts
@@ -1,10 +1,11 @@
 import { oneOf, wholeBelow } from '../../common/chance.js';
 import type { CallEnd } from '../../rehearsal/history/call-record.js';
+import type { Call } from '../../rehearsal/stand-in/caller.js';
 import { toRetrySeconds } from '../../common/micros.js';
 import { writeWorkText } from '../../rehearsal/stand-in/work-text.js';
 import { parseStreamLine } from '../../router/delivery/piece.js';
 import type { SimFleet } from './sim-fleet.js';
-import type { SimCaller } from './sim-router.js';
+import type { SimCaller, SimRouter } from './sim-router.js';
 
 /** Callers of a virtual fleet. */
 export type SimCallers = {
@@ -25,8 +26,63 @@
 
 const repeatedShare = 0.15;
 
+/** What a caller wants. */
+export type CallerWish = Omit<Call, 'isModel'>;
+
+/** One call to a router; its end is written down. `ended` hears of it. */
+export const openCaller = ({ world, history }: Pick<SimFleet, 'world' | 'history'>, wish: CallerWish, router: SimRouter, ended: () => void = () => undefined): void => {
+  const { work, call, kind, key, pieces: wanted } = wish;
+  const startUs = world.now();
+  const pieces: string[] = [];
+  let firstPieceUs: number | undefined;
+  let isEnded = false;
+  const hearEnd = (end: CallEnd, error: string | undefined, retryAfter: string | undefined): void => {
+    if (isEnded) return;
+    isEnded = true;
+    ended();
+    history.calls.push({
+      work,
+      call,
+      kind,
+      key,
+      node: router.name,
+      exchange: undefined,
+      startUs,
+      firstPieceUs,
+      endUs: world.now(),
+      end,
+      status: 0,
+      pieces,
+      wanted,
+      retryAfter,
+      error,
+    });
+  };
+  const caller: SimCaller = {
+    isEnded: () => isEnded,
+    isGone: () => isEnded,
+    onGone: () => undefined,
+    piece: (_exchange, text) => {
+      const line = parseStreamLine(text.trimEnd());
+      if (isEnded || line?.type !== 'piece') return Promise.resolve(false);
+      firstPieceUs ??= world.now();
+      pieces.push(line.text);
+      return Promise.resolve(true);
+    },
+    end: (_exchange, count) => hearEnd(count === pieces.length && count === wanted ? 'complete' : 'malformed', undefined, undefined),
+    answer: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
+    refuse: (error, _exchange, retryAfterUs) =>
+      hearEnd('refused', error.type, retryAfterUs === undefined ? undefined : String(toRetrySeconds(retryAfterUs))),
+    unknown: (error) => hearEnd(error.type === 'repeated-key' ? 'repeated' : 'unknown', error.type, undefined),
+    breakOff: () => hearEnd('cut', 'broken off', undefined),
+    lose: () => hearEnd(pieces.length > 0 ? 'cut' : 'lost', 'node gone', undefined),
+  };
+  const body = { kind, opening: wish.opening, text: writeWorkText({ work, call, pieces: wanted }) };
+  world.after(200 + world.chance() * 1_000, () => router.accept(body, key, caller));
+};
+
 export const openSimCallers = (fleet: SimFleet, callsPerSecond: number): SimCallers => {
-  const { world, history, platform } = fleet;
+  const { world, platform } = fleet;
   let count = 0;
   let factor = 1;
   let crowdShare = 0;
@@ -36,54 +92,9 @@
   const call = (work: string, name: string, kind: (typeof kinds)[number], opening: string): void => {
     const router = oneOf(world.chance, platform.readyRouters());
     if (router === undefined) return;
-    const startUs = world.now();
-    const pieces: string[] = [];
-    let firstPieceUs: number | undefined;
-    let isEnded = false;
-    const running = `${name}@${router.name} since ${startUs} us`;
+    const running = `${name}@${router.name} since ${world.now()} us`;
     underWay.add(running);
-    const hearEnd = (end: CallEnd, error: string | undefined, retryAfter: string | undefined): void => {
-      if (isEnded) return;
-      isEnded = true;
-      underWay.delete(running);
-      history.calls.push({
-        work,
-        call: name,
-        kind: kind.kind,
-        key: kind.once ? work : undefined,
-        node: router.name,
-        exchange: undefined,
-        startUs,
-        firstPieceUs,
-        endUs: world.now(),
-        end,
-        status: 0,
-        pieces,
-        wanted: kind.pieces,
-        retryAfter,
-        error,
-      });
-    };
-    const caller: SimCaller = {
-      isEnded: () => isEnded,
-      isGone: () => isEnded,
-      onGone: () => undefined,
-      piece: (_exchange, text) => {
-        const line = parseStreamLine(text.trimEnd());
-        if (isEnded || line?.type !== 'piece') return Promise.resolve(false);
-        firstPieceUs ??= world.now();
-        pieces.push(line.text);
-        return Promise.resolve(true);
-      },
-      end: (_exchange, count) => hearEnd(count === pieces.length && count === kind.pieces ? 'complete' : 'malformed', undefined, undefined),
-      answer: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
-      refuse: (error, _exchange, retryAfterUs) => hearEnd('refused', error.type, retryAfterUs === undefined ? undefined : String(toRetrySeconds(retryAfterUs))),
-      unknown: (error) => hearEnd(error.type === 'repeated-key' ? 'repeated' : 'unknown', error.type, undefined),
-      breakOff: () => hearEnd('cut', 'broken off', undefined),
-      lose: () => hearEnd(pieces.length > 0 ? 'cut' : 'lost', 'node gone', undefined),
-    };
-    const body = { kind: kind.kind, opening, text: writeWorkText({ work, call: name, pieces: kind.pieces }) };
-    world.after(200 + world.chance() * 1_000, () => router.accept(body, kind.once ? work : undefined, caller));
+    openCaller(fleet, { work, call: name, kind: kind.kind, key: kind.once ? work : undefined, opening, pieces: kind.pieces }, router, () => underWay.delete(running));
   };
 
   const one = (): void => {
--- a/src/sim/fleet/sim-fleet.ts
+++ b/src/sim/fleet/sim-fleet.ts
@@ -35,7 +35,8 @@
   let serverCount = 0;
   const serverAt = (address: string): SimServer | undefined =>
     [...servers.values()].find((server) => server.listed.address === address && server.isUp());
-  const commons: SimCommons = { world, network, ports: new Map(), serverAt };
+  const note: SimCommons['note'] = (type, who, what) => void history.troubles.push({ type, atUs: world.now(), who, what });
+  const commons: SimCommons = { world, network, ports: new Map(), serverAt, note };
   const core = openCoreIn(commons);
   const routers = Array.from({ length: routerCount }, (_, index) => {
     const name = `r${index + 1}`;
@@ -53,6 +54,18 @@
     ...core.machines.map((machine) => ({ address: machine.address, spread: () => machine.tasks()?.spread, node: machine.node })),
   ]);
 
+  for (const router of routers) history.nodes.push({ node: router.name, role: 'router' });
+  for (const machine of core.machines) history.nodes.push({ node: machine.name, role: 'control' });
+  const nameAt = (address: string): string =>
+    routers.find((router) => router.address === address)?.name ??
+    core.machines.find((machine) => machine.address() === address)?.name ??
+    serverAt(address)?.listed.id ??
+    address;
+  network.watch({
+    cut: (from, to) => void history.troubles.push({ type: 'cut', atUs: world.now(), from: nameAt(from), to: nameAt(to) }),
+    heal: () => void history.troubles.push({ type: 'heal', atUs: world.now() }),
+  });
+
   const showServers = (): void => {
     const shown: ListedServer[] = [];
     for (const [id, server] of servers) {
@@ -85,6 +98,8 @@
         state: 'up',
       };
       const server = openSimServer(world, history, listed);
+      history.servers.push({ server: listed.id, service, openedUs: world.now() });
+      note('ends', listed.id, 'down');
       servers.set(listed.id, server);
       leaving.delete(listed.id);
       return server;
--- a/src/sim/fleet/sim-platform.ts
+++ b/src/sim/fleet/sim-platform.ts
@@ -3,6 +3,7 @@
 import type { History } from '../../rehearsal/history/history.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { ServerList } from '../../servers/list/server-list.js';
+import { setupDigestOf } from '../../setup/document/setup-digest.js';
 import type { Network } from '../world/network.js';
 import type { World } from '../world/world.js';
 import type { SpreadTask } from '../../process/spread-task.js';
@@ -50,13 +51,15 @@
     const isReachable = router.node.isUp() && !router.node.isFrozen();
     if (isReachable && router.isReady()) ready.add(router);
     else ready.delete(router);
+    const record = router.tasks()?.spread.view().record;
     if (isReachable)
       history.watches.push({
         node: router.name,
         boot: router.node.boot(),
         atUs: world.now(),
         ready: router.isReady(),
-        revision: router.tasks()?.spread.view().record?.revision ?? 0,
+        revision: record?.revision ?? 0,
+        digest: record === undefined ? undefined : setupDigestOf(record.setup),
         version: router.tasks()?.spread.view().list?.version ?? 0,
       });
     world.after(probeUs, () => probe(router));
--- a/src/sim/fleet/sim-router.ts
+++ b/src/sim/fleet/sim-router.ts
@@ -35,7 +35,7 @@
 };
 
 export const openSimRouter = ({ name, locality, address, seeds, commons, log }: SimRouterPlan): SimRouter => {
-  const node = openSimNode(commons.world);
+  const node = openSimNode(commons.world, (type, what) => commons.note(type, name, what));
   let tasks: RouterNode | undefined;
   let openCallers = new Set<SimCaller>();
 
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -1,12 +1,13 @@
 import type { Micros } from '../../common/micros.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
+import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { History } from '../../rehearsal/history/history.js';
+import type { ServerMood } from '../../rehearsal/stand-in/server-mood.js';
 import { pieceText, readWorkText } from '../../rehearsal/stand-in/work-text.js';
 import type { ServerOrder } from '../../servers/link/server-order.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { World } from '../world/world.js';
 import type { SimServerEars } from './sim-server-ears.js';
-import type { ServerMood } from './server-mood.js';
 
 /** A back end in the virtual world. */
 export type SimServer = {
@@ -30,6 +31,7 @@
 const pieceUs = 40_000;
 
 export const openSimServer = (world: World, history: History, listed: ListedServer): SimServer => {
+  const note = (type: 'begins' | 'ends', what: OutageType): void => void history.troubles.push({ type, atUs: world.now(), who: listed.id, what });
   const rememberedOpenings = new Set<string>();
   const connections = new Set<() => void>();
   const isModel = listed.service !== 'status';
@@ -71,15 +73,22 @@
     remember: (lose) => void connections.add(lose),
     forget: (lose) => void connections.delete(lose),
     crash: () => {
+      if (!isUp) return;
       isUp = false;
+      note('begins', 'down');
       for (const lose of connections) lose();
       connections.clear();
     },
     goDark: (span) => {
       darkUntilUs = Math.max(darkUntilUs, world.now() + Math.ceil(span));
+      note('begins', 'dark');
+      world.after(darkUntilUs - world.now(), () => {
+        if (world.now() >= darkUntilUs) note('ends', 'dark');
+      });
     },
     become: (newMood) => {
       mood = newMood;
+      note(newMood === 'well' ? 'ends' : 'begins', 'grey');
     },
     run: (order, ears) => {
       const reachedUs = world.now();
--- a/src/sim/process/sim-node.ts
+++ b/src/sim/process/sim-node.ts
@@ -1,6 +1,7 @@
 import { oneOf } from '../../common/chance.js';
 import type { Clock } from '../../common/clock/clock.js';
 import type { Micros } from '../../common/micros.js';
+import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { World } from '../world/world.js';
 import type { SimLife } from './sim-life.js';
 
@@ -26,7 +27,10 @@
 
 const mostEpochUs = 3_600_000_000;
 
-export const openSimNode = (world: World): SimNode => {
+/** Hears when a process is hit and when it is whole again. */
+export type TellOutage = (type: 'begins' | 'ends', what: OutageType) => void;
+
+export const openSimNode = (world: World, tell: TellOutage = () => undefined): SimNode => {
   let boot = 0;
   let isUp = false;
   let isFrozen = false;
@@ -71,6 +75,7 @@
     boot: () => boot,
     hear: (act) => lifeOf(boot).hear(act),
     begin: () => {
+      tell('ends', 'down');
       boot += 1;
       isUp = true;
       isFrozen = false;
@@ -78,17 +83,22 @@
       return lifeOf(boot);
     },
     kill: () => {
+      tell('ends', 'frozen');
+      tell('begins', 'down');
       isUp = false;
       isFrozen = false;
       boot += 1;
       backlog = [];
     },
     freeze: () => {
-      isFrozen = isUp;
+      if (!isUp) return;
+      isFrozen = true;
+      tell('begins', 'frozen');
     },
     wake: () => {
       if (!isFrozen) return;
       isFrozen = false;
+      tell('ends', 'frozen');
       const held = backlog;
       backlog = [];
       const ownBoot = boot;
--- a/src/sim/process/sim-surroundings.ts
+++ b/src/sim/process/sim-surroundings.ts
@@ -3,6 +3,7 @@
 import { openDiskRing } from '../../disk/disk-ring.js';
 import type { RingFile } from '../../disk/ring-file.js';
 import type { Surroundings } from '../../process/surroundings/surroundings.js';
+import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { SimServer } from '../fleet/sim-server.js';
 import type { Network } from '../world/network.js';
 import type { World } from '../world/world.js';
@@ -17,6 +18,8 @@
   readonly network: Network;
   readonly ports: SimPorts;
   readonly serverAt: (address: string) => SimServer | undefined;
+  /** Writes down what is done to whom. */
+  readonly note: (type: 'begins' | 'ends', who: string, what: OutageType) => void;
 };
 
 /** The surroundings of one life of a process. */
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -8,8 +8,12 @@
   readonly heal: () => void;
   readonly lossy: (share: number) => void;
   readonly slow: (factor: number) => void;
+  /** Lets cuts and healings be written down. */
+  readonly watch: (ears: NetworkEars) => void;
 };
 
+export type NetworkEars = { readonly cut: (from: string, to: string) => void; readonly heal: () => void };
+
 const leastDelayUs = 200;
 const moreDelayUs = 1_500;
 
@@ -17,6 +21,7 @@
   const cuts = new Set<string>();
   let lossShare = 0;
   let delayFactor = 1;
+  let ears: NetworkEars | undefined;
   return {
     send: (from, to, arrive) => {
       if (cuts.has(`${from}>${to}`) || world.chance() < lossShare) return;
@@ -25,9 +30,13 @@
       });
     },
     isCut: (from, to) => cuts.has(`${from}>${to}`),
-    cut: (from, to) => void cuts.add(`${from}>${to}`),
+    cut: (from, to) => {
+      cuts.add(`${from}>${to}`);
+      ears?.cut(from, to);
+    },
     heal: () => {
       cuts.clear();
+      ears?.heal();
       lossShare = 0;
       delayFactor = 1;
     },
@@ -37,5 +46,8 @@
     slow: (factor) => {
       delayFactor = factor;
     },
+    watch: (newEars) => {
+      ears = newEars;
+    },
   };
 };
--- a/tests/sim/restart-in-split.test.ts
+++ b/tests/sim/restart-in-split.test.ts
@@ -1,13 +1,12 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { askDesk } from '../../src/sim/core/ask-desk.js';
+import { simDesk } from '../../src/sim/core/sim-desk.js';
 import { openSimFleet, type SimFleet } from '../../src/sim/fleet/sim-fleet.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 
 const second = 1_000_000;
 
-const take = (fleet: SimFleet, name: string, expected: number): void =>
-  askDesk(fleet.core, (desk) => desk.put(sampleSetup(name, 4), name, expected), () => undefined);
+const take = (fleet: SimFleet, name: string, expected: number): void => void simDesk(fleet.core).put(sampleSetup(name, 4), name, expected);
 
 const revisionOf = (fleet: SimFleet, place: number): number | undefined => fleet.routers[place]?.tasks()?.spread.view().record?.revision;
 
--- a/tests/spread/spread.test.ts
+++ b/tests/spread/spread.test.ts
@@ -32,7 +32,7 @@
   const ports: SimPorts = new Map();
   const addresses = Array.from({ length: 12 }, (_, index) => `node-${index}:1`);
   const spreads = addresses.map((address) => {
-    const surroundings = simSurroundingsOf({ world, network, ports, serverAt: () => undefined }, address, address, openSimNode(world).begin());
+    const surroundings = simSurroundingsOf({ world, network, ports, serverAt: () => undefined, note: () => undefined }, address, address, openSimNode(world).begin());
     const node = address.slice(0, -2);
     const spread = openSpreadTask({ node, role: 'router', address, http: `${address}/http`, locality: 'a' }, addresses.slice(0, 3), { change: () => undefined }, openCounters(), surroundings);
     void spread.start();
