--- a/src/cli/http-call.ts
+++ b/src/cli/http-call.ts
@@ -1,9 +1,10 @@
 import { EitherAsync } from 'purify-ts';
 import { request } from 'undici';
+import { toMillis, type Micros } from '../common/micros.js';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
 
 /** An HTTP answer with its JSON body. */
-export type HttpAnswer = {
+export type HttpReceipt = {
   readonly status: number;
   readonly etag: string | undefined;
   readonly body: unknown;
@@ -17,21 +18,21 @@
   readonly body?: string;
 };
 
-const budgetMillis = 10_000;
+const budgetUs: Micros = 10_000_000;
 
 /** Calls a node over HTTP. */
-export const httpCall = ({ method, address, path, headers, body }: HttpCall): EitherAsync<TypedError, HttpAnswer> =>
+export const httpCall = ({ method, address, path, headers, body }: HttpCall): EitherAsync<TypedError, HttpReceipt> =>
   EitherAsync(async ({ throwE }) => {
     try {
-      const answer = await request(`http://${address}${path}`, {
+      const receipt = await request(`http://${address}${path}`, {
         method,
         headers: { 'content-type': 'application/json', ...headers },
         body,
-        signal: AbortSignal.timeout(budgetMillis),
+        signal: AbortSignal.timeout(toMillis(budgetUs)),
       });
-      const parsedBody: unknown = await answer.body.json();
-      const etag = answer.headers['etag'];
-      return { status: answer.statusCode, etag: typeof etag === 'string' ? etag : undefined, body: parsedBody };
+      const parsedBody: unknown = await receipt.body.json();
+      const etag = receipt.headers['etag'];
+      return { status: receipt.statusCode, etag: typeof etag === 'string' ? etag : undefined, body: parsedBody };
     } catch (thrown) {
       return throwE(typedError('unreachable', `${address}: ${messageOf(thrown)}`));
     }
@@ -41,9 +42,9 @@
 export const httpText = (address: string, path: string): EitherAsync<TypedError, string> =>
   EitherAsync(async ({ throwE }) => {
     try {
-      const answer = await request(`http://${address}${path}`, { signal: AbortSignal.timeout(budgetMillis) });
-      const text = await answer.body.text();
-      return answer.statusCode === 200 ? text : throwE(typedError('unreachable', `${address}${path}: status ${answer.statusCode}`));
+      const receipt = await request(`http://${address}${path}`, { signal: AbortSignal.timeout(toMillis(budgetUs)) });
+      const text = await receipt.body.text();
+      return receipt.statusCode === 200 ? text : throwE(typedError('unreachable', `${address}${path}: status ${receipt.statusCode}`));
     } catch (thrown) {
       return throwE(typedError('unreachable', `${address}: ${messageOf(thrown)}`));
     }
--- a/src/control/machine/committing.ts
+++ b/src/control/machine/committing.ts
@@ -16,7 +16,7 @@
   const effects: readonly ControlEffect[] = [
     ...(state.record !== undefined && state.record !== view.state.record ? [{ type: 'taken' as const, record: state.record }] : []),
     ...(entry.command.type === 'members' ? [{ type: 'members' as const, members: entry.command.members }] : []),
-    ...(ask === undefined ? [] : [{ type: 'answer' as const, ask, answer: { type: 'applied' as const, outcome } }]),
+    ...(ask === undefined ? [] : [{ type: 'receipt' as const, ask, receipt: { type: 'applied' as const, outcome } }]),
   ];
   return { view: { ...view, state, asks, commit: index }, effects };
 };
--- a/src/control/machine/control-effect.ts
+++ b/src/control/machine/control-effect.ts
@@ -1,7 +1,7 @@
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { KeptRecord } from '../log/kept-record.js';
 import type { Member } from '../members/member.js';
-import type { Answer } from './answer.js';
+import type { Receipt } from './receipt.js';
 import type { ControlMessage } from './message.js';
 import type { Role } from './role.js';
 
@@ -10,7 +10,7 @@
   | { readonly type: 'keep'; readonly record: KeptRecord }
   | { readonly type: 'send'; readonly to: string; readonly message: ControlMessage }
   | { readonly type: 'sendTo'; readonly address: string; readonly message: ControlMessage }
-  | { readonly type: 'answer'; readonly ask: string; readonly answer: Answer }
+  | { readonly type: 'receipt'; readonly ask: string; readonly receipt: Receipt }
   | { readonly type: 'taken'; readonly record: SetupRecord }
   | { readonly type: 'role'; readonly role: Role; readonly term: number; readonly leader: string | undefined }
   | { readonly type: 'members'; readonly members: readonly Member[] };
--- a/src/control/machine/leading.ts
+++ b/src/control/machine/leading.ts
@@ -26,7 +26,7 @@
 
 export const onRead = (view: ControlView, ask: string, proposal: string | undefined): ControlStep => {
   if (view.role !== 'leader')
-    return stepped(view, { type: 'answer', ask, answer: { type: 'not-leader', leader: view.leader } });
+    return stepped(view, { type: 'receipt', ask, receipt: { type: 'not-leader', leader: view.leader } });
   const round = view.round + 1;
   const askedView = { ...view, round, reads: [...view.reads, { ask, proposal, round, index: view.commit }] };
   return andThen(sentToAll(askedView), readsAnswered);
--- a/src/control/machine/replicating.ts
+++ b/src/control/machine/replicating.ts
@@ -104,9 +104,9 @@
   const readyReads = view.reads.filter((read) => view.commit >= read.index && isConfirmed(read.round));
   if (readyReads.length === 0) return stepped(view);
   const effects = readyReads.map((read): ControlEffect => ({
-    type: 'answer',
+    type: 'receipt',
     ask: read.ask,
-    answer: {
+    receipt: {
       type: 'record',
       record: view.state.record,
       outcome: read.proposal === undefined ? undefined : view.state.proposals.get(read.proposal),
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -28,9 +28,9 @@
   const restedView: ControlView = stepsDown ? { ...changedView, asks: new Map(), reads: [], progress: new Map() } : changedView;
   return stepped(
     restedView,
-    ...(stepsDown ? [...view.asks.values()].map((ask): ControlEffect => ({ type: 'answer', ask, answer: { type: 'undecided' } })) : []),
+    ...(stepsDown ? [...view.asks.values()].map((ask): ControlEffect => ({ type: 'receipt', ask, receipt: { type: 'undecided' } })) : []),
     ...(stepsDown
-      ? view.reads.map((read): ControlEffect => ({ type: 'answer', ask: read.ask, answer: { type: 'not-leader', leader: undefined } }))
+      ? view.reads.map((read): ControlEffect => ({ type: 'receipt', ask: read.ask, receipt: { type: 'not-leader', leader: undefined } }))
       : []),
     ...roleEffects(view, restedView),
   );
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -82,7 +82,7 @@
     case 'propose':
       return nowView.role === 'leader'
         ? appended(nowView, event.command, event.ask)
-        : stepped(nowView, { type: 'answer', ask: event.ask, answer: { type: 'not-leader', leader: nowView.leader } });
+        : stepped(nowView, { type: 'receipt', ask: event.ask, receipt: { type: 'not-leader', leader: nowView.leader } });
     case 'read':
       return onRead(nowView, event.ask, event.proposal);
     case 'resign':
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -78,15 +78,15 @@
           case 'sendTo':
             spread.send(effect.address, { type: 'control', identity: view.identity, message: plainMessageOf(effect.message) });
             return;
-          case 'answer': {
+          case 'receipt': {
             const address = askAddresses.get(effect.ask);
             askAddresses.delete(effect.ask);
             if (address === undefined) return;
-            const answer =
-              effect.answer.type === 'not-leader' && effect.answer.leader !== undefined
-                ? { ...effect.answer, leader: addressOf(effect.answer.leader) }
-                : effect.answer;
-            spread.send(address, { type: 'answer', ask: effect.ask, answer });
+            const receipt =
+              effect.receipt.type === 'not-leader' && effect.receipt.leader !== undefined
+                ? { ...effect.receipt, leader: addressOf(effect.receipt.leader) }
+                : effect.receipt;
+            spread.send(address, { type: 'receipt', ask: effect.ask, receipt });
             return;
           }
           case 'taken':
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -3,26 +3,26 @@
 import { within } from '../common/clock/within.js';
 import type { Micros } from '../common/micros.js';
 import { typedError, type TypedError } from '../common/typed-error.js';
-import type { Answer } from '../control/machine/answer.js';
+import type { Receipt } from '../control/machine/receipt.js';
 import type { Question } from '../spread/frame/frame.js';
 import type { SpreadTask } from './spread-task.js';
 import type { Surroundings } from './surroundings/surroundings.js';
 
 /** Asks the core, wherever its leader is. Every question may be put twice: the log knows it again. */
 export type CoreClient = {
-  readonly ask: (question: Question, budgetUs: Micros) => Promise<Either<TypedError, Answer>>;
+  readonly ask: (question: Question, budgetUs: Micros) => Promise<Either<TypedError, Receipt>>;
 };
 
 const tryBudgetUs: Micros = 600_000;
 const pauseUs: Micros = 40_000;
 
-const isLast = (answer: Answer): boolean => answer.type === 'applied' || answer.type === 'record';
+const isLast = (receipt: Receipt): boolean => receipt.type === 'applied' || receipt.type === 'record';
 
 export const openCoreClient = (spread: SpreadTask, { clock, freshName }: Pick<Surroundings, 'clock' | 'freshName'>): CoreClient => {
-  const waiting = new Map<string, (answer: Answer) => void>();
+  const waiting = new Map<string, (receipt: Receipt) => void>();
   let leaderAddress: string | undefined;
   let turn = 0;
-  spread.events.on('answer', ({ ask, answer }) => waiting.get(ask)?.(answer));
+  spread.events.on('receipt', ({ ask, receipt }) => waiting.get(ask)?.(receipt));
 
   const targetAddress = (): string | undefined => {
     if (leaderAddress !== undefined) return leaderAddress;
@@ -40,34 +40,34 @@
       const dueUs = clock.now() + budgetUs;
       const asks: string[] = [];
       let mayStand = false;
-      let hearLast: (answer: Answer) => void = () => undefined;
+      let hearLast: (receipt: Receipt) => void = () => undefined;
       /** A last word counts whichever try it answers, and however late within the budget. */
-      const lastWord = new Promise<Answer>((resolve) => {
+      const lastWord = new Promise<Receipt>((resolve) => {
         hearLast = resolve;
       });
-      const askAt = (address: string): Promise<Answer> =>
+      const askAt = (address: string): Promise<Receipt> =>
         new Promise((resolve) => {
           const ask = freshName();
           asks.push(ask);
-          waiting.set(ask, (answer) => {
-            if (isLast(answer)) {
+          waiting.set(ask, (receipt) => {
+            if (isLast(receipt)) {
               leaderAddress = address;
-              hearLast(answer);
-            } else resolve(answer);
+              hearLast(receipt);
+            } else resolve(receipt);
           });
           spread.send(address, { type: 'ask', ask, question });
         });
       try {
         for (let leftUs = budgetUs; leftUs > 0; leftUs = dueUs - clock.now()) {
           const address = targetAddress();
-          const answer =
+          const receipt =
             address === undefined ? undefined : await within(clock, Promise.race([lastWord, askAt(address)]), Math.min(tryBudgetUs, leftUs));
-          if (answer !== undefined && isLast(answer)) return Right(answer);
-          if (address !== undefined && answer?.type !== 'not-leader') mayStand = true;
-          leaderAddress = answer?.type === 'not-leader' && answer.leader !== address ? answer.leader : undefined;
+          if (receipt !== undefined && isLast(receipt)) return Right(receipt);
+          if (address !== undefined && receipt?.type !== 'not-leader') mayStand = true;
+          leaderAddress = receipt?.type === 'not-leader' && receipt.leader !== address ? receipt.leader : undefined;
           if (leaderAddress !== undefined) continue;
-          const lateAnswer = await Promise.race([lastWord, paused(clock, pauseUs)]);
-          if (lateAnswer !== undefined) return Right(lateAnswer);
+          const lateReceipt = await Promise.race([lastWord, paused(clock, pauseUs)]);
+          if (lateReceipt !== undefined) return Right(lateReceipt);
         }
         return Left(
           mayStand && question.type === 'propose'
--- a/src/process/http/caller-over-http.ts
+++ b/src/process/http/caller-over-http.ts
@@ -27,7 +27,7 @@
       begin(exchange);
       response.end(`${JSON.stringify({ end: true, pieces })}\n`);
     },
-    answer: (exchange, text) => reply(response, 200, { exchange, answer: text }, { 'x-exchange-id': exchange }),
+    receipt: (exchange, text) => reply(response, 200, { exchange, receipt: text }, { 'x-exchange-id': exchange }),
     refuse: (error, exchange, retryAfterUs) => {
       if (error.type === 'oversized-body') response.setHeader('connection', 'close');
       replyError(response, refusalStatusOf(error.type), error, { outcome: 'refused', ...(exchange === undefined ? {} : { exchange }) }, retryAfterUs);
--- a/src/process/operator/operator-desk.ts
+++ b/src/process/operator/operator-desk.ts
@@ -1,7 +1,7 @@
 import { Right, type Either } from 'purify-ts';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
-import type { Answer } from '../../control/machine/answer.js';
+import type { Receipt } from '../../control/machine/receipt.js';
 import type { Command } from '../../control/log/command.js';
 import type { ProposalOutcome } from '../../control/state/proposal-outcome.js';
 import { checkSetup } from '../../setup/check/check-setup.js';
@@ -21,19 +21,19 @@
 const readBudgetUs: Micros = 2_000_000;
 const proposeBudgetUs: Micros = 4_000_000;
 
-const recordOf = (answer: Answer): Extract<Answer, { readonly type: 'record' }> | undefined =>
-  answer.type === 'record' ? answer : undefined;
+const recordOf = (receipt: Receipt): Extract<Receipt, { readonly type: 'record' }> | undefined =>
+  receipt.type === 'record' ? receipt : undefined;
 
-const outcomeOf = (answer: Answer): ProposalOutcome | undefined =>
-  answer.type === 'applied' && answer.outcome.type === 'proposal' ? answer.outcome.outcome : undefined;
+const outcomeOf = (receipt: Receipt): ProposalOutcome | undefined =>
+  receipt.type === 'applied' && receipt.outcome.type === 'proposal' ? receipt.outcome.outcome : undefined;
 
 export const openOperatorDesk = (core: CoreClient, platformUs: () => Micros): OperatorDesk => {
   const newestRevision = async (): Promise<Either<TypedError, number>> =>
-    (await core.ask({ type: 'read' }, readBudgetUs)).map((answer) => recordOf(answer)?.record?.revision ?? 0);
+    (await core.ask({ type: 'read' }, readBudgetUs)).map((receipt) => recordOf(receipt)?.record?.revision ?? 0);
 
   const propose = async (proposal: string, command: Command): Promise<Either<TypedError, OperatorWord>> =>
-    (await core.ask({ type: 'propose', command }, proposeBudgetUs)).map((answer) => {
-      const outcome = outcomeOf(answer);
+    (await core.ask({ type: 'propose', command }, proposeBudgetUs)).map((receipt) => {
+      const outcome = outcomeOf(receipt);
       return outcome === undefined
         ? { type: 'unknown', proposal, error: typedError('undecided', 'the core gave no outcome') }
         : { type: 'decided', proposal, outcome };
@@ -43,8 +43,8 @@
     read: async () =>
       (await core.ask({ type: 'read' }, readBudgetUs)).caseOf<OperatorWord>({
         Left: (error) => ({ type: 'refused', error }),
-        Right: (answer) => {
-          const record = recordOf(answer)?.record;
+        Right: (receipt) => {
+          const record = recordOf(receipt)?.record;
           return record === undefined ? { type: 'none' } : { type: 'record', record };
         },
       }),
@@ -68,8 +68,8 @@
     ask: async (proposal) =>
       (await core.ask({ type: 'read', proposal }, readBudgetUs)).caseOf<OperatorWord>({
         Left: (error) => ({ type: 'unknown', proposal, error }),
-        Right: (answer) => {
-          const outcome = recordOf(answer)?.outcome;
+        Right: (receipt) => {
+          const outcome = recordOf(receipt)?.outcome;
           return outcome === undefined
             ? { type: 'unknown', proposal, error: typedError('unknown-proposal', 'not decided; withdraw it with DELETE to end the doubt') }
             : { type: 'decided', proposal, outcome };
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -57,8 +57,8 @@
         refuseClaim(`the key could not be claimed (${error.message})`);
         return undefined;
       },
-      Right: (answer) => {
-        const outcome = answer.type === 'applied' ? answer.outcome : undefined;
+      Right: (receipt) => {
+        const outcome = receipt.type === 'applied' ? receipt.outcome : undefined;
         if (outcome?.type === 'claimed' && outcome.won) return exchange;
         if (outcome?.type === 'claimed') {
           counters.count('unknown.repeated-key');
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -84,11 +84,11 @@
 
   const confirm = async (): Promise<void> => {
     while (!isConfirmed && !isStopping) {
-      (await core.ask({ type: 'read' }, confirmBudgetUs)).ifRight((answer) => {
-        if (answer.type !== 'record' || answer.record === undefined) return;
-        spread.offerSetup(answer.record);
+      (await core.ask({ type: 'read' }, confirmBudgetUs)).ifRight((receipt) => {
+        if (receipt.type !== 'record' || receipt.record === undefined) return;
+        spread.offerSetup(receipt.record);
         isConfirmed = true;
-        log.change('confirmed', { revision: answer.record.revision });
+        log.change('confirmed', { revision: receipt.record.revision });
       });
       if (!isConfirmed) await paused(clock, confirmPauseUs);
     }
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -240,7 +240,7 @@
     if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
     const ending = await deliver(continuation, link, decision.fromPiece, signal, {
       piece: (line) => givePiece(continuation, attempt, line, signal),
-      answer: (text) => giveAnswer(continuation, attempt, text, signal),
+      receipt: (text) => giveReceipt(continuation, attempt, text, signal),
     });
     if (!signal.aborted) {
       continuation.stream.dueUs = Number.POSITIVE_INFINITY;
@@ -300,10 +300,10 @@
     return isThere && !signal.aborted;
   };
 
-  const giveAnswer = (continuation: Continuation, attempt: number, text: string, signal: AbortSignal): void => {
+  const giveReceipt = (continuation: Continuation, attempt: number, text: string, signal: AbortSignal): void => {
     if (signal.aborted) return;
     take({ type: 'firstPiece', at: clock.now(), exchange: continuation.exchange, attempt });
-    continuation.caller.answer(continuation.exchange, text);
+    continuation.caller.receipt(continuation.exchange, text);
   };
 
   /** Ends the tries whose servers fell silent in the middle of a stream. Time in which this process did not run is not theirs. */
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -11,5 +11,5 @@
   readonly refreshed: [];
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly ask: [from: string, frame: Extract<Frame, { readonly type: 'ask' }>];
-  readonly answer: [frame: Extract<Frame, { readonly type: 'answer' }>];
+  readonly receipt: [frame: Extract<Frame, { readonly type: 'receipt' }>];
 };
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -87,8 +87,8 @@
       case 'ask':
         events.emit('ask', from, frame);
         return;
-      case 'answer':
-        events.emit('answer', frame);
+      case 'receipt':
+        events.emit('receipt', frame);
         return;
       case 'digest':
       case 'inquire':
--- a/src/rehearsal/checker/check-history.ts
+++ b/src/rehearsal/checker/check-history.ts
@@ -1,5 +1,5 @@
 import type { History } from '../history/history.js';
-import { checkAnswers, checkNoCuts, checkReadyAgain, checkRecovery, checkResumes } from './check-answers.js';
+import { checkReceipts, checkNoCuts, checkReadyAgain, checkRecovery, checkResumes } from './check-receipts.js';
 import { checkFewRefusals } from './check-refusals.js';
 import { checkExtraTries, checkLeaving, checkRefusals, checkRunOnce, checkServices } from './check-runs.js';
 import { checkFaultyPuts, checkInForce, checkNeverBackwards, checkOneWinner, checkOnlyTaken, checkTakenStays } from './check-setups.js';
@@ -13,7 +13,7 @@
   ...checkServices(history),
   ...checkLeaving(history),
   ...checkExtraTries(history),
-  ...checkAnswers(history),
+  ...checkReceipts(history),
   ...checkResumes(history, terms.resumableKinds),
   ...checkInForce(history),
   ...checkNeverBackwards(history),
--- a/src/rehearsal/checker/check-answers.ts
+++ b/src/rehearsal/checker/check-receipts.ts
@@ -3,7 +3,7 @@
 import type { Finding } from './finding.js';
 
 /** Every piece must be the next of its own work, in whole answers and in cut-off ones. */
-export const checkAnswers = (history: History): readonly Finding[] =>
+export const checkReceipts = (history: History): readonly Finding[] =>
   history.calls.flatMap((call) => {
     const wrongPlace = call.pieces.findIndex((text, piece) => text !== pieceText(call.work, piece));
     return [
--- a/src/rehearsal/deployment/deployment.ts
+++ b/src/rehearsal/deployment/deployment.ts
@@ -1,4 +1,4 @@
-import type { KindLoad } from './kind-load.js';
+import type { KindTraffic } from './kind-traffic.js';
 
 /** A deployment of the brief: its sizes and its traffic. */
 export type Deployment = {
@@ -10,5 +10,5 @@
   readonly modelService: string;
   readonly webService: string;
   readonly exchangesPerSecond: number;
-  readonly kinds: readonly KindLoad[];
+  readonly kinds: readonly KindTraffic[];
 };
--- a/src/rehearsal/deployment/kind-load.ts
+++ b/src/rehearsal/deployment/kind-traffic.ts
@@ -1,5 +1,5 @@
 /** How callers use one kind. */
-export type KindLoad = {
+export type KindTraffic = {
   readonly kind: string;
   readonly share: number;
   readonly runsOnce: boolean;
--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -102,7 +102,7 @@
       if (data !== undefined) rmSync(data, { recursive: true, force: true });
     },
     troubleDisk: (trouble) => {
-      plan.tell(trouble.fails || trouble.delayMillis > 0 ? 'begins' : 'ends', 'disk');
+      plan.tell(trouble.fails || trouble.delayUs > 0 ? 'begins' : 'ends', 'disk');
       if (child?.connected === true) child.send(trouble);
     },
     move: (newAddresses) => {
--- a/src/rehearsal/run/acts/core-acts.ts
+++ b/src/rehearsal/run/acts/core-acts.ts
@@ -8,9 +8,9 @@
   if (control === undefined) return;
   await control.kill();
   control.loseDisk();
-  await parts.pause(1_000);
+  await parts.pause(1_000_000);
   control.start();
-  await parts.pause(9_000);
+  await parts.pause(9_000_000);
 };
 
 /** A core machine comes back empty at new addresses; whoever starts from then on is given the new seeds. */
@@ -27,7 +27,7 @@
   await relays.open(moved.partners, moved.partnersListen);
   for (const node of [...controls, ...routers]) node.reseed(controls.map((known) => known.partners));
   control.start();
-  await parts.pause(9_000);
+  await parts.pause(9_000_000);
   await router.kill();
   router.start();
   await parts.ready(router);
@@ -35,26 +35,26 @@
 
 /** Every sync of the leader takes so much longer, for a while. */
 const delayLeaderDisk =
-  (delayMillis: number, spanMillis: number): FaultAct =>
+  (delayUs: number, spanUs: number): FaultAct =>
   async (parts) => {
     const leader = await parts.leader();
     if (leader === undefined) return;
-    leader.troubleDisk({ delayMillis, fails: false });
-    await parts.pause(spanMillis);
+    leader.troubleDisk({ delayUs, fails: false });
+    await parts.pause(spanUs);
     leader.troubleDisk(noTrouble);
   };
 
-export const slowLeaderDisk = delayLeaderDisk(150, 5_000);
+export const slowLeaderDisk = delayLeaderDisk(150_000, 5_000_000);
 
-export const stallLeaderDisk = delayLeaderDisk(4_000, 4_000);
+export const stallLeaderDisk = delayLeaderDisk(4_000_000, 4_000_000);
 
 /** The leader's disk is full; it ends itself and comes back. */
 export const fillDisk: FaultAct = async (parts) => {
   const control = await parts.leader();
   if (control === undefined) return;
-  control.troubleDisk({ delayMillis: 0, fails: true });
-  await Promise.race([control.ended(), parts.pause(10_000)]);
+  control.troubleDisk({ delayUs: 0, fails: true });
+  await Promise.race([control.ended(), parts.pause(10_000_000)]);
   if (control.isRunning()) throw new Error('a core machine went on with a full disk');
-  await parts.pause(1_000);
+  await parts.pause(1_000_000);
   control.start();
 };
--- a/src/rehearsal/run/acts/link-acts.ts
+++ b/src/rehearsal/run/acts/link-acts.ts
@@ -11,7 +11,7 @@
     right.map((node) => node.partners),
     oneWay,
   );
-  await parts.pause(4_000);
+  await parts.pause(4_000_000);
   parts.relays.heal();
 };
 
--- a/src/rehearsal/run/acts/locality-acts.ts
+++ b/src/rehearsal/run/acts/locality-acts.ts
@@ -14,7 +14,7 @@
   const servers = modelsOf(parts).filter((server) => server.listed.locality === lostLocality);
   for (const server of servers) server.crash();
   await Promise.all(nodesIn(parts).map((node) => node.kill()));
-  await parts.pause(5_000);
+  await parts.pause(5_000_000);
   for (const node of nodesIn(parts)) node.start();
   for (const server of servers) await parts.hands.comeBack(server.listed.id);
 };
--- a/src/rehearsal/run/acts/node-acts.ts
+++ b/src/rehearsal/run/acts/node-acts.ts
@@ -3,15 +3,15 @@
 import type { RehearsalParts } from '../rehearsal-parts.js';
 import type { FaultAct } from './fault-act.js';
 
-export const restarted = async (node: LaunchedNode, parts: RehearsalParts, millis: number): Promise<void> => {
+export const restarted = async (node: LaunchedNode, parts: RehearsalParts, spanUs: number): Promise<void> => {
   await node.kill();
-  await parts.pause(millis);
+  await parts.pause(spanUs);
   node.start();
 };
 
-export const frozen = async (node: LaunchedNode, parts: RehearsalParts, millis: number): Promise<void> => {
+export const frozen = async (node: LaunchedNode, parts: RehearsalParts, spanUs: number): Promise<void> => {
   node.freeze();
-  await parts.pause(millis);
+  await parts.pause(spanUs);
   node.wake();
 };
 
@@ -29,26 +29,26 @@
     if (leader !== undefined) await act(leader, parts);
   };
 
-export const killRouter: FaultAct = withRouter((router, parts) => restarted(router, parts, 1_000));
+export const killRouter: FaultAct = withRouter((router, parts) => restarted(router, parts, 1_000_000));
 
 export const killHalf: FaultAct = async (parts) => {
-  await Promise.all(parts.routers.filter((_, place) => place % 2 === 0).map((router) => restarted(router, parts, 1_500)));
+  await Promise.all(parts.routers.filter((_, place) => place % 2 === 0).map((router) => restarted(router, parts, 1_500_000)));
 };
 
 export const killAllRouters: FaultAct = async (parts) => {
-  await Promise.all(parts.routers.map((router) => restarted(router, parts, 1_500)));
+  await Promise.all(parts.routers.map((router) => restarted(router, parts, 1_500_000)));
 };
 
 /** Every process of the fleet at once, core machines too. */
 export const killAll: FaultAct = async (parts) => {
-  await Promise.all([...parts.controls, ...parts.routers].map((node) => restarted(node, parts, 1_500)));
+  await Promise.all([...parts.controls, ...parts.routers].map((node) => restarted(node, parts, 1_500_000)));
 };
 
-export const freezeRouter: FaultAct = withRouter((router, parts) => frozen(router, parts, 4_000));
+export const freezeRouter: FaultAct = withRouter((router, parts) => frozen(router, parts, 4_000_000));
 
-export const killLeader: FaultAct = withLeader((leader, parts) => restarted(leader, parts, 1_500));
+export const killLeader: FaultAct = withLeader((leader, parts) => restarted(leader, parts, 1_500_000));
 
-export const freezeLeader: FaultAct = withLeader((leader, parts) => frozen(leader, parts, 4_000));
+export const freezeLeader: FaultAct = withLeader((leader, parts) => frozen(leader, parts, 4_000_000));
 
 export const killLeaderAndRouter: FaultAct = async (parts) => {
   await Promise.all([killLeader(parts), killRouter(parts)]);
--- a/src/rehearsal/run/acts/server-acts.ts
+++ b/src/rehearsal/run/acts/server-acts.ts
@@ -16,7 +16,7 @@
 
 export const crashServer: FaultAct = withModel(async (server, parts) => {
   server.crash();
-  await parts.pause(1_000);
+  await parts.pause(1_000_000);
   await parts.hands.comeBack(server.listed.id);
 });
 
@@ -26,27 +26,27 @@
   router.freeze();
   server.crash();
   await parts.hands.usurp(server.listed.address);
-  await parts.pause(1_500);
+  await parts.pause(1_500_000);
   await parts.hands.comeBack(server.listed.id);
-  await parts.pause(1_500);
+  await parts.pause(1_500_000);
   router.wake();
 });
 
-const darkFor = async (servers: readonly StandInServer[], parts: RehearsalParts, millis: number): Promise<void> => {
+const darkFor = async (servers: readonly StandInServer[], parts: RehearsalParts, spanUs: number): Promise<void> => {
   const wakes = servers.map((server) => server.goDark());
-  await parts.pause(millis);
+  await parts.pause(spanUs);
   for (const wake of wakes) wake();
 };
 
-export const darkServer: FaultAct = withModel((server, parts) => darkFor([server], parts, 5_000));
+export const darkServer: FaultAct = withModel((server, parts) => darkFor([server], parts, 5_000_000));
 
-export const allDark: FaultAct = (parts) => darkFor(modelsOf(parts), parts, 4_000);
+export const allDark: FaultAct = (parts) => darkFor(modelsOf(parts), parts, 4_000_000);
 
 /** A server answers probes, but its work goes wrong in one way after another. */
 export const greyServer: FaultAct = withModel(async (server, parts) => {
   for (const mood of ['slow', 'erring', 'stuck'] as const) {
     server.become(mood);
-    await parts.pause(3_000);
+    await parts.pause(3_000_000);
   }
   server.become('well');
 });
@@ -58,7 +58,7 @@
 const leaving = async (parts: RehearsalParts, leaver: StandInServer | undefined): Promise<void> => {
   if (leaver === undefined) return;
   parts.hands.leave(leaver.listed.id);
-  await parts.pause(9_000);
+  await parts.pause(9_000_000);
   parts.hands.remove(leaver.listed.id);
 };
 
@@ -67,7 +67,7 @@
 /** A server joins and is shown as leaving in the middle of its warm-up. */
 export const leaveInWarmUp: FaultAct = async (parts) => {
   const [joiner] = await parts.hands.open(1, 'model');
-  await parts.pause(2_000);
+  await parts.pause(2_000_000);
   await leaving(parts, joiner);
 };
 
@@ -76,8 +76,8 @@
   const [crashing, leaver] = modelsOf(parts);
   if (crashing === undefined) return;
   crashing.crash();
-  await parts.pause(150);
-  await Promise.all([leaving(parts, leaver), parts.pause(1_000).then(() => parts.hands.comeBack(crashing.listed.id))]);
+  await parts.pause(150_000);
+  await Promise.all([leaving(parts, leaver), parts.pause(1_000_000).then(() => parts.hands.comeBack(crashing.listed.id))]);
 };
 
 /** Replaces every model server in turn: a new one joins, an old one leaves. */
@@ -85,8 +85,8 @@
   for (const old of modelsOf(parts)) {
     await parts.hands.open(1, 'model');
     parts.hands.leave(old.listed.id);
-    await parts.pause(3_500);
-    void parts.pause(5_500).then(() => parts.hands.remove(old.listed.id));
+    await parts.pause(3_500_000);
+    void parts.pause(5_500_000).then(() => parts.hands.remove(old.listed.id));
   }
-  await parts.pause(6_000);
+  await parts.pause(6_000_000);
 };
--- a/src/rehearsal/run/rehearsal-parts.ts
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -1,4 +1,5 @@
 import type { Setup } from '../../setup/document/setup.js';
+import type { Micros } from '../../common/micros.js';
 import type { Chance } from '../../common/chance.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { History } from '../history/history.js';
@@ -26,5 +27,5 @@
   /** Waits until the platform has seen a node ready in its present life. */
   readonly ready: (node: LaunchedNode) => Promise<void>;
   readonly put: (setup: Setup, expected?: number, control?: LaunchedNode, isFaulty?: boolean) => Promise<PutRecord>;
-  readonly pause: (millis: number) => Promise<void>;
+  readonly pause: (spanUs: Micros) => Promise<void>;
 };
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -3,7 +3,10 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { EitherAsync } from 'purify-ts';
-import { steadyNow } from '../../common/micros.js';
+import { every } from '../../common/clock/every.js';
+import { paused } from '../../common/clock/paused.js';
+import { steadyClock } from '../../common/clock/steady-clock.js';
+import { steadyNow, type Micros } from '../../common/micros.js';
 import { parseJson } from '../../common/json.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import { httpCall } from '../../cli/http-call.js';
@@ -52,7 +55,7 @@
 const localities = ['a', 'b', 'c'] as const;
 const packageRoot = fileURLToPath(new URL('../../../../', import.meta.url));
 const startBudgetUs = 30_000_000;
-const readSpanMillis = 1_000;
+const readSpanUs: Micros = 1_000_000;
 
 export const readExampleSetup = (path: string): EitherAsync<TypedError, Setup> =>
   EitherAsync.liftEither(
@@ -61,11 +64,11 @@
     ),
   );
 
-const pause = (millis: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, millis));
+const pause = (spanUs: Micros): Promise<void> => paused(steadyClock, spanUs);
 
 const until = async (isSo: () => boolean, isHopeless: () => boolean = () => false): Promise<boolean> => {
   const dueUs = steadyNow() + startBudgetUs;
-  while (!isSo() && !isHopeless() && steadyNow() < dueUs) await pause(50);
+  while (!isSo() && !isHopeless() && steadyNow() < dueUs) await pause(50_000);
   return isSo();
 };
 
@@ -119,8 +122,8 @@
         operator.put(wanted, expected, { desk: deskOf(control), isFaulty });
       const leader: RehearsalParts['leader'] = async () => {
         for (const control of controls) {
-          const answer = await httpCall({ method: 'GET', address: control.http, path: '/counters' }).run();
-          if (answer.map(({ body }) => readNumbers(body, ['control.leads'])['control.leads'] === 1).orDefault(false)) return control;
+          const receipt = await httpCall({ method: 'GET', address: control.http, path: '/counters' }).run();
+          if (receipt.map(({ body }) => readNumbers(body, ['control.leads'])['control.leads'] === 1).orDefault(false)) return control;
         }
         return undefined;
       };
@@ -163,17 +166,17 @@
 
         const startedUs = steadyNow();
         traffic.start();
-        const reading = setInterval(() => void operator.read(), readSpanMillis);
+        const endReading = every(steadyClock, readSpanUs, () => void operator.read());
         const acts = scenario.acts.map(async (act) => {
-          await pause(act.atShare * seconds * 1000);
+          await pause(act.atShare * seconds * 1_000_000);
           tell(`act: ${act.name}`);
           await act.act(parts);
         });
-        await pause(seconds * 1000);
+        await pause(seconds * 1_000_000);
         await Promise.all(acts);
         await traffic.stop();
-        await pause(2_500);
-        clearInterval(reading);
+        await pause(2_500_000);
+        endReading();
         await operator.settle(false);
         await operator.settle(true);
         await operator.read();
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -1,6 +1,6 @@
 import { steadyNow } from '../../common/micros.js';
 import type { Setup } from '../../setup/document/setup.js';
-import type { KindLoad } from '../deployment/kind-load.js';
+import type { KindTraffic } from '../deployment/kind-traffic.js';
 import type { Deployment } from '../deployment/deployment.js';
 import * as core from './acts/core-acts.js';
 import type { FaultAct } from './acts/fault-act.js';
@@ -46,7 +46,7 @@
 const quickWarmup = (setup: Setup): Setup => ({ ...setup, warmup: { ...setup.warmup, boundUs: 6 * second, settleUs: 4 * second } });
 
 /** Streams of about three, seven and nine seconds; the longest only where a stream may be resumed. */
-const longOnes = (kind: KindLoad): readonly KindLoad[] =>
+const longOnes = (kind: KindTraffic): readonly KindTraffic[] =>
   [130, 320, ...(kind.runsOnce ? [] : [420])].map((pieces) => ({ ...kind, share: kind.share * 0.05, pieces }));
 
 /** Four faults one after another in the first part of the time, and then time to come back. */
--- a/src/rehearsal/run/summary.ts
+++ b/src/rehearsal/run/summary.ts
@@ -6,7 +6,7 @@
 const percentile = (sorted: readonly number[], share: number): number =>
   sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 
-const millis = (sorted: readonly number[], share: number): number => Math.round(percentile(sorted, share) / 1000);
+const inMillis = (sorted: readonly number[], share: number): number => Math.round(percentile(sorted, share) / 1000);
 
 const joinSpanUs = 40_000_000;
 
@@ -28,8 +28,8 @@
       runs: runs.length,
       coldPrefills: coldRuns.length,
       repeatedPrefills: coldRuns.length - new Set(coldRuns.map((run) => run.opening)).size,
-      landedMillis: { half: millis(landedWaits, 0.5), most95: millis(landedWaits, 0.95), most99: millis(landedWaits, 0.99) },
-      allMillis: { half: millis(allWaits, 0.5), most95: millis(allWaits, 0.95), most99: millis(allWaits, 0.99) },
+      landedMillis: { half: inMillis(landedWaits, 0.5), most95: inMillis(landedWaits, 0.95), most99: inMillis(landedWaits, 0.99) },
+      allMillis: { half: inMillis(allWaits, 0.5), most95: inMillis(allWaits, 0.95), most99: inMillis(allWaits, 0.99) },
     };
   });
 
@@ -49,9 +49,9 @@
     coldRuns: history.coldCalls.size,
     joins: joinsOf(history),
     firstPieceMillis: {
-      half: millis(waits, 0.5),
-      most95: millis(waits, 0.95),
-      most99: millis(waits, 0.99),
+      half: inMillis(waits, 0.5),
+      most95: inMillis(waits, 0.95),
+      most99: inMillis(waits, 0.99),
     },
     setups: history.puts.map((put) => `${put.proposal}: ${put.outcome}`),
     servers,
--- a/src/rehearsal/run/traffic.ts
+++ b/src/rehearsal/run/traffic.ts
@@ -1,6 +1,7 @@
+import { steadyNow, toMillis } from '../../common/micros.js';
 import { oneOf, wholeBelow, type Chance } from '../../common/chance.js';
 import type { Deployment } from '../deployment/deployment.js';
-import type { KindLoad } from '../deployment/kind-load.js';
+import type { KindTraffic } from '../deployment/kind-traffic.js';
 import type { Callers } from '../stand-in/caller.js';
 import type { Platform } from '../stand-in/platform.js';
 
@@ -16,7 +17,7 @@
 
 const repeatedShare = 0.05;
 
-const kindFor = (chance: Chance, kinds: readonly KindLoad[]): KindLoad | undefined => {
+const kindFor = (chance: Chance, kinds: readonly KindTraffic[]): KindTraffic | undefined => {
   let draw = chance() * kinds.reduce((sum, kind) => sum + kind.share, 0);
   return kinds.find((kind) => {
     draw -= kind.share;
@@ -25,7 +26,7 @@
 };
 
 /** Openings by a law of popularity: the first are asked for far more often than the last. */
-const openingFor = (chance: Chance, kind: KindLoad): string => {
+const openingFor = (chance: Chance, kind: KindTraffic): string => {
   const place = Math.min(kind.openings - 1, Math.floor(kind.openings ** chance()) - 1 + wholeBelow(chance, 2));
   return `${kind.kind} opening ${place} `.padEnd(kind.openingBytes, '.');
 };
@@ -38,7 +39,7 @@
   let factor = 1;
   let isStopped = true;
   /** When the next call is due; calls that a late timer has missed are made up for. */
-  let dueMillis = 0;
+  let dueUs = 0;
 
   const send = (call: Parameters<Callers['call']>[0], times: number): void => {
     for (let time = 0; time < times; time += 1) {
@@ -71,14 +72,14 @@
 
   const next = (): void => {
     if (isStopped) return;
-    for (; dueMillis <= performance.now(); dueMillis += (-Math.log(1 - chance()) * 1000) / (deployment.exchangesPerSecond * factor)) one();
-    timer = setTimeout(next, dueMillis - performance.now());
+    for (; dueUs <= steadyNow(); dueUs += (-Math.log(1 - chance()) * 1_000_000) / (deployment.exchangesPerSecond * factor)) one();
+    timer = setTimeout(next, toMillis(dueUs - steadyNow()));
   };
 
   return {
     start: () => {
       isStopped = false;
-      dueMillis = performance.now();
+      dueUs = steadyNow();
       next();
     },
     stop: async () => {
--- a/src/rehearsal/stand-in/caller.ts
+++ b/src/rehearsal/stand-in/caller.ts
@@ -2,7 +2,7 @@
 import { object, string } from 'yup';
 import { checked } from '../../common/checked.js';
 import { parseJson } from '../../common/json.js';
-import { steadyNow } from '../../common/micros.js';
+import { steadyNow, toMillis, type Micros } from '../../common/micros.js';
 import { messageOf } from '../../common/typed-error.js';
 import { parseStreamLine } from '../../router/delivery/piece.js';
 import type { CallEnd, CallRecord } from '../history/call-record.js';
@@ -22,8 +22,8 @@
 };
 
 const errorSchema = object({ outcome: string().required(), error: object({ type: string().required() }).required() }).required();
-const answerSchema = object({ answer: string().required() }).required();
-const callBudgetMillis = 70_000;
+const receiptSchema = object({ receipt: string().required() }).required();
+const callBudgetUs: Micros = 70_000_000;
 
 export const openCallers = (history: History) => {
   const agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
@@ -57,7 +57,7 @@
     let status = 0;
     let exchange: string | undefined;
     try {
-      const answer = await request(`http://${node.http}/exchanges`, {
+      const receipt = await request(`http://${node.http}/exchanges`, {
         method: 'POST',
         dispatcher: agent,
         headers: { 'content-type': 'application/json', ...(wanted.key === undefined ? {} : { 'idempotency-key': wanted.key }) },
@@ -66,14 +66,14 @@
           opening: wanted.opening,
           text: writeWorkText({ work: wanted.work, call: wanted.call, pieces: wanted.pieces }),
         }),
-        signal: AbortSignal.timeout(callBudgetMillis),
+        signal: AbortSignal.timeout(toMillis(callBudgetUs)),
       });
-      status = answer.statusCode;
-      const exchangeHeader = answer.headers['x-exchange-id'];
+      status = receipt.statusCode;
+      const exchangeHeader = receipt.headers['x-exchange-id'];
       exchange = typeof exchangeHeader === 'string' ? exchangeHeader : undefined;
       if (status !== 200) {
-        const retryAfter = answer.headers['retry-after'];
-        const body = await answer.body.text();
+        const retryAfter = receipt.headers['retry-after'];
+        const body = await receipt.body.text();
         return parseJson(body, 'bad-message')
           .toMaybe()
           .chain((value) => checked(errorSchema, value).toMaybe())
@@ -87,14 +87,14 @@
           });
       }
       if (!wanted.isModel) {
-        const answered = checked(answerSchema, await answer.body.json());
+        const answered = checked(receiptSchema, await receipt.body.json());
         firstPieceUs = steadyNow();
-        const isOwn = answered.map((value) => value.answer.includes(`"${wanted.work}"`)).orDefault(false);
+        const isOwn = answered.map((value) => value.receipt.includes(`"${wanted.work}"`)).orDefault(false);
         return ended(isOwn ? 'complete' : 'malformed', status, { exchange });
       }
       let rest = '';
-      answer.body.setEncoding('utf8');
-      for await (const chunk of answer.body) {
+      receipt.body.setEncoding('utf8');
+      for await (const chunk of receipt.body) {
         firstPieceUs ??= steadyNow();
         rest += String(chunk);
         for (let breakPlace = rest.indexOf('\n'); breakPlace >= 0; breakPlace = rest.indexOf('\n')) {
--- a/src/rehearsal/stand-in/http-desk.ts
+++ b/src/rehearsal/stand-in/http-desk.ts
@@ -1,7 +1,7 @@
 import { object, string } from 'yup';
 import { checked } from '../../common/checked.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
-import { httpCall, type HttpAnswer, type HttpCall } from '../../cli/http-call.js';
+import { httpCall, type HttpReceipt, type HttpCall } from '../../cli/http-call.js';
 import type { OperatorDesk } from '../../process/operator/operator-desk.js';
 import type { OperatorWord } from '../../process/operator/operator-word.js';
 import { recordSchema } from '../../setup/check/record-schema.js';
@@ -9,7 +9,7 @@
 
 const outcomeSchema = object({ outcome: string().required() });
 
-const wordOf = (proposal: string, { status, body }: HttpAnswer): OperatorWord => {
+const wordOf = (proposal: string, { status, body }: HttpReceipt): OperatorWord => {
   const { revision = 0, newest = 0 } = readNumbers(body, ['revision', 'newest']);
   const outcome = checked(outcomeSchema, body).map((told) => told.outcome).orDefault('');
   switch (status) {
@@ -33,7 +33,7 @@
   const told = async (proposal: string, call: Omit<HttpCall, 'address'>): Promise<OperatorWord> =>
     (await httpCall({ ...call, address: address() }).run()).caseOf<OperatorWord>({
       Left: (error: TypedError) => ({ type: 'unknown', proposal, error }),
-      Right: (answer) => wordOf(proposal, answer),
+      Right: (receipt) => wordOf(proposal, receipt),
     });
   return {
     read: async () =>
--- a/src/rehearsal/stand-in/open-server.ts
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -1,5 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import { steadyNow } from '../../common/micros.js';
+import { paused } from '../../common/clock/paused.js';
+import { steadyClock } from '../../common/clock/steady-clock.js';
+import { steadyNow, type Micros } from '../../common/micros.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
 import { reply } from '../../process/http/reply.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
@@ -15,24 +17,24 @@
 /** How a stand-in model server behaves. */
 export type ServerFigures = {
   readonly keptOpenings: number;
-  readonly prefillMicrosPerByte: number;
+  readonly prefillUsPerByte: number;
   /** Prefills that run at once; each slows the others down. */
   readonly prefillsAtOnce: number;
-  readonly warmPrefillMillis: number;
-  readonly pieceMillis: number;
+  readonly warmPrefillUs: Micros;
+  readonly pieceUs: Micros;
   readonly mostRuns: number;
 };
 
 export const usualFigures: ServerFigures = {
   keptOpenings: 200,
-  prefillMicrosPerByte: 60,
+  prefillUsPerByte: 60,
   prefillsAtOnce: 8,
-  warmPrefillMillis: 6,
-  pieceMillis: 20,
+  warmPrefillUs: 6_000,
+  pieceUs: 20_000,
   mostRuns: 64,
 };
 
-const pause = (millis: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, millis));
+const pause = (spanUs: Micros): Promise<void> => paused(steadyClock, spanUs);
 
 /** Starts a back end. A model prefills one opening at a time and remembers the newest; a web server answers plainly. */
 export const openStandInServer = async (
@@ -56,7 +58,7 @@
     prefills += 1;
     const cold = !rememberedOpenings.has(prefix);
     if (cold) coldPrefills += 1;
-    await pause(cold ? (opening.length * figures.prefillMicrosPerByte * prefills) / 1000 : figures.warmPrefillMillis);
+    await pause(cold ? opening.length * figures.prefillUsPerByte * prefills : figures.warmPrefillUs);
     rememberedOpenings.delete(prefix);
     const oldestPrefix = rememberedOpenings.size >= figures.keptOpenings ? rememberedOpenings.keys().next().value : undefined;
     if (oldestPrefix !== undefined) rememberedOpenings.delete(oldestPrefix);
@@ -94,9 +96,9 @@
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     for (let piece = exchange.fromPiece; piece < pieces && !response.destroyed; piece += 1) {
       await light;
-      while (mood === 'stuck' && !response.destroyed) await pause(figures.pieceMillis);
+      while (mood === 'stuck' && !response.destroyed) await pause(figures.pieceUs);
       response.write(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
-      await pause(mood === 'slow' ? figures.pieceMillis * 20 : figures.pieceMillis);
+      await pause(mood === 'slow' ? figures.pieceUs * 20 : figures.pieceUs);
     }
     response.end(`${JSON.stringify({ end: true, pieces })}\n`);
   };
@@ -125,7 +127,7 @@
       if (type === 'model') await runModel(exchange, response);
       else {
         note(exchange);
-        await pause(5);
+        await pause(5_000);
         reply(response, 200, { status: 'well', work: readWorkText(exchange.text).work });
       }
     } finally {
--- a/src/rehearsal/stand-in/platform.ts
+++ b/src/rehearsal/stand-in/platform.ts
@@ -1,7 +1,7 @@
 import { request } from 'undici';
 import { boolean, number, object, string } from 'yup';
 import { checked } from '../../common/checked.js';
-import { steadyNow } from '../../common/micros.js';
+import { steadyNow, toMillis, type Micros } from '../../common/micros.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { ServerList } from '../../servers/list/server-list.js';
 import { oneOf, type Chance } from '../../common/chance.js';
@@ -27,9 +27,9 @@
   readonly close: () => void;
 };
 
-const probeMillis = 200;
-const probeBudgetMillis = 800;
-const listMillis = 1_000;
+const probeUs: Micros = 200_000;
+const probeBudgetUs: Micros = 800_000;
+const listUs: Micros = 1_000_000;
 
 const watchedSchema = object({ revision: number().required(), digest: string().optional(), version: number().required() }).required();
 const readySchema = object({ ready: boolean().required() }).required();
@@ -43,13 +43,13 @@
 
   const push = async (node: RehearsedNode): Promise<void> => {
     try {
-      const answer = await request(`http://${node.http}/platform/list`, {
+      const receipt = await request(`http://${node.http}/platform/list`, {
         method: 'PUT',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(list),
-        signal: AbortSignal.timeout(probeBudgetMillis),
+        signal: AbortSignal.timeout(toMillis(probeBudgetUs)),
       });
-      await answer.body.dump();
+      await receipt.body.dump();
     } catch {
       return;
     }
@@ -58,9 +58,9 @@
   const probe = async (node: RehearsedNode): Promise<void> => {
     const boot = node.boot();
     try {
-      const signal = AbortSignal.timeout(probeBudgetMillis);
-      const answer = await request(`http://${node.http}/ready`, { signal });
-      const body: unknown = await answer.body.json();
+      const signal = AbortSignal.timeout(toMillis(probeBudgetUs));
+      const receipt = await request(`http://${node.http}/ready`, { signal });
+      const body: unknown = await receipt.body.json();
       const isReady = checked(readySchema, body).map((probed) => probed.ready).orDefault(false);
       if (isReady) ready.add(node.node);
       else ready.delete(node.node);
@@ -72,10 +72,10 @@
     }
   };
 
-  const repeat = (work: () => Promise<void>, millis: number): void => {
+  const repeat = (work: () => Promise<void>, spanUs: Micros): void => {
     const index = timers.length;
     const again = (): void => {
-      timers[index] = setTimeout(() => void work().finally(again), millis);
+      timers[index] = setTimeout(() => void work().finally(again), toMillis(spanUs));
     };
     timers.push(setTimeout(again, 0));
   };
@@ -91,8 +91,8 @@
     readyRouters: () => nodes.filter((node) => node.role === 'router' && ready.has(node.node)),
     readyNodes: () => ready,
     start: () => {
-      for (const node of nodes) repeat(() => probe(node), probeMillis);
-      for (const node of nodes) repeat(() => push(node), listMillis);
+      for (const node of nodes) repeat(() => probe(node), probeUs);
+      for (const node of nodes) repeat(() => push(node), listUs);
     },
     close: () => timers.forEach((timer) => clearTimeout(timer)),
   };
--- a/src/router/delivery/caller-link.ts
+++ b/src/router/delivery/caller-link.ts
@@ -9,7 +9,7 @@
   /** Gives a line of the stream on and waits for room; false when the caller is gone. */
   readonly piece: (exchange: string, line: string) => Promise<boolean>;
   readonly end: (exchange: string, pieces: number) => void;
-  readonly answer: (exchange: string, text: string) => void;
+  readonly receipt: (exchange: string, text: string) => void;
   /** It did not run and never will. */
   readonly refuse: (error: TypedError, exchange?: string, retryAfterUs?: Micros) => void;
   /** It may have run. */
--- a/src/router/delivery/deliver.ts
+++ b/src/router/delivery/deliver.ts
@@ -6,7 +6,7 @@
 import type { DeliveryEnd } from './delivery-end.js';
 import { parseStreamLine } from './piece.js';
 
-const mostAnswerBytes = 8 << 20;
+const mostReceiptBytes = 8 << 20;
 const mostLineBytes = 1 << 20;
 
 const failed = (error: DeliveryError, message: string): DeliveryEnd => ({ type: 'failed', error, message });
@@ -49,13 +49,13 @@
   return failed('link-lost', 'the stream broke off before its end');
 };
 
-const readAnswer = async (body: AsyncIterator<string>, ears: DeliveryEars): Promise<DeliveryEnd> => {
+const readReceipt = async (body: AsyncIterator<string>, ears: DeliveryEars): Promise<DeliveryEnd> => {
   let text = '';
   for (let next = await body.next(); next.done !== true; next = await body.next()) {
     text += next.value;
-    if (text.length > mostAnswerBytes) return failed('bad-stream', 'the answer is too large');
+    if (text.length > mostReceiptBytes) return failed('bad-stream', 'the answer is too large');
   }
-  ears.answer(text);
+  ears.receipt(text);
   return { type: 'done', rest: Promise.resolve(true) };
 };
 
@@ -83,7 +83,7 @@
       link.close();
       return failed(status === 503 || status === 429 ? 'turned-away' : 'server-error', `status ${status}`);
     }
-    const end = await (continuation.isModel ? readStream(continuation, body, ears) : readAnswer(body, ears));
+    const end = await (continuation.isModel ? readStream(continuation, body, ears) : readReceipt(body, ears));
     if (end.type !== 'done') link.close();
     return end;
   } catch (thrown) {
--- a/src/router/delivery/delivery-ears.ts
+++ b/src/router/delivery/delivery-ears.ts
@@ -1,5 +1,5 @@
 /** What a try tells while it runs. */
 export type DeliveryEars = {
   readonly piece: (line: string) => Promise<boolean>;
-  readonly answer: (text: string) => void;
+  readonly receipt: (text: string) => void;
 };
--- a/src/servers/link/open-link.ts
+++ b/src/servers/link/open-link.ts
@@ -1,14 +1,15 @@
 import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
+import { toMillis, type Micros } from '../../common/micros.js';
 import { messageOf, typedError } from '../../common/typed-error.js';
 import { serverKeyOf, type ServerKey } from '../list/server-key.js';
 import { confirmIdentity } from './confirm-identity.js';
 import type { Dial } from './dial.js';
 import type { ServerLink } from './server-link.js';
 
-const dialBudgetMillis = 1_000;
-const confirmBudgetMillis = 2_000;
-const probeBudgetMillis = 1_000;
+const dialBudgetUs: Micros = 1_000_000;
+const confirmBudgetUs: Micros = 2_000_000;
+const probeBudgetUs: Micros = 1_000_000;
 
 const chunksOf = async function* (body: AsyncIterable<unknown>): AsyncGenerator<string> {
   for await (const chunk of body) yield String(chunk);
@@ -20,29 +21,29 @@
   close,
   confirm: async () => {
     try {
-      const answer = await client.request({ method: 'GET', path: '/identity', signal: AbortSignal.timeout(probeBudgetMillis) });
-      await answer.body.dump();
-      return answer.statusCode === 200;
+      const receipt = await client.request({ method: 'GET', path: '/identity', signal: AbortSignal.timeout(toMillis(probeBudgetUs)) });
+      await receipt.body.dump();
+      return receipt.statusCode === 200;
     } catch {
       return false;
     }
   },
   deliver: async (order, signal) => {
-    const answer = await client.request({
+    const receipt = await client.request({
       method: 'POST',
       path: '/exchanges',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(order),
       signal,
     });
-    answer.body.setEncoding('utf8');
-    return { status: answer.statusCode, body: chunksOf(answer.body) };
+    receipt.body.setEncoding('utf8');
+    return { status: receipt.statusCode, body: chunksOf(receipt.body) };
   },
 });
 
 /** Dials a server once and makes it say who it is, on the same connection that will carry the exchanges. */
 export const openServerLink: Dial = async (server) => {
-  const connector = buildConnector({ timeout: dialBudgetMillis });
+  const connector = buildConnector({ timeout: toMillis(dialBudgetUs) });
   let dials = 0;
   let isOpen = true;
   const client = new Client(`http://${server.address}`, {
@@ -67,7 +68,7 @@
     const confirmed = await client.request({
       method: 'GET',
       path: '/identity',
-      signal: AbortSignal.timeout(confirmBudgetMillis),
+      signal: AbortSignal.timeout(toMillis(confirmBudgetUs)),
     });
     const confirmation = confirmIdentity(server, await confirmed.body.text());
     if (confirmation.isLeft()) {
--- a/src/sim/fleet/sim-callers.ts
+++ b/src/sim/fleet/sim-callers.ts
@@ -64,7 +64,7 @@
       return Promise.resolve(true);
     },
     end: (_exchange, count) => hearEnd(count === pieces.length && count === wanted ? 'complete' : 'malformed', undefined, undefined),
-    answer: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
+    receipt: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
     refuse: (error, _exchange, retryAfterUs) =>
       hearEnd('refused', error.type, retryAfterUs === undefined ? undefined : String(toRetrySeconds(retryAfterUs))),
     unknown: (error) => hearEnd(error.type === 'repeated-key' ? 'repeated' : 'unknown', error.type, undefined),
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -17,7 +17,7 @@
   readonly run: (order: ServerOrder, ears: SimServerEars) => void;
   /** Does something as soon as the server is not dark. */
   readonly whenLight: (act: () => void) => void;
-  /** Notes a connection; it is told when the server crashes. */
+  /** Notes a link; it is told when the server crashes. */
   readonly remember: (lose: () => void) => void;
   readonly forget: (lose: () => void) => void;
   readonly crash: () => void;
@@ -33,7 +33,7 @@
 export const openSimServer = (world: World, history: History, listed: ListedServer): SimServer => {
   const note = (type: 'begins' | 'ends', what: OutageType): void => void history.troubles.push({ type, atUs: world.now(), who: listed.id, what });
   const rememberedOpenings = new Set<string>();
-  const connections = new Set<() => void>();
+  const links = new Set<() => void>();
   const isModel = listed.service !== 'status';
   let isUp = true;
   let darkUntilUs = 0;
@@ -70,14 +70,14 @@
     isUp: () => isUp,
     isDark: () => world.now() < darkUntilUs,
     whenLight,
-    remember: (lose) => void connections.add(lose),
-    forget: (lose) => void connections.delete(lose),
+    remember: (lose) => void links.add(lose),
+    forget: (lose) => void links.delete(lose),
     crash: () => {
       if (!isUp) return;
       isUp = false;
       note('begins', 'down');
-      for (const lose of connections) lose();
-      connections.clear();
+      for (const lose of links) lose();
+      links.clear();
     },
     goDark: (span) => {
       darkUntilUs = Math.max(darkUntilUs, world.now() + Math.ceil(span));
--- a/src/sim/process/chunk-queue.ts
+++ b/src/sim/process/chunk-queue.ts
@@ -12,15 +12,15 @@
   const waitingChunks: string[] = [];
   let waiter: Waiter | undefined;
   let isEnded = false;
-  let failure: Error | undefined;
+  let linkError: Error | undefined;
   const serve = (): void => {
     if (waiter === undefined) return;
     const { resolve, reject } = waiter;
     const chunk = waitingChunks.shift();
-    if (chunk === undefined && !isEnded && failure === undefined) return;
+    if (chunk === undefined && !isEnded && linkError === undefined) return;
     waiter = undefined;
     if (chunk !== undefined) resolve({ done: false, value: chunk });
-    else if (failure !== undefined) reject(failure);
+    else if (linkError !== undefined) reject(linkError);
     else resolve({ done: true, value: undefined });
   };
   return {
@@ -34,7 +34,7 @@
     },
     fail: (error) => {
       if (isEnded) return;
-      failure = error;
+      linkError = error;
       serve();
     },
     chunks: {
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -1,6 +1,6 @@
 import { array, mixed, number, object, string } from 'yup';
 import { typed, unionGuard } from '../../common/union.js';
-import type { Answer } from '../../control/machine/answer.js';
+import type { Receipt } from '../../control/machine/receipt.js';
 import { isCommand } from '../../control/wire/command-guard.js';
 import { isPlainMessage } from '../../control/wire/message-codec.js';
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
@@ -23,7 +23,7 @@
   read: object({ type: typed('read'), proposal: string().optional() }),
 });
 
-const isAnswer = unionGuard<Answer>({
+const isReceipt = unionGuard<Receipt>({
   applied: object({ type: typed('applied'), outcome: mixed(isOutcome).required() }),
   record: object({ type: typed('record'), record: recordSchema.optional().default(undefined), outcome: mixed(isProposalOutcome).optional() }),
   'not-leader': object({ type: typed('not-leader'), leader: string().optional() }),
@@ -45,5 +45,5 @@
   list: object({ type: typed('list'), list: listSchema }),
   control: object({ type: typed('control'), identity: string().required(), to: string().optional(), message: mixed(isPlainMessage).required() }),
   ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
-  answer: object({ type: typed('answer'), ask: string().required(), answer: mixed(isAnswer).required() }),
+  receipt: object({ type: typed('receipt'), ask: string().required(), receipt: mixed(isReceipt).required() }),
 });
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -1,6 +1,6 @@
 import type { Micros } from '../../common/micros.js';
 import type { Command } from '../../control/log/command.js';
-import type { Answer } from '../../control/machine/answer.js';
+import type { Receipt } from '../../control/machine/receipt.js';
 import type { PlainMessage } from '../../control/wire/message-codec.js';
 import type { ServerList } from '../../servers/list/server-list.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
@@ -24,7 +24,7 @@
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
   | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
-  | { readonly type: 'answer'; readonly ask: string; readonly answer: Answer };
+  | { readonly type: 'receipt'; readonly ask: string; readonly receipt: Receipt };
 
 /** What any process may ask the core. */
 export type Question = { readonly type: 'propose'; readonly command: Command } | { readonly type: 'read'; readonly proposal?: string };
--- a/src/spread/link/tcp-links.ts
+++ b/src/spread/link/tcp-links.ts
@@ -2,6 +2,7 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { deserialize, serialize } from 'bson';
 import { object, string, mixed } from 'yup';
+import { steadyNow, toMillis, type Micros } from '../../common/micros.js';
 import { checked } from '../../common/checked.js';
 import type { Frame } from '../frame/frame.js';
 import { isFrame } from '../frame/frame-guard.js';
@@ -11,8 +12,8 @@
 
 const mostFrameBytes = 64 << 20;
 const mostWaitingBytes = 64 << 20;
-const redialMillis = 200;
-const dialBudgetMillis = 2_000;
+const redialUs: Micros = 200_000;
+const dialBudgetUs: Micros = 2_000_000;
 
 const envelopeSchema = object({ from: string().required(), frame: mixed(isFrame).required() }).required();
 
@@ -59,13 +60,13 @@
   let isClosed = false;
 
   const dial = (target: string): OutLink | undefined => {
-    if ((redialAfter.get(target) ?? 0) > performance.now()) return undefined;
+    if ((redialAfter.get(target) ?? 0) > steadyNow()) return undefined;
     const { host, port } = addressParts(target);
     const socket = createConnection({ host, port });
     const waiting: Uint8Array[] = [];
     let isOpen = false;
     socket.setNoDelay(true);
-    const dialTimer = setTimeout(() => socket.destroy(), dialBudgetMillis);
+    const dialTimer = setTimeout(() => socket.destroy(), toMillis(dialBudgetUs));
     socket.on('connect', () => {
       clearTimeout(dialTimer);
       isOpen = true;
@@ -75,7 +76,7 @@
     socket.on('close', () => {
       clearTimeout(dialTimer);
       if (outLinks.get(target)?.socket === socket) outLinks.delete(target);
-      redialAfter.set(target, performance.now() + redialMillis);
+      redialAfter.set(target, steadyNow() + redialUs);
     });
     socket.resume();
     const outLink: OutLink = { socket, isOpen: () => isOpen, waiting };
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -102,8 +102,8 @@
   return andThen(
     andThen(introduced, (introducedView) => withTime(introducedView, digest.platformUs)),
     (timedView) => {
-      const isAnswer = timedView.refreshing && digest.inquiry === timedView.inquiry;
-      const isFresh = isAnswer && digest.revision <= revisionOf(timedView) && digest.version <= versionOf(timedView);
+      const isReceipt = timedView.refreshing && digest.inquiry === timedView.inquiry;
+      const isFresh = isReceipt && digest.revision <= revisionOf(timedView) && digest.version <= versionOf(timedView);
       const { asked } = timedView;
       const isPending = timedView.atUs < asked.atUs + askSpanUs;
       const hadRevision = isPending ? Math.max(asked.revision, revisionOf(timedView)) : revisionOf(timedView);
--- a/tests/control/core-client.test.ts
+++ b/tests/control/core-client.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import type { Either } from 'purify-ts';
 import type { TypedError } from '../../src/common/typed-error.js';
-import type { Answer } from '../../src/control/machine/answer.js';
+import type { Receipt } from '../../src/control/machine/receipt.js';
 import { openCoreClient } from '../../src/process/core-client.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openSpreadTask } from '../../src/process/spread-task.js';
@@ -12,20 +12,20 @@
 import { openNetwork } from '../../src/sim/world/network.js';
 import { openWorld } from '../../src/sim/world/world.js';
 
-const won: Answer = { type: 'applied', outcome: { type: 'claimed', won: true, holder: 'x' } };
+const won: Receipt = { type: 'applied', outcome: { type: 'claimed', won: true, holder: 'x' } };
 
 /** Asks a core of which one machine answers each question after a while; what it is told, and when. */
-const askedOf = async (answerAfterUs: number, budgetUs: number, answer: Answer = won) => {
+const askedOf = async (receiptAfterUs: number, budgetUs: number, receipt: Receipt = won) => {
   const world = openWorld(1);
   const ports: SimPorts = new Map();
   const surroundings = simSurroundingsOf({ world, network: openNetwork(world), ports, serverAt: () => undefined, note: () => undefined }, 'a', 'a:1', openSimNode(world).begin());
   const spread = openSpreadTask({ node: 'a', role: 'router', address: 'a:1', http: 'a:1/http', locality: 'a' }, ['core:1'], { change: () => undefined }, openCounters(), surroundings);
   await spread.start();
   ports.set('core:1', (from, frame) => {
-    if (frame.type === 'ask') world.after(answerAfterUs, () => ports.get(from)?.('core:1', { type: 'answer', ask: frame.ask, answer }));
+    if (frame.type === 'ask') world.after(receiptAfterUs, () => ports.get(from)?.('core:1', { type: 'receipt', ask: frame.ask, receipt }));
   });
   const core = openCoreClient(spread, surroundings);
-  const told: { word: Either<TypedError, Answer> | undefined; atUs: number } = { word: undefined, atUs: 0 };
+  const told: { word: Either<TypedError, Receipt> | undefined; atUs: number } = { word: undefined, atUs: 0 };
   void core.ask({ type: 'propose', command: { type: 'claim', key: 'k', exchange: 'x', atUs: 0 } }, budgetUs).then((word) => {
     told.word = word;
     told.atUs = world.now();
--- a/tests/control/operator.test.ts
+++ b/tests/control/operator.test.ts
@@ -21,12 +21,12 @@
   await http.listen();
   try {
     await use(async (method, path, body, headers = {}) => {
-      const answer = await request(`http://127.0.0.1:${port}${path}`, {
+      const receipt = await request(`http://127.0.0.1:${port}${path}`, {
         method,
-        headers: { ...headers, connection: 'close' },
+        headers: { ...headers, 'connection': 'close' },
         body: body === undefined ? undefined : typeof body === 'string' ? body : JSON.stringify(body),
       });
-      return { status: answer.statusCode, etag: answer.headers['etag'], text: await answer.body.text() };
+      return { status: receipt.statusCode, etag: receipt.headers['etag'], text: await receipt.body.text() };
     });
   } finally {
     await http.close();
--- a/tests/router/edge.test.ts
+++ b/tests/router/edge.test.ts
@@ -94,7 +94,7 @@
 };
 
 faults('a resumable stream is carried over at the next piece when its server crashes', async () => {
-  const loopback = await openLoopback(3, 0, 5);
+  const loopback = await openLoopback(3, 0, 5_000);
   try {
     for (let place = 0; place < 5; place += 1) await loopback.send({ kind: 'question', opening: 'o', text: textOf(`warm${place}`, 1) });
     const { sent, crash } = await midStream(loopback, 'question', 'c1');
@@ -114,7 +114,7 @@
 });
 
 faults('a run-once stream breaks visibly when its server crashes, and does not run again', async () => {
-  const loopback = await openLoopback(3, 0, 5);
+  const loopback = await openLoopback(3, 0, 5_000);
   try {
     const { sent, crash } = await midStream(loopback, 'summary', 'c2');
     crash();
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -1,6 +1,6 @@
 import { Right } from 'purify-ts';
 import { request } from 'undici';
-import type { Answer } from '../../src/control/machine/answer.js';
+import type { Receipt } from '../../src/control/machine/receipt.js';
 import { applyCommand } from '../../src/control/state/apply.js';
 import { startControlState } from '../../src/control/state/control-state.js';
 import type { CoreClient } from '../../src/process/core-client.js';
@@ -43,11 +43,11 @@
     ask: (question) => {
       if (question.type === 'read') {
         const outcome = question.proposal === undefined ? undefined : state.proposals.get(question.proposal);
-        return Promise.resolve(Right<Answer>({ type: 'record', record: state.record, outcome }));
+        return Promise.resolve(Right<Receipt>({ type: 'record', record: state.record, outcome }));
       }
       const applied = applyCommand(state, question.command);
       state = applied.state;
-      return Promise.resolve(Right<Answer>({ type: 'applied', outcome: applied.outcome }));
+      return Promise.resolve(Right<Receipt>({ type: 'applied', outcome: applied.outcome }));
     },
   };
 };
@@ -73,7 +73,7 @@
   }
 };
 
-export const openLoopback = async (models: number, webs: number, pieceMillis = 1): Promise<Loopback> => {
+export const openLoopback = async (models: number, webs: number, pieceUs = 1_000): Promise<Loopback> => {
   const history = openHistory();
   const [httpPort, partnerPort, ...serverPorts] = await freePorts(2 + models + webs);
   const http = `127.0.0.1:${httpPort}`;
@@ -85,7 +85,7 @@
     coreOf: bareCore,
   });
   const served = serveRouter(node, http);
-  const figures = { ...usualFigures, prefillMicrosPerByte: 1, warmPrefillMillis: 1, pieceMillis };
+  const figures = { ...usualFigures, prefillUsPerByte: 1, warmPrefillUs: 1_000, pieceUs };
   let version = 0;
   const show = (servers: readonly ListedServer[]): void => {
     version += 1;
@@ -109,13 +109,13 @@
     open,
     send: async (body, headers = {}) => {
       try {
-        const answer = await request(`http://${http}/exchanges`, {
+        const receipt = await request(`http://${http}/exchanges`, {
           method: 'POST',
           headers: { 'content-type': 'application/json', ...headers },
           body: typeof body === 'string' ? body : JSON.stringify(body),
         });
-        answer.body.setEncoding('utf8');
-        return { status: answer.statusCode, headers: answer.headers, ...(await readAll(answer.body)) };
+        receipt.body.setEncoding('utf8');
+        return { status: receipt.statusCode, headers: receipt.headers, ...(await readAll(receipt.body)) };
       } catch {
         return { status: 0, headers: {}, text: '', broken: true };
       }
--- a/tests/router/platform.test.ts
+++ b/tests/router/platform.test.ts
@@ -7,8 +7,8 @@
   const loopback = await openLoopback(1, 0);
   try {
     const put = async (body: string): Promise<readonly [number, string]> => {
-      const answer = await request(`http://${loopback.http}/platform/list`, { method: 'PUT', body });
-      return [answer.statusCode, await answer.body.text()];
+      const receipt = await request(`http://${loopback.http}/platform/list`, { method: 'PUT', body });
+      return [receipt.statusCode, await receipt.body.text()];
     };
     const server = listedAt('m9', 'model', 9);
     const list = (version: number, servers: readonly unknown[]): string => JSON.stringify({ version, atUs: 5, servers });
--- a/tests/sim/silence.test.ts
+++ b/tests/sim/silence.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { checkAnswers, checkResumes } from '../../src/rehearsal/checker/check-answers.js';
+import { checkReceipts, checkResumes } from '../../src/rehearsal/checker/check-receipts.js';
 import { checkRunOnce } from '../../src/rehearsal/checker/check-runs.js';
 import { readyFleet, second, type SmallFleet } from './small-fleet.js';
 
@@ -25,7 +25,7 @@
   const froms = fleet.history.runs.map((run) => run.fromPiece);
   assert.is(froms.length, 2);
   assert.ok((froms[1] ?? 0) > 5, 'it goes on where it stopped');
-  assert.equal(checkAnswers(fleet.history), []);
+  assert.equal(checkReceipts(fleet.history), []);
 });
 
 test('where it is not allowed the stream breaks visibly, soon, and nothing runs twice', async () => {
