Take Kubernetes-style objects as a setup, through a YAML library

They become the same checked setup; an unknown apiVersion, kind or field is named by document and path, and nothing is taken.

--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -2,6 +2,8 @@
 import type { Command } from 'commander';
 import { EitherAsync, Right } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
+import type { Setup } from '../setup/document/setup.js';
+import { convertObjects } from '../setup/objects/convert-objects.js';
 import { fail, print } from './fail.js';
 import { httpCall, type HttpCall } from './http-call.js';
 
@@ -14,6 +16,12 @@
     }
   });
 
+/** The setup that a file of objects describes. */
+const converted = (path: string): EitherAsync<TypedError, Setup> =>
+  readText(path).chain((text) =>
+    EitherAsync.liftEither(convertObjects(text).mapLeft((faults) => typedError('invalid-setup', 'the objects do not hold', faults))),
+  );
+
 /** Prints what a node answered; the exit is 0 for done, 3 for unknown, 1 for anything else. */
 const show = async (call: EitherAsync<TypedError, HttpCall>): Promise<void> => {
   (await call.chain(httpCall).run()).ifLeft(fail).ifRight(({ status, body }) => {
@@ -36,11 +44,12 @@
     .command('put <file>')
     .description('send a whole setup (JSON; - for standard input)')
     .requiredOption('--control <ip:port>', 'the HTTP address of a core machine')
+    .option('--objects', 'the file holds Kubernetes-style objects (YAML or JSON, several documents)')
     .option('--expect <revision>', 'only if this revision is still the newest; 0 for none')
     .option('--proposal <id>', 'the id to ask after the proposal by')
-    .action((file: string, flags: { readonly control: string; readonly expect?: string; readonly proposal?: string }) =>
+    .action((file: string, flags: { readonly control: string; readonly objects?: boolean; readonly expect?: string; readonly proposal?: string }) =>
       show(
-        readText(file).map((body) => ({
+        (flags.objects === true ? converted(file).map((made) => JSON.stringify(made)) : readText(file)).map((body) => ({
           method: 'PUT',
           address: flags.control,
           path: '/operator/setup',
@@ -52,6 +61,12 @@
         })),
       ),
     );
+  setup
+    .command('convert <file>')
+    .description('make a setup of Kubernetes-style objects (YAML or JSON, several documents; - for standard input) and print it')
+    .action(async (file: string) => {
+      (await converted(file).run()).ifLeft(fail).ifRight(print);
+    });
   setup
     .command('ask <proposal>')
     .description('ask what became of a proposal')
