--- a/src/process/run-control.ts
+++ b/src/process/run-control.ts
@@ -1,13 +1,13 @@
-import { EitherAsync } from 'purify-ts';
-import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
+import type { EitherAsync } from 'purify-ts';
+import type { TypedError } from '../common/typed-error.js';
 import { openControlNode } from './control/control-node.js';
 import { openHttpServer } from './http/http-server.js';
 import { addOperatorPaths } from './http/operator-paths.js';
 import { addPlatformPaths } from './http/platform-paths.js';
 import { openLog } from './log.js';
+import { serveUntilTold } from './serve-until-told.js';
 import type { ControlSettings } from './settings/control-settings.js';
 import { realSurroundings } from './surroundings/real-surroundings.js';
-import { toldToStop } from './told-to-stop.js';
 
 /** Runs a core machine until it is told to stop. */
 export const runControl = (settings: ControlSettings): EitherAsync<TypedError, void> => {
@@ -16,20 +16,10 @@
     log.change('disk failed', { error });
     process.exit(3);
   };
-  return openControlNode({ settings, log, surroundings: realSurroundings, fail }).chain((node) =>
-    EitherAsync(async ({ throwE }) => {
-      const http = openHttpServer(settings.http, node.counters);
-      addPlatformPaths(http, node.spread, node.counters, node.unready);
-      addOperatorPaths(http, node.desk);
-      try {
-        await http.listen();
-        await node.start();
-      } catch (thrown) {
-        return throwE(typedError('bad-settings', `can not listen: ${messageOf(thrown)}`));
-      }
-      await toldToStop();
-      await node.stop();
-      await http.close();
-    }),
-  );
+  return openControlNode({ settings, log, surroundings: realSurroundings, fail }).chain((node) => {
+    const http = openHttpServer(settings.http, node.counters);
+    addPlatformPaths(http, node.spread, node.counters, node.unready);
+    addOperatorPaths(http, node.desk);
+    return serveUntilTold(http, node);
+  });
 };
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -49,6 +49,25 @@
 const longOnes = (kind: KindTraffic): readonly KindTraffic[] =>
   [130, 320, ...(kind.runsOnce ? [] : [420])].map((pieces) => ({ ...kind, share: kind.share * 0.05, pieces }));
 
+const withLongStreams = (deployment: Deployment): Deployment => ({
+  ...deployment,
+  kinds: deployment.kinds.flatMap((kind) => (kind.isModel ? [{ ...kind, share: kind.share * 0.8 }, ...longOnes(kind)] : [kind])),
+});
+
+const rolling = (name: string, about: string, seconds: number, size: Scenario['size']): Scenario => ({
+  name,
+  about,
+  seconds,
+  ...planned,
+  size,
+  setup: quickWarmup,
+  acts: [
+    { atShare: 0.08, name: 'roll servers', act: servers.rollServers },
+    { atShare: 0.1, name: 'roll routers', act: nodes.rollRouters },
+    { atShare: 0.72, name: 'roll core machines', act: nodes.rollControls },
+  ],
+});
+
 /** Four faults one after another in the first part of the time, and then time to come back. */
 const faulty = (name: string, about: string, faults: readonly (readonly [string, FaultAct])[]): Scenario => ({
   name,
@@ -96,35 +115,8 @@
     flight: { boundUs: 0 },
   })),
   joining('join-flight', 'one server joins without warm-up and pace, but behind single-flight', coldFigures),
-  {
-    name: 'rolling',
-    about: 'every model server is replaced and every router and core machine restarted, in turn and in order',
-    seconds: 90,
-    ...planned,
-    size: asGiven,
-    setup: quickWarmup,
-    acts: [
-      { atShare: 0.08, name: 'roll servers', act: servers.rollServers },
-      { atShare: 0.1, name: 'roll routers', act: nodes.rollRouters },
-      { atShare: 0.7, name: 'roll core machines', act: nodes.rollControls },
-    ],
-  },
-  {
-    name: 'rolling-long',
-    about: 'the same with streams of three to nine seconds; only what was under way for eight may be broken off',
-    seconds: 100,
-    ...planned,
-    size: (deployment) => ({
-      ...deployment,
-      kinds: deployment.kinds.flatMap((kind) => (kind.isModel ? [{ ...kind, share: kind.share * 0.8 }, ...longOnes(kind)] : [kind])),
-    }),
-    setup: quickWarmup,
-    acts: [
-      { atShare: 0.08, name: 'roll servers', act: servers.rollServers },
-      { atShare: 0.1, name: 'roll routers', act: nodes.rollRouters },
-      { atShare: 0.75, name: 'roll core machines', act: nodes.rollControls },
-    ],
-  },
+  rolling('rolling', 'every model server is replaced and every router and core machine restarted, in turn and in order', 90, asGiven),
+  rolling('rolling-long', 'the same with streams of three to nine seconds; only what was under way for eight may be broken off', 100, withLongStreams),
   faulty('kills', 'routers killed alone and half of them at once, the leader of the core killed', [
     ['kill a router', nodes.killRouter],
     ['kill the leader', nodes.killLeader],
--- a/tests/router/edge.test.ts
+++ b/tests/router/edge.test.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import { httpText } from '../../src/cli/http-call.js';
+import { readJournal } from '../../src/router/explain/saved-journal.js';
 import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { pieceText, writeWorkText } from '../../src/rehearsal/stand-in/work-text.js';
 import { listedAt, openLoopback, type Loopback, type Sent } from './loopback.js';
@@ -79,6 +81,14 @@
   for (const word of ['"range"', '"owners"', '"pressure"', '"cold"', '"attempt":1']) assert.match(facts, word);
 });
 
+edge('a node gives its journal of exchanges out, which can be read back whole', async (context) => {
+  const loopback = opened(context);
+  const sent = await loopback.send({ kind: 'question', opening: 'o', text: textOf('j1', 2) });
+  const text = (await httpText(loopback.http, '/journal').run()).unsafeCoerce();
+  const stories = readJournal(text).unsafeCoerce();
+  assert.ok(stories.some((story) => story.exchange === sent.headers['x-exchange-id'] && story.steps.length > 1));
+});
+
 edge.run();
 
 const faults = suite('edge under faults');
