--- a/src/sim/sample-setup.ts
+++ b/src/sim/sample-setup.ts
@@ -24,5 +24,5 @@
   flight: { boundUs: 2 * second },
   pressure: { factor: 1.5, floor: 4, slots: 400 },
   retry: { fraction: 0.2, fleetExtra: 24 },
-  leaving: { graceUs: 2 * second },
+  leaving: { graceUs: 1.2 * second },
 });
