--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -81,6 +81,8 @@
   readonly faults: readonly FleetFault[];
   /** Planned changes: nothing may be cut off at any time, and hardly anything refused. */
   readonly planned?: (fleet: SimFleet, told: (what: string) => void) => void;
+  /** One fault in the last second before trouble ends. */
+  readonly last?: (seed: number) => FleetFault | undefined;
 };
 
 const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
@@ -95,7 +97,7 @@
 ];
 
 const playWith =
-  ({ sizes, faults, planned }: Play) =>
+  ({ sizes, faults, planned, last }: Play) =>
   async (seed: number): Promise<SimRun> => {
     const fleet = openSimFleet(seed, sizes.routers);
     const callers = openSimCallers(fleet, sizes.callsPerSecond, sizes.kinds);
@@ -113,6 +115,12 @@
     };
     fleet.world.after(warmUpUs + 3 * second, troubleOn);
     fleet.world.after(warmUpUs + 3 * second, () => planned?.(fleet, told));
+    fleet.world.after(troubleEndsUs - fleet.world.chance() * second, () => {
+      const fault = last?.(seed);
+      if (fault === undefined) return;
+      told(fault.name);
+      fault.bring(fleet, callers);
+    });
     await fleet.world.playUntil(troubleEndsUs);
     if (planned === undefined) endFleetFaults(fleet, callers);
     await fleet.world.playUntil(endUs);
@@ -191,6 +199,11 @@
     about: "the same at Cuenca's sizes and rate",
     play: playWith({ sizes: cuencaSizes, faults: fleetFaults }),
   },
+  {
+    name: 'last-fault',
+    about: `one fault in the last second before trouble ends, every one in turn (seeds 1-${fleetFaults.length}), and service back within twelve seconds`,
+    play: playWith({ sizes: smallSizes, faults: [], last: (seed) => fleetFaults[seed % fleetFaults.length] }),
+  },
   {
     name: 'rolling',
     about: 'all model servers replaced, all routers and core machines restarted in order: nothing cut off, hardly anything refused',
