End a process although a prober goes on asking over a kept link

It had closed its HTTP server in the moment of a probe; the answer kept the link alive, and the platform's next probes over it kept the server from closing for good. Ruled out: the disk and the mailbox, both idle. Now every answer given while closing ends its link, and a second later all links end.

--- a/src/process/http/http-server.ts
+++ b/src/process/http/http-server.ts
@@ -1,5 +1,7 @@
-import { createServer } from 'node:http';
+import { createServer, type ServerResponse } from 'node:http';
 import polka from 'polka';
+import { steadyClock } from '../../common/clock/steady-clock.js';
+import type { Micros } from '../../common/micros.js';
 import { addressParts } from '../../spread/link/address-parts.js';
 import type { Counters } from '../counters.js';
 import { replyError } from './reply.js';
@@ -9,11 +11,21 @@
 export type HttpServer = {
   readonly app: polka.Polka;
   readonly listen: () => Promise<void>;
+  /** Ends once what is under way is done, or a second later; whoever goes on asking on a kept link is let go. */
   readonly close: () => Promise<void>;
 };
 
+const closeBudgetUs: Micros = 1_000_000;
+
 export const openHttpServer = (address: string, counters: Counters): HttpServer => {
   const server = createServer({ keepAliveTimeout: 30_000, requestTimeout: 60_000, headersTimeout: 10_000 });
+  const openResponses = new Set<ServerResponse>();
+  let isClosing = false;
+  server.on('request', (_message, response) => {
+    response.shouldKeepAlive &&= !isClosing;
+    openResponses.add(response);
+    response.once('close', () => openResponses.delete(response));
+  });
   const app = polka({
     server,
     onNoMatch: (_message, response) => replyError(response, 404, typedError('not-found', 'no such path or method')),
@@ -41,7 +53,13 @@
       }),
     close: () =>
       new Promise((resolve) => {
-        server.close(() => resolve());
+        isClosing = true;
+        for (const response of openResponses) response.shouldKeepAlive = false;
+        const takeBack = steadyClock.after(closeBudgetUs, () => server.closeAllConnections());
+        server.close(() => {
+          takeBack();
+          resolve();
+        });
         server.closeIdleConnections();
       }),
   };
