Let spans of a second and more pay for their extra tries; a quarter of one is too short

Cause: with spans from 250 ms on, a router in its first ten seconds, which has no constant, could hardly ever carry a stream over: the loopback test of carry-over failed now and then. The shortest span is a second again; the slack of the fleet's constant (24 of 36) covers what a part of a second may add.

--- a/src/decision/retry/retry-budget.ts
+++ b/src/decision/retry/retry-budget.ts
@@ -9,9 +9,11 @@
 };
 
 const windowSlices = windowUs / sliceUs;
+/** The shortest span that must pay for itself: a second. */
+const leastSlices = 1_000_000 / sliceUs;
 
 /**
- * Whether one more extra try fits into every span that ends now, from one slice to the whole window. Only then does it fit
+ * Whether one more extra try fits into every span that ends now, from one second to the whole window. Only then does it fit
  * into every window that begins at any time: first tries before a window's beginning pay for nothing in it. Slices at
  * the edge count against it.
  */
@@ -23,7 +25,7 @@
   for (let back = 0; back < windowSlices; back += 1) {
     firsts += bySlice.get(nowSlice - back)?.firsts ?? 0;
     extras += bySlice.get(nowSlice - back - 1)?.extras ?? 0;
-    if (extras + 1 > Math.floor(firsts * budget.fraction + budget.constant)) return false;
+    if (back + 1 >= leastSlices && extras + 1 > Math.floor(firsts * budget.fraction + budget.constant)) return false;
   }
   return true;
 };
