Restart routers and core machines in one way in the rolling play; drop a wrapper

The two restarts of the simulated rolling play were one loop written twice, and foundingSpanOf only called lengthOf.

--- a/src/decision/timeline/bookings.ts
+++ b/src/decision/timeline/bookings.ts
@@ -16,9 +16,6 @@
 /** How long a booking lasts: every range's slots, or the bound if that is less. */
 export const lengthOf = (warmup: Warmup): Micros => Math.min(warmup.boundUs, warmup.prefixesPerRange * warmup.paceUs);
 
-/** How long after its first server a service is still being founded. */
-const foundingSpanOf = (warmup: Warmup): Micros => lengthOf(warmup);
-
 const byListing = (left: ListedServer, right: ListedServer): number =>
   sinceOf(left) - sinceOf(right) || (left.id < right.id ? -1 : 1);
 
@@ -37,7 +34,7 @@
 ): readonly Booking[] => {
   const bookedServers = servers.filter((server) => server.service === service).sort(byListing);
   const firstUs = bookedServers[0] === undefined ? 0 : sinceOf(bookedServers[0]);
-  const foundingEndUs = firstUs + foundingSpanOf(warmupAt(record, firstUs));
+  const foundingEndUs = firstUs + lengthOf(warmupAt(record, firstUs));
   const madeBookings: Booking[] = [];
   for (const server of bookedServers) {
     const sinceUs = sinceOf(server);
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -11,6 +11,7 @@
 import { endFleetFaults, fleetFaults, type FleetFault } from './fleet-faults.js';
 import { openSimCallers } from './sim-callers.js';
 import { longKinds, type SimKind } from './sim-kinds.js';
+import type { SimRouter } from './sim-router.js';
 import { openSimFleet, type SimFleet } from './sim-fleet.js';
 
 const second = 1_000_000;
@@ -134,6 +135,8 @@
 const archiveSizes: FleetSizes = { routers: 6, models: 13, webs: 3, callsPerSecond: 100 };
 const cuencaSizes: FleetSizes = { routers: 9, models: 13, webs: 3, callsPerSecond: 90 };
 
+type Restartable = Pick<SimRouter, 'name' | 'start' | 'terminate'> & { readonly isBack: () => boolean };
+
 /** Replaces all servers one after another, and restarts all routers and all core machines in order, each once the former is back. */
 const rollAll = (fleet: SimFleet, told: (what: string) => void): void => {
   const olds = fleet.servers().filter((server) => server.listed.service === 'model');
@@ -145,30 +148,14 @@
     fleet.leave(old);
     fleet.world.after(3 * second, () => replace(place + 1));
   };
-  const restart = (place: number): void => {
-    const router = fleet.routers[place];
-    if (router === undefined) return;
-    told(`restart ${router.name}`);
-    router.terminate(() => {
-      fleet.world.after(300_000, () => {
-        router.start();
-        const goOn = (): void => {
-          if (fleet.platform.readyRouters().includes(router)) restart(place + 1);
-          else fleet.world.after(100_000, goOn);
-        };
-        goOn();
-      });
-    });
-  };
-  const restartCore = (place: number): void => {
-    const machine = fleet.core.machines[place];
-    if (machine === undefined) return;
-    told(`restart ${machine.name}`);
-    machine.terminate(() => {
+  const restartEach = ([first, ...others]: readonly Restartable[]): void => {
+    if (first === undefined) return;
+    told(`restart ${first.name}`);
+    first.terminate(() => {
       fleet.world.after(300_000, () => {
-        machine.start();
+        first.start();
         const goOn = (): void => {
-          if (machine.tasks()?.unready() === undefined && machine.tasks() !== undefined) restartCore(place + 1);
+          if (first.isBack()) restartEach(others);
           else fleet.world.after(100_000, goOn);
         };
         goOn();
@@ -176,8 +163,18 @@
     });
   };
   replace(0);
-  restart(0);
-  fleet.world.after(5 * second, () => restartCore(0));
+  restartEach(fleet.routers.map((router) => ({ ...router, isBack: () => fleet.platform.readyRouters().includes(router) })));
+  fleet.world.after(5 * second, () =>
+    restartEach(
+      fleet.core.machines.map((machine) => ({
+        ...machine,
+        isBack: () => {
+          const tasks = machine.tasks();
+          return tasks !== undefined && tasks.unready() === undefined;
+        },
+      })),
+    ),
+  );
 };
 
 /** A whole fleet under every fault. */
