Write troubles down through one piece, in the simulator and with real processes

Nine places pushed the same records by hand, and what hears of cuts had two types of one form. Now openTroubleNotes serves all.

--- a/src/rehearsal/launcher/cut-relays.ts
+++ b/src/rehearsal/launcher/cut-relays.ts
@@ -2,6 +2,7 @@
 import { deserialize } from 'bson';
 import { object, string } from 'yup';
 import { checked } from '../../common/checked.js';
+import type { CutEars } from '../history/cut-ears.js';
 import { addressParts } from '../../spread/link/address-parts.js';
 
 /** Relays in front of every node's partner address, so that links can be cut each way for itself. */
@@ -12,8 +13,6 @@
   readonly close: () => void;
 };
 
-export type CutEars = { readonly cut: (from: string, to: string) => void; readonly heal: () => void };
-
 const envelopeSchema = object({ from: string().required() }).required();
 
 /** Who speaks on a link, from its first frame; none while that is not whole yet. */
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -17,6 +17,7 @@
 import { termsOf } from '../checker/terms-of.js';
 import type { Finding } from '../checker/finding.js';
 import type { Deployment } from '../deployment/deployment.js';
+import { openTroubleNotes } from '../history/trouble-notes.js';
 import { openHistory, type History } from '../history/history.js';
 import { freePorts } from '../launcher/free-ports.js';
 import { openCutRelays } from '../launcher/cut-relays.js';
@@ -87,10 +88,11 @@
       const folder = mkdtempSync(join(tmpdir(), 'ledgehill-'));
       const chance = seededChance(seed);
       const history = openHistory();
+      const notes = openTroubleNotes(history, steadyNow);
       const nodeAt = (address: string): string => nodes.find((node) => node.partners === address)?.node ?? address;
       const relays = openCutRelays({
-        cut: (from, to) => void history.troubles.push({ type: 'cut', atUs: steadyNow(), from: nodeAt(from), to: nodeAt(to) }),
-        heal: () => void history.troubles.push({ type: 'heal', atUs: steadyNow() }),
+        cut: (from, to) => notes.cut(nodeAt(from), nodeAt(to)),
+        heal: notes.heal,
       });
       const ports = await freePorts(3 * (3 + deployment.routers));
       const address = (place: number): string => `127.0.0.1:${ports[place]}`;
@@ -99,7 +101,7 @@
         const node = index < 3 ? `control-${index + 1}` : `router-${index - 2}`;
         return planNode({
           node,
-          tell: (type, what) => void history.troubles.push({ type, atUs: steadyNow(), who: node, what }),
+          tell: (type, what) => notes.hit(type, node, what),
           role: index < 3 ? 'control' : 'router',
           locality: localities[index % 3] ?? 'a',
           http: address(index * 3),
--- a/src/rehearsal/stand-in/open-server.ts
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -6,6 +6,7 @@
 import { reply } from '../../process/http/reply.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import { addressParts } from '../../spread/link/address-parts.js';
+import { openTroubleNotes } from '../history/trouble-notes.js';
 import type { History } from '../history/history.js';
 import type { OutageType } from '../history/outage-type.js';
 import type { RunRecord } from '../history/run-record.js';
@@ -50,7 +51,7 @@
   let waitingPrefills: (() => void)[] = [];
   let light: Promise<void> = Promise.resolve();
   let mood: ServerMood = 'well';
-  const tell = (type: 'begins' | 'ends', what: OutageType): void => void history.troubles.push({ type, atUs: steadyNow(), who: listed.id, what });
+  const tell = (type: 'begins' | 'ends', what: OutageType): void => openTroubleNotes(history, steadyNow).hit(type, listed.id, what);
 
   const prefill = async (opening: string): Promise<boolean> => {
     const prefix = prefixOf(listed.service, opening);
--- a/src/sim/fleet/fleet-faults.ts
+++ b/src/sim/fleet/fleet-faults.ts
@@ -1,4 +1,5 @@
 import { oneOf } from '../../common/chance.js';
+import { openTroubleNotes } from '../../rehearsal/history/trouble-notes.js';
 import { localities } from '../core/core-fleet.js';
 import type { SimControl } from '../core/sim-control.js';
 import type { SimCallers } from './sim-callers.js';
@@ -301,11 +302,12 @@
   {
     name: 'a crowd on one opening',
     bring: (fleet, callers) => {
-      fleet.history.troubles.push({ type: 'begins', atUs: fleet.world.now(), who: 'callers', what: 'crowd' });
+      const { hit } = openTroubleNotes(fleet.history, fleet.world.now);
+      hit('begins', 'callers', 'crowd');
       callers.crowd(0.7);
       callers.speed(3);
       fleet.world.after(5 * second, () => {
-        fleet.history.troubles.push({ type: 'ends', atUs: fleet.world.now(), who: 'callers', what: 'crowd' });
+        hit('ends', 'callers', 'crowd');
         callers.crowd(0);
         callers.speed(1);
       });
--- a/src/sim/fleet/sim-fleet.ts
+++ b/src/sim/fleet/sim-fleet.ts
@@ -1,3 +1,4 @@
+import { openTroubleNotes } from '../../rehearsal/history/trouble-notes.js';
 import { openHistory, type History } from '../../rehearsal/history/history.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import { localities, openCoreIn, type CoreFleet } from '../core/core-fleet.js';
@@ -35,8 +36,8 @@
   let serverCount = 0;
   const serverAt = (address: string): SimServer | undefined =>
     [...servers.values()].find((server) => server.listed.address === address && server.isUp());
-  const note: SimCommons['note'] = (type, who, what) => void history.troubles.push({ type, atUs: world.now(), who, what });
-  const commons: SimCommons = { world, network, ports: new Map(), serverAt, note };
+  const notes = openTroubleNotes(history, world.now);
+  const commons: SimCommons = { world, network, ports: new Map(), serverAt, note: notes.hit };
   const core = openCoreIn(commons);
   const routers = Array.from({ length: routerCount }, (_, index) => {
     const name = `r${index + 1}`;
@@ -62,8 +63,8 @@
     serverAt(address)?.listed.id ??
     address;
   network.watch({
-    cut: (from, to) => void history.troubles.push({ type: 'cut', atUs: world.now(), from: nameAt(from), to: nameAt(to) }),
-    heal: () => void history.troubles.push({ type: 'heal', atUs: world.now() }),
+    cut: (from, to) => notes.cut(nameAt(from), nameAt(to)),
+    heal: notes.heal,
   });
 
   const showServers = (): void => {
@@ -99,7 +100,7 @@
       };
       const server = openSimServer(world, history, listed);
       history.servers.push({ server: listed.id, service, openedUs: world.now() });
-      note('ends', listed.id, 'down');
+      notes.hit('ends', listed.id, 'down');
       servers.set(listed.id, server);
       leaving.delete(listed.id);
       return server;
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -1,5 +1,6 @@
 import type { Micros } from '../../common/micros.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
+import { openTroubleNotes } from '../../rehearsal/history/trouble-notes.js';
 import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { History } from '../../rehearsal/history/history.js';
 import type { ServerMood } from '../../rehearsal/stand-in/server-mood.js';
@@ -31,7 +32,7 @@
 const pieceUs = 40_000;
 
 export const openSimServer = (world: World, history: History, listed: ListedServer): SimServer => {
-  const note = (type: 'begins' | 'ends', what: OutageType): void => void history.troubles.push({ type, atUs: world.now(), who: listed.id, what });
+  const note = (type: 'begins' | 'ends', what: OutageType): void => openTroubleNotes(history, world.now).hit(type, listed.id, what);
   const rememberedOpenings = new Set<string>();
   const links = new Set<() => void>();
   const isModel = listed.service !== 'status';
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -1,3 +1,4 @@
+import type { CutEars } from '../../rehearsal/history/cut-ears.js';
 import type { World } from './world.js';
 
 /** The virtual network: delay, loss and cuts, each direction for itself. */
@@ -9,10 +10,9 @@
   readonly lossy: (share: number) => void;
   readonly slow: (factor: number) => void;
   /** Lets cuts and healings be written down. */
-  readonly watch: (ears: NetworkEars) => void;
+  readonly watch: (ears: CutEars) => void;
 };
 
-export type NetworkEars = { readonly cut: (from: string, to: string) => void; readonly heal: () => void };
 
 const leastDelayUs = 200;
 const moreDelayUs = 1_500;
@@ -21,7 +21,7 @@
   const cuts = new Set<string>();
   let lossShare = 0;
   let delayFactor = 1;
-  let ears: NetworkEars | undefined;
+  let ears: CutEars | undefined;
   return {
     send: (from, to, arrive) => {
       if (cuts.has(`${from}>${to}`) || world.chance() < lossShare) return;
