Let a setup name hosts and paths, weights, most tries, targets and the operator's own document

Cause: the users' platform routes by host and longest path prefix, splits rules over services by weight, bounds the servers an exchange may go to, and reads its own document back as sent; the setup had no place for these. Ruled out: a second document beside the setup, which could be of another revision than the setup that nodes route by. Change: optional fields of rule, service and setup; the record keeps the original.

--- a/src/setup/document/setup-record.ts
+++ b/src/setup/document/setup-record.ts
@@ -1,4 +1,5 @@
 import type { Micros } from '../../common/micros.js';
+import type { Original } from './original.js';
 import type { Setup } from './setup.js';
 import type { WarmupEpoch } from './warmup-epoch.js';
 
@@ -7,6 +8,7 @@
   readonly revision: number;
   readonly takenAtUs: Micros;
   readonly setup: Setup;
+  readonly original?: Original;
   /** The warm-up figures over time, oldest first, so that a change never moves a booking. */
   readonly epochs: readonly WarmupEpoch[];
 };
--- a/src/setup/document/setup.ts
+++ b/src/setup/document/setup.ts
@@ -1,4 +1,5 @@
 import type { Micros } from '../../common/micros.js';
+import type { CallerLimits } from './caller-limits.js';
 import type { Pressure } from './pressure.js';
 import type { Rule } from './rule.js';
 import type { Service } from './service.js';
@@ -16,5 +17,6 @@
   readonly flight: { readonly boundUs: Micros };
   readonly pressure: Pressure;
   readonly retry: { readonly fraction: number; readonly fleetExtra: number };
+  readonly callers?: CallerLimits;
   readonly leaving: { readonly graceUs: Micros };
 };
