--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -2,6 +2,7 @@
 export type ErrorType =
   | 'bad-exchange'
   | 'unknown-kind'
+  | 'unknown-place'
   | 'oversized-body'
   | 'not-ready'
   | 'over-pressure'
--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -21,6 +21,8 @@
       readonly kind: string;
       readonly prefix: Prefix;
       readonly budgetUs?: Micros;
+      /** The service that its rule has drawn for it, where the rule is split. */
+      readonly service?: string;
     }
   | { readonly type: 'sent'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'firstPiece'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
@@ -33,6 +35,8 @@
       /** How many pieces the caller has been given so far, over all tries. */
       readonly pieces: number;
       readonly error: DeliveryError;
+      /** The server vouches that it did not run it and never will. */
+      readonly notRun?: boolean;
     }
   | { readonly type: 'done'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'abandoned'; readonly at: Micros; readonly exchange: string }
--- a/src/decision/machine/step/direct.ts
+++ b/src/decision/machine/step/direct.ts
@@ -58,6 +58,7 @@
 export const direct = (view: DecisionView, exchangeName: string): DecisionStep => {
   const exchange = view.exchanges.get(exchangeName);
   if (exchange === undefined || exchange.server !== undefined || exchange.follows !== undefined) return still(view);
+  if (exchange.sends >= (exchange.rule.mostTries ?? Number.POSITIVE_INFINITY)) return giveUp(view, exchange, 'outcome-unknown');
   const placement = place(view, exchange);
   if (placement === undefined) return giveUp(view, exchange, 'no-server');
   if (exchange.nextIsExtra && !hasRetryAllowance(view, exchange.rule.service)) return giveUp(view, exchange, 'outcome-unknown');
--- a/src/decision/machine/step/give-up.ts
+++ b/src/decision/machine/step/give-up.ts
@@ -16,7 +16,7 @@
 export const lastDecisionOf = (exchange: ExchangeView, error: ErrorType): Decision => {
   const name = exchange.exchange;
   if (exchange.started) return { type: 'breakOff', exchange: name, error };
-  if (exchange.sent || exchange.nextIsExtra)
+  if (exchange.sent || exchange.mayHaveRun)
     return { type: 'unknown', exchange: name, error: error === 'no-server' ? 'outcome-unknown' : error };
   return { type: 'refuse', exchange: name, error, retryAfterUs };
 };
--- a/src/decision/machine/step/on-delivery.ts
+++ b/src/decision/machine/step/on-delivery.ts
@@ -24,7 +24,7 @@
   const exchange = current(view, event);
   if (exchange === undefined || exchange.sent) return still(view);
   const triedView = exchange.nextIsExtra ? view : withTry(view, exchange.rule.service, false);
-  return still(withExchange(triedView, { ...exchange, sent: true, nextIsExtra: false }));
+  return still(withExchange(triedView, { ...exchange, sent: true, sends: exchange.sends + 1, nextIsExtra: false }));
 };
 
 export const onFirstPiece = (view: DecisionView, event: Attempted): DecisionStep => {
@@ -47,10 +47,11 @@
 export const onFailed = (view: DecisionView, event: Failed): DecisionStep => {
   const exchange = current(view, event);
   if (exchange === undefined) return still(view);
-  const wasSent = event.sent || exchange.sent;
+  const wasOffered = event.sent || exchange.sent;
+  const wasSent = wasOffered && event.notRun !== true;
   const wasStarted = event.pieces > 0 || exchange.started;
   const landing = landed(view, exchange);
-  const landedExchange = { ...(landing.view.exchanges.get(exchange.exchange) ?? exchange), sent: wasSent, started: wasStarted };
+  const landedExchange = { ...(landing.view.exchanges.get(exchange.exchange) ?? exchange), sent: wasSent, mayHaveRun: exchange.mayHaveRun || wasSent, started: wasStarted };
   const releaseFollowers = (step: DecisionStep): DecisionStep => andThen(step, (nextView) => releaseAll(nextView, landing.followers));
   const mayRun = !wasSent || (exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable));
   if (!mayRun) return releaseFollowers(giveUp(withExchange(landing.view, landedExchange), landedExchange, 'outcome-unknown'));
@@ -59,7 +60,7 @@
   const retriedView = withExchange(freedView, {
     ...freedExchange,
     fromPiece: event.pieces,
-    nextIsExtra: wasSent || exchange.nextIsExtra,
+    nextIsExtra: wasOffered || exchange.nextIsExtra,
     holdUntilUs: wasStarted ? view.atUs : freedExchange.holdUntilUs,
   });
   return releaseFollowers(direct(retriedView, exchange.exchange));
--- a/src/decision/machine/step/on-exchange.ts
+++ b/src/decision/machine/step/on-exchange.ts
@@ -1,3 +1,4 @@
+import { ruleIndexOf } from '../../../setup/match/rule-index.js';
 import type { ErrorType } from '../../../common/error-type.js';
 import { heated } from '../../hotness/hotness.js';
 import { positionOf } from '../../ring/position.js';
@@ -18,7 +19,8 @@
   if (view.draining) return refused(view, event, 'draining');
   const setup = view.record?.setup;
   if (setup === undefined || view.list === undefined) return refused(view, event, 'not-ready');
-  const rule = setup.rules.find((knownRule) => knownRule.kind === event.kind);
+  const namedRule = ruleIndexOf(setup).byKind.get(event.kind);
+  const rule = namedRule === undefined || event.service === undefined ? namedRule : { ...namedRule, service: event.service };
   if (rule === undefined) return refused(view, event, 'unknown-kind');
   const tierPlace = setup.tiers.findIndex((tier) => tier.name === rule.tier);
   const tier = setup.tiers[tierPlace];
@@ -45,6 +47,8 @@
       started: false,
       fromPiece: 0,
       nextIsExtra: false,
+      mayHaveRun: false,
+      sends: 0,
       leads: undefined,
       follows: undefined,
       holdUntilUs: undefined,
--- a/src/decision/machine/view/exchange-view.ts
+++ b/src/decision/machine/view/exchange-view.ts
@@ -24,6 +24,10 @@
   readonly fromPiece: number;
   /** Whether the next try repeats work that may have begun. */
   readonly nextIsExtra: boolean;
+  /** Whether any try so far may have run. */
+  readonly mayHaveRun: boolean;
+  /** How many servers it was sent to. */
+  readonly sends: number;
   readonly leads: FlightKey | undefined;
   readonly follows: FlightKey | undefined;
   /** When waiting behind a prefill ends; set by the first wait, never moved. */
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -3,6 +3,8 @@
 import type { ErrorType } from '../../common/error-type.js';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
+import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
+import { ruleAt } from '../../setup/match/rule-index.js';
 import type { CallerLink } from '../../router/delivery/caller-link.js';
 import { claimKeyOf } from '../../router/exchange/claim-key.js';
 import { claimBudgetOf } from '../../router/exchange/claim-budget.js';
@@ -19,6 +21,8 @@
   /** Takes what a caller sent, and answers every exchange in the end. */
   /** How many have come in and are neither taken in nor answered, such as those that wait for their claim. */
   readonly underWay: () => number;
+  /** Takes an exchange whose text passes unread; its rule is found by host and path. */
+  readonly arriveOpaque: (exchange: OpaqueExchange, caller: CallerLink) => Promise<void>;
   readonly arrive: (sent: Either<TypedError, unknown>, givenKey: unknown, caller: CallerLink) => Promise<void>;
 };
 
@@ -109,7 +113,36 @@
     if (exchange !== undefined) router.accept({ rule, body, caller, claimed: { key: claimKeyOf(rule, givenKey), exchange } });
   };
 
+  const admitOpaque: Admission['arriveOpaque'] = async (exchange, caller) => {
+    const isFresh = await gate.pass();
+    const closing = isFresh ? closedBy() : 'not-ready';
+    if (closing !== undefined) {
+      refuse(caller, typedError(closing, 'refused: this node takes no exchanges now'), comeBackUs);
+      return;
+    }
+    const setup = router.view().record?.setup;
+    const rule = setup === undefined ? undefined : ruleAt(setup, exchange.host, exchange.path);
+    if (rule === undefined) {
+      refuse(caller, typedError('unknown-place', 'no rule is for this host and path'));
+      return;
+    }
+    const shared = exchange.opening.length > 1 ? exchange.opening.slice(0, -1) : exchange.opening;
+    router.accept({
+      rule,
+      body: { kind: rule.kind, opening: shared.map(({ part }) => part).join(','), budgetUs: exchange.budgetUs },
+      opaque: exchange,
+      caller,
+      claimed: undefined,
+    });
+  };
+
   return {
+    arriveOpaque: async (exchange, caller) => {
+      underWay += 1;
+      await admitOpaque(exchange, caller).finally(() => {
+        underWay -= 1;
+      });
+    },
     underWay: () => underWay,
     arrive: async (sent, givenKey, caller) => {
       underWay += 1;
--- a/src/process/router/error-status.ts
+++ b/src/process/router/error-status.ts
@@ -8,6 +8,8 @@
     case 'unknown-kind':
     case 'bad-exchange':
       return 400;
+    case 'unknown-place':
+      return 404;
     case 'oversized-body':
       return 413;
     default:
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -19,12 +19,13 @@
   readonly router: RouterTask;
   readonly counters: Counters;
   readonly arrive: Admission['arrive'];
+  readonly arriveOpaque: Admission['arriveOpaque'];
   readonly unready: () => string | undefined;
   /** Whether the node is about to stop, so that callers should look for another. */
   readonly isStopping: () => boolean;
   readonly start: () => Promise<void>;
   /** Ends in order: unready, in flight to their end or the bound, then gone. */
-  readonly stop: () => Promise<void>;
+  readonly stop: (retire?: () => void) => Promise<void>;
   /** Ends at once, and breaks off what is in flight. */
   readonly end: () => void;
 };
@@ -41,7 +42,8 @@
 const confirmPauseUs: Micros = 200_000;
 const lookSpanUs: Micros = 20_000;
 const lameDuckUs: Micros = 1_000_000;
-const drainBudgetUs: Micros = 8_000_000;
+/** Whoever stops a node ends it after eight seconds; what is left by then has been told so before. */
+const drainBudgetUs: Micros = 7_600_000;
 
 /** Puts a router node together. */
 export const openRouterNode = ({ settings, log, surroundings, coreOf = openCoreClient }: RouterNodePlan): RouterNode => {
@@ -107,6 +109,7 @@
     router,
     counters,
     arrive: admission.arrive,
+    arriveOpaque: admission.arriveOpaque,
     isStopping: () => isStopping,
     unready: () => {
       if (isStopping) return 'stopping';
@@ -122,11 +125,12 @@
       log.change('started', {});
       void confirm();
     },
-    stop: async () => {
+    stop: async (retire) => {
       isStopping = true;
       log.change('stopping', { inFlight: router.inFlight() });
       const stopDueUs = clock.now() + drainBudgetUs;
       await paused(clock, lameDuckUs);
+      retire?.();
       isDraining = true;
       while (admission.underWay() > 0 && clock.now() < stopDueUs) await paused(clock, lookSpanUs);
       router.drain();
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -12,13 +12,17 @@
 import type { CallerLink } from '../../router/delivery/caller-link.js';
 import { deliver } from '../../router/delivery/deliver.js';
 import type { DeliveryEnd } from '../../router/delivery/delivery-end.js';
+import { carry } from '../../router/delivery/carry.js';
+import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
+import { shareOf } from '../../setup/match/share-of.js';
+import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
 import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
 import { openStoryBook, type StoryBook } from '../../router/explain/story-book.js';
 import { openSlab, type Slab } from '../../router/slab/slab.js';
 import { ticketName, type Ticket } from '../../router/slab/ticket.js';
 import { openLinkPool } from '../../servers/link/link-pool.js';
-import { serverKeyOf } from '../../servers/list/server-key.js';
+import { serverKeyOf, type ServerKey } from '../../servers/list/server-key.js';
 import { openProber } from '../../servers/probe/prober.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { Counters } from '../counters.js';
@@ -46,6 +50,8 @@
 export type Arrival = {
   readonly rule: Rule;
   readonly body: ExchangeBody;
+  /** What is delivered in its stead where the text passes unread. */
+  readonly opaque?: OpaqueExchange;
   readonly caller: CallerLink;
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
@@ -61,13 +67,13 @@
   readonly gate: RefreshGate;
   readonly log: Log;
   readonly counters: Counters;
-  readonly surroundings: Pick<Surroundings, 'clock' | 'dial' | 'freshName'>;
+  readonly surroundings: Pick<Surroundings, 'clock' | 'dial' | 'freshName' | 'probesNothing'>;
   /** Frees the key of an exchange that was refused. */
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
 
 export const openRouterTask = ({ node, spread, gate, log, counters, surroundings, release }: RouterTaskParts): RouterTask => {
-  const { clock, dial, freshName } = surroundings;
+  const { clock, dial, freshName, probesNothing = false } = surroundings;
   const boot = freshName();
   const slab: Slab<Continuation> = openSlab();
   const tickets = new Map<string, Ticket>();
@@ -90,11 +96,13 @@
   let endTicks = (): void => undefined;
   let tickedUs = clock.now();
 
-  const prober = openProber(dial, clock, (key, isLight) => {
+  const tellLight = (key: ServerKey, isLight: boolean): void => {
     log.change(isLight ? 'server light' : 'server dark', { server: key });
-    if (!isLight) pool.cut(key);
+    if (!isLight && !probesNothing) pool.cut(key);
     take({ type: isLight ? 'light' : 'dark', at: clock.now(), server: key });
-  });
+  };
+  const passive = probesNothing ? openPassiveWatch(dial, clock, tellLight, (link) => pool.keep(link)) : undefined;
+  const prober = passive ?? openProber(dial, clock, tellLight);
 
   const find = (exchange: string): Continuation | undefined => {
     const ticket = tickets.get(exchange);
@@ -172,6 +180,11 @@
         tell(decision.exchange, 'unknown', decision);
         withContinuation(decision.exchange, (continuation) => {
           counters.count(`unknown.${decision.error}`);
+          const { refusal } = continuation.stream;
+          if (refusal !== undefined && continuation.caller.opaque !== undefined) {
+            continuation.caller.opaque.whole(refusal.head, refusal.body);
+            return;
+          }
           continuation.caller.unknown(typedError(decision.error, 'the outcome is unknown: it may have run'), { exchange: decision.exchange });
         });
         return;
@@ -226,6 +239,7 @@
       opened.ifLeft((error) => {
         counters.count('links.refused');
         tell(exchange, 'no link', { attempt, error });
+        if (error.type !== 'bad-message') passive?.missed(decision.server);
         unsent(error.type === 'bad-message' ? 'wrong-service' : 'no-link');
       });
       return;
@@ -238,6 +252,18 @@
     }
     take({ type: 'sent', at: clock.now(), exchange, attempt });
     if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
+    const { opaque } = continuation;
+    if (opaque !== undefined && link.carry !== undefined) {
+      const order = { exchange: opaque, budgetUs: Math.max(1_000, continuation.dueUs - clock.now()), afterPiece: continuation.stream.lastPiece, urgency: undefined };
+      const carried = await carry(continuation, link, link.carry, order, signal, { piece: () => countPiece(continuation, attempt) });
+      if (!signal.aborted) {
+        if (carried.type === 'failed' && carried.error === 'link-lost') passive?.suspect(decision.server);
+        continuation.stream.dueUs = Number.POSITIVE_INFINITY;
+        endTry(continuation, attempt, carried);
+      }
+      pool.giveBack(link);
+      return;
+    }
     const ending = await deliver(continuation, link, decision.fromPiece, signal, {
       piece: (line) => givePiece(continuation, attempt, line, signal),
       receipt: (text) => giveReceipt(continuation, attempt, text, signal),
@@ -257,7 +283,7 @@
         tell(exchange, 'done', { attempt, pieces: continuation.stream.pieces });
         counters.count('exchanges.done');
         continuation.stream.running = undefined;
-        if (continuation.isModel) continuation.caller.end(exchange, continuation.stream.pieces);
+        if (continuation.isModel && continuation.opaque === undefined) continuation.caller.end(exchange, continuation.stream.pieces);
         end(continuation);
         take({ type: 'done', at: clock.now(), exchange, attempt });
         return;
@@ -275,6 +301,7 @@
           sent: true,
           pieces: continuation.stream.pieces,
           error: ending.error,
+          ...(ending.notRun === true ? { notRun: true } : {}),
         });
         return;
     }
@@ -300,6 +327,12 @@
     return isThere && !signal.aborted;
   };
 
+  /** Counts a piece that was given on as it came. */
+  const countPiece = (continuation: Continuation, attempt: number): void => {
+    continuation.stream.dueUs = clock.now() + continuation.rule.silenceUs;
+    if (continuation.stream.pieces === 1) take({ type: 'firstPiece', at: clock.now(), exchange: continuation.exchange, attempt });
+  };
+
   const giveReceipt = (continuation: Continuation, attempt: number, text: string, signal: AbortSignal): void => {
     if (signal.aborted) return;
     take({ type: 'firstPiece', at: clock.now(), exchange: continuation.exchange, attempt });
@@ -333,16 +366,19 @@
   counters.gauge('setup.revision', () => journal.view().record?.revision ?? 0);
   counters.gauge('list.version', () => journal.view().list?.version ?? 0);
 
+  const nextName = (): string => {
+    exchangeCount += 1;
+    return `${node}.${boot}.c${exchangeCount}`;
+  };
+
   return {
     view: journal.view,
     stories,
     events: journal.events,
     inFlight: slab.size,
-    nextExchange: () => {
-      exchangeCount += 1;
-      return `${node}.${boot}.c${exchangeCount}`;
-    },
-    accept: ({ rule, body, caller, claimed }) => {
+    nextExchange: nextName,
+    accept: ({ rule: namedRule, body, opaque, caller, claimed }) => {
+      const rule = namedRule.split === undefined ? namedRule : { ...namedRule, service: shareOf(namedRule, opaque?.name ?? nextName()) };
       const isModel = journal.view().stage.services.get(rule.service)?.type === 'model';
       const continuation = slab.put((ticket) => ({
         ticket,
@@ -350,9 +386,11 @@
         rule,
         isModel,
         body,
+        opaque,
+        dueUs: clock.now() + Math.min(rule.budgetUs, body.budgetUs ?? rule.budgetUs),
         caller,
         claimedKey: claimed?.key,
-        stream: { pieces: 0, running: undefined, dueUs: Number.POSITIVE_INFINITY },
+        stream: { pieces: 0, running: undefined, dueUs: Number.POSITIVE_INFINITY, lastPiece: opaque?.afterPiece, refusal: undefined },
       }));
       const { exchange } = continuation;
       tickets.set(exchange, continuation.ticket);
@@ -366,6 +404,7 @@
         kind: rule.kind,
         prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
+        ...(rule.split === undefined ? {} : { service: rule.service }),
       });
     },
     noteRefusal: (exchange, rule, { type }) => {
--- a/src/process/surroundings/surroundings.ts
+++ b/src/process/surroundings/surroundings.ts
@@ -18,5 +18,7 @@
   readonly freshName: () => string;
   readonly openPartnerLinks: (address: string, listenAddress?: string) => PartnerLinks;
   readonly dial: Dial;
+  /** Whether servers are known by the fleet's own exchanges alone, where probes are dear. */
+  readonly probesNothing?: boolean;
   readonly openRing: (folder: string, sizes: RingSizes) => EitherAsync<TypedError, DiskRing>;
 };
--- a/src/router/delivery/caller-link.ts
+++ b/src/router/delivery/caller-link.ts
@@ -1,8 +1,10 @@
+import type { OpaqueCaller } from '../opaque/opaque-caller.js';
 import type { TypedError } from '../../common/typed-error.js';
 import type { Micros } from '../../common/micros.js';
 
 /** The way back to the caller of one exchange. The first of the last words ends it. */
 export type CallerLink = {
+  readonly opaque?: OpaqueCaller;
   readonly isGone: () => boolean;
   /** Calls back when the caller went away before the last word. */
   readonly onGone: (act: () => void) => void;
--- a/src/router/delivery/delivery-end.ts
+++ b/src/router/delivery/delivery-end.ts
@@ -5,4 +5,4 @@
   /** `rest` tells whether the link is clean for another exchange. */
   | { readonly type: 'done'; readonly rest: Promise<boolean> }
   | { readonly type: 'gone' }
-  | { readonly type: 'failed'; readonly error: DeliveryError; readonly message: string };
+  | { readonly type: 'failed'; readonly error: DeliveryError; readonly message: string; readonly notRun?: boolean };
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -1,3 +1,5 @@
+import type { OpaqueExchange } from '../opaque/opaque-exchange.js';
+import type { ReceiptHead } from '../opaque/receipt-head.js';
 import type { Micros } from '../../common/micros.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { CallerLink } from '../delivery/caller-link.js';
@@ -12,9 +14,19 @@
   readonly rule: Rule;
   readonly isModel: boolean;
   readonly body: ExchangeBody;
+  readonly opaque: OpaqueExchange | undefined;
+  readonly dueUs: Micros;
   readonly caller: CallerLink;
   /** The key that was claimed for it, if any. */
   readonly claimedKey: string | undefined;
   /** `dueUs` is when the running try counts as silent unless its next piece has come. */
-  readonly stream: { pieces: number; running: RunningTry | undefined; dueUs: Micros };
+  readonly stream: {
+    pieces: number;
+    running: RunningTry | undefined;
+    dueUs: Micros;
+    /** The number of the last piece that was given on, where pieces bear numbers of their own. */
+    lastPiece: number | undefined;
+    /** The last whole receipt of a server that was no success. */
+    refusal: { readonly head: ReceiptHead; readonly body: Uint8Array } | undefined;
+  };
 };
--- /dev/null
+++ b/src/router/opaque/opaque-exchange.ts
@@ -0,0 +1,23 @@
+import type { Micros } from '../../common/micros.js';
+import type { OpeningPart } from './opening-part.js';
+
+/** An exchange whose text passes unread: only what decides its way is known of it. */
+export type OpaqueExchange = {
+  /** The caller's own name for it. */
+  readonly name: string;
+  readonly host: string;
+  /** The path without what follows a question mark. */
+  readonly path: string;
+  readonly method: string;
+  /** Path and query as they came. */
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  /** The last piece that its caller has, where a stream is taken up again. */
+  readonly afterPiece: number | undefined;
+  /** The parts of its opening in order; the last one is its own or its session's. */
+  readonly opening: readonly OpeningPart[];
+  readonly readTokens: number;
+  readonly writeTokens: number;
+  readonly budgetUs: Micros;
+};
--- /dev/null
+++ b/src/router/opaque/opening-part.ts
@@ -0,0 +1,5 @@
+/** One shared part of an opening and its size in tokens. */
+export type OpeningPart = {
+  readonly part: string;
+  readonly tokens: number;
+};
--- a/src/servers/link/link-pool.ts
+++ b/src/servers/link/link-pool.ts
@@ -8,6 +8,8 @@
 /** The open links to all listed servers. A link carries one exchange at a time. */
 export type LinkPool = {
   readonly take: (server: ListedServer) => Promise<Either<TypedError, ServerLink>>;
+  /** Takes a link that was opened elsewhere among the idle ones. */
+  readonly keep: (link: ServerLink) => void;
   readonly giveBack: (link: ServerLink) => void;
   /** Ends every link to a server, those in use too. */
   readonly cut: (key: ServerKey) => void;
@@ -26,6 +28,15 @@
     link.close();
     allLinks.delete(link);
   };
+  const giveBack = (link: ServerLink): void => {
+    const idle = idleLinks.get(link.key) ?? [];
+    if (!link.isOpen() || idle.length >= mostIdle) {
+      forget(link);
+      return;
+    }
+    idle.push(link);
+    idleLinks.set(link.key, idle);
+  };
   return {
     take: async (server) => {
       const idle = idleLinks.get(serverKeyOf(server)) ?? [];
@@ -36,15 +47,11 @@
       const opened = await dial(server);
       return opened.ifRight((link) => allLinks.add(link));
     },
-    giveBack: (link) => {
-      const idle = idleLinks.get(link.key) ?? [];
-      if (!link.isOpen() || idle.length >= mostIdle) {
-        forget(link);
-        return;
-      }
-      idle.push(link);
-      idleLinks.set(link.key, idle);
+    keep: (link) => {
+      allLinks.add(link);
+      giveBack(link);
     },
+    giveBack,
     cut: (key) => {
       for (const link of allLinks) if (link.key === key) forget(link);
       idleLinks.delete(key);
