Decide the race of an operator's own document by its own version

Cause: operators with versions of their own send a document again to any node and with any expected version. Ruled out: mapping their versions to revisions outside the core, which two nodes could do differently. Change: the setup command carries the original; the core decides at apply by its version, takes the same text again as taken and does not remember a lost race. Seeds may be one to three, since a deployment may have fewer core machines; they differ. Before/after: only revisions could be raced for; a desk's putOriginal now races by the document's version.

--- a/src/control/log/command.ts
+++ b/src/control/log/command.ts
@@ -1,4 +1,5 @@
 import type { Micros } from '../../common/micros.js';
+import type { Original } from '../../setup/document/original.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { Setup } from '../../setup/document/setup.js';
 import type { Member } from '../members/member.js';
@@ -13,6 +14,8 @@
       /** The revision that must still be the newest; 0 for none. */
       readonly expected: number;
       readonly setup: Setup;
+      /** Where it is there, its version decides the race, and `expected` is the version it builds on. */
+      readonly original?: Original;
       readonly atUs: Micros;
     }
   /** Ends the doubt about a proposal: unless it is decided by then, it never will be taken. */
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -1,6 +1,7 @@
 import { withEntry } from '../../common/maps.js';
 import type { Micros } from '../../common/micros.js';
 import { positionOf } from '../../decision/ring/position.js';
+import type { Original } from '../../setup/document/original.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { WarmupEpoch } from '../../setup/document/warmup-epoch.js';
 import type { Command } from '../log/command.js';
@@ -37,21 +38,47 @@
   return { state: { ...state, proposals }, outcome: { type: 'proposal', outcome } };
 };
 
-const applySetup = (state: ControlState, command: Extract<Command, { readonly type: 'setup' }>): Applied => {
-  const knownOutcome = state.proposals.get(command.proposal);
-  if (knownOutcome !== undefined) return { state, outcome: { type: 'proposal', outcome: knownOutcome } };
-  const newestRevision = state.record?.revision ?? 0;
-  if (command.expected !== newestRevision)
-    return withProposal(state, command.proposal, { type: 'lost-race', revision: newestRevision });
+type SetupCommand = Extract<Command, { readonly type: 'setup' }>;
+
+const withTaken = (state: ControlState, command: SetupCommand): Applied => {
   const record: SetupRecord = {
-    revision: newestRevision + 1,
+    revision: (state.record?.revision ?? 0) + 1,
     takenAtUs: state.clockUs,
     setup: command.setup,
+    ...(command.original === undefined ? {} : { original: command.original }),
     epochs: epochsAfter(state.record, { sinceUs: state.clockUs, warmup: command.setup.warmup }),
   };
   return withProposal({ ...state, record }, command.proposal, { type: 'taken', revision: record.revision });
 };
 
+const applySetup = (state: ControlState, command: SetupCommand): Applied => {
+  if (command.original !== undefined) return applyOriginal(state, command, command.original);
+  const knownOutcome = state.proposals.get(command.proposal);
+  if (knownOutcome !== undefined) return { state, outcome: { type: 'proposal', outcome: knownOutcome } };
+  const newestRevision = state.record?.revision ?? 0;
+  if (command.expected !== newestRevision)
+    return withProposal(state, command.proposal, { type: 'lost-race', revision: newestRevision });
+  return withTaken(state, command);
+};
+
+/**
+ * The race of operators' own documents, by their own versions. What was taken once is taken whenever it is sent again; a
+ * lost race is not remembered, since the same document may be put on top of the right version later.
+ */
+const applyOriginal = (state: ControlState, command: SetupCommand, original: Original): Applied => {
+  const newestRevision = state.record?.revision ?? 0;
+  const inForce = state.record?.original;
+  const told = (outcome: ProposalOutcome): Applied => ({ state, outcome: { type: 'proposal', outcome } });
+  if (inForce !== undefined && inForce.version === original.version && inForce.text === original.text)
+    return told({ type: 'taken', revision: newestRevision });
+  const knownOutcome = state.proposals.get(command.proposal);
+  if (knownOutcome !== undefined) return told(knownOutcome);
+  const newestVersion = inForce?.version ?? 0;
+  return command.expected === newestVersion && original.version > newestVersion
+    ? withTaken(state, command)
+    : told({ type: 'lost-race', revision: newestRevision });
+};
+
 const applyVoid = (state: ControlState, proposal: string): Applied => {
   const knownOutcome = state.proposals.get(proposal);
   return knownOutcome === undefined
--- a/src/process/operator/operator-desk.ts
+++ b/src/process/operator/operator-desk.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { Right, type Either } from 'purify-ts';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
@@ -5,19 +6,33 @@
 import type { Command } from '../../control/log/command.js';
 import type { ProposalOutcome } from '../../control/state/proposal-outcome.js';
 import { checkSetup } from '../../setup/check/check-setup.js';
+import type { Setup } from '../../setup/document/setup.js';
+import type { Original } from '../../setup/document/original.js';
 import type { CoreClient } from '../core-client.js';
 import type { OperatorWord } from './operator-word.js';
 
+/** A setup with the operator's own document that it was made of, and the version of it that is to be replaced. */
+export type OriginalPut = {
+  readonly setup: unknown;
+  readonly original: Original;
+  readonly expectedVersion: number;
+};
+
 /** What operators may ask for, over HTTP or in the simulator. */
 export type OperatorDesk = {
   readonly read: () => Promise<OperatorWord>;
   /** Puts a setup in place of the expected revision, or of the newest where none is given. */
   readonly put: (value: unknown, proposal: string, expected: number | undefined) => Promise<OperatorWord>;
+  /** Puts a setup made of an operator's own document; the document's version decides the race. */
+  readonly putOriginal: (put: OriginalPut) => Promise<OperatorWord>;
   readonly ask: (proposal: string) => Promise<OperatorWord>;
   /** Decides a proposal that is not decided yet: it never will be taken. */
   readonly withdraw: (proposal: string) => Promise<OperatorWord>;
 };
 
+/** What operators may ask for without a document of their own. */
+export type RevisionDesk = Omit<OperatorDesk, 'putOriginal'>;
+
 const readBudgetUs: Micros = 2_000_000;
 const proposeBudgetUs: Micros = 4_000_000;
 
@@ -27,6 +42,19 @@
 const outcomeOf = (receipt: Receipt): ProposalOutcome | undefined =>
   receipt.type === 'applied' && receipt.outcome.type === 'proposal' ? receipt.outcome.outcome : undefined;
 
+const checkedFor = (value: unknown): Either<TypedError, Setup> =>
+  checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults));
+
+/** The same for the very same document, whoever puts it and wherever. */
+const proposalOf = ({ version, text }: Original): string =>
+  `original-${version}-${createHash('sha256').update(text).digest('hex').slice(0, 32)}`;
+
+const wordOf = (proposal: string, word: Either<TypedError, OperatorWord>): OperatorWord =>
+  word.caseOf<OperatorWord>({
+    Left: (error) => (error.type === 'undecided' ? { type: 'unknown', proposal, error } : { type: 'refused', error }),
+    Right: (told) => told,
+  });
+
 export const openOperatorDesk = (core: CoreClient, platformUs: () => Micros): OperatorDesk => {
   const newestRevision = async (): Promise<Either<TypedError, number>> =>
     (await core.ask({ type: 'read' }, readBudgetUs)).map((receipt) => recordOf(receipt)?.record?.revision ?? 0);
@@ -49,22 +77,22 @@
         },
       }),
     put: async (value, proposal, expected) => {
-      const checkedSetup = checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults));
+      const checkedSetup = checkedFor(value);
       if (checkedSetup.isLeft()) return { type: 'refused', error: checkedSetup.extract() };
       const newest = expected === undefined ? await newestRevision() : Right(expected);
       if (newest.isLeft()) return { type: 'refused', error: newest.extract() };
-      const word = await propose(proposal, {
-        type: 'setup',
-        proposal,
-        expected: newest.unsafeCoerce(),
-        setup: checkedSetup.unsafeCoerce(),
-        atUs: platformUs(),
-      });
-      return word.caseOf<OperatorWord>({
-        Left: (error) => (error.type === 'undecided' ? { type: 'unknown', proposal, error } : { type: 'refused', error }),
-        Right: (told) => told,
-      });
+      const setup = checkedSetup.unsafeCoerce();
+      return wordOf(proposal, await propose(proposal, { type: 'setup', proposal, expected: newest.unsafeCoerce(), setup, atUs: platformUs() }));
     },
+    putOriginal: async ({ setup, original, expectedVersion }) =>
+      checkedFor(setup).caseOf<Promise<OperatorWord>>({
+        Left: (error) => Promise.resolve({ type: 'refused', error }),
+        Right: async (made) => {
+          const proposal = proposalOf(original);
+          const command: Command = { type: 'setup', proposal, expected: expectedVersion, setup: made, original, atUs: platformUs() };
+          return wordOf(proposal, await propose(proposal, command));
+        },
+      }),
     ask: async (proposal) =>
       (await core.ask({ type: 'read', proposal }, readBudgetUs)).caseOf<OperatorWord>({
         Left: (error) => ({ type: 'unknown', proposal, error }),
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 import { Either, Left } from 'purify-ts';
-import { array, number, object, string } from 'yup';
+import { array, boolean, number, object, string } from 'yup';
 import { checked } from '../../common/checked.js';
 import { parseJson } from '../../common/json.js';
 import type { Fault } from '../../common/fault.js';
@@ -13,13 +13,15 @@
 const address = () => string().required().matches(addressForm, '${path} must be IP:port');
 const plainName = () => string().required().matches(/^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/, '${path} must be a plain name');
 
+const areUnique = (values: readonly string[] | undefined): boolean => new Set(values ?? []).size === (values ?? []).length;
+
 const nodeFields = {
   node: plainName(),
   locality: plainName(),
   http: address(),
   partners: address(),
   partnersListen: string().optional().matches(addressForm, '${path} must be IP:port'),
-  seeds: array(address()).required().length(3, 'seeds must be three addresses'),
+  seeds: array(address()).required().min(1, 'seeds must be one to three addresses').max(3, 'seeds must be one to three addresses').test('unique', 'seeds must differ', areUnique),
 };
 
 const routerSchema = object(nodeFields).noUnknown();
@@ -27,6 +29,8 @@
 const controlSchema = object({
   ...nodeFields,
   data: string().required(),
+  founds: boolean().optional(),
+  voters: number().integer().min(1).max(9),
   ringFiles: number().required().integer().min(2).max(16),
   ringFileBytes: number()
     .required()
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -25,6 +25,8 @@
   readonly offerSetup: (record: SetupRecord) => void;
   readonly offerList: (list: ServerList) => void;
   readonly refresh: () => void;
+  /** Takes other seeds, as its settings now name them. */
+  readonly reseed: (seeds: readonly string[]) => void;
   readonly send: (address: string, frame: Frame) => void;
   readonly close: () => void;
 };
@@ -112,6 +114,7 @@
     },
     offerSetup: (record) => take({ type: 'setup', at: clock.now(), record }),
     offerList: (list) => take({ type: 'list', at: clock.now(), list }),
+    reseed: (newSeeds) => take({ type: 'seeds', at: clock.now(), seeds: newSeeds }),
     refresh: () => take({ type: 'refresh', at: clock.now() }),
     send: (address, frame) => links.send(address, frame),
     close: () => {
--- a/src/rehearsal/stand-in/http-desk.ts
+++ b/src/rehearsal/stand-in/http-desk.ts
@@ -2,7 +2,7 @@
 import { checked } from '../../common/checked.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import { httpCall, type HttpReceipt, type HttpCall } from '../../cli/http-call.js';
-import type { OperatorDesk } from '../../process/operator/operator-desk.js';
+import type { RevisionDesk } from '../../process/operator/operator-desk.js';
 import type { OperatorWord } from '../../process/operator/operator-word.js';
 import { recordSchema } from '../../setup/check/record-schema.js';
 import { readNumbers } from './read-numbers.js';
@@ -29,7 +29,7 @@
 };
 
 /** An operator's way to a core machine over HTTP. A call that breaks may have been heard. */
-export const httpDesk = (address: () => string): OperatorDesk => {
+export const httpDesk = (address: () => string): RevisionDesk => {
   const told = async (proposal: string, call: Omit<HttpCall, 'address'>): Promise<OperatorWord> =>
     (await httpCall({ ...call, address: address() }).run()).caseOf<OperatorWord>({
       Left: (error: TypedError) => ({ type: 'unknown', proposal, error }),
--- a/src/rehearsal/stand-in/operator.ts
+++ b/src/rehearsal/stand-in/operator.ts
@@ -1,5 +1,5 @@
 import type { Micros } from '../../common/micros.js';
-import type { OperatorDesk } from '../../process/operator/operator-desk.js';
+import type { RevisionDesk } from '../../process/operator/operator-desk.js';
 import type { OperatorWord } from '../../process/operator/operator-word.js';
 import { setupDigestOf } from '../../setup/document/setup-digest.js';
 import type { Setup } from '../../setup/document/setup.js';
@@ -8,7 +8,7 @@
 import type { PutRecord } from '../history/setup-record.js';
 
 /** At which desk a setup is put, and whether it is meant to be refused. */
-export type PutHow = { readonly desk?: OperatorDesk; readonly isFaulty?: boolean };
+export type PutHow = { readonly desk?: RevisionDesk; readonly isFaulty?: boolean };
 
 /** An operator who writes down what it asked and what it was told. */
 export type Operator = {
@@ -33,7 +33,7 @@
   return type === 'taken' ? { toldUs, outcome: 'taken', revision } : { toldUs, outcome: type === 'void' ? 'withdrawn' : 'lost-race', revision: undefined };
 };
 
-export const openOperator = (history: History, now: () => Micros, usualDesk: OperatorDesk): Operator => {
+export const openOperator = (history: History, now: () => Micros, usualDesk: RevisionDesk): Operator => {
   let proposals = 0;
   return {
     put: async (setup, expected, { desk = usualDesk, isFaulty = false } = {}) => {
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -1,3 +1,4 @@
+import type { Original } from '../document/original.js';
 import type { SetupRecord } from '../document/setup-record.js';
 import type { Setup } from '../document/setup.js';
 
@@ -50,10 +51,13 @@
   leaving: hasAll({ graceUs: isFigure }),
 });
 
+const hasOriginalForm = hasAll({ version: (value) => Number.isSafeInteger(value) && Number(value) >= 0, text: isName });
+
 const hasRecordForm = hasAll({
   revision: (value) => Number.isSafeInteger(value) && Number(value) >= 1,
   takenAtUs: isFigure,
   setup: hasSetupForm,
+  original: (value) => value === undefined || hasOriginalForm(value),
   epochs: isListOf(hasAll({ sinceUs: isFigure, warmup: hasWarmupForm })),
 });
 
@@ -63,4 +67,6 @@
  */
 export const isSetup = (value: unknown): value is Setup => hasSetupForm(value);
 
+export const isOriginal = (value: unknown): value is Original => hasOriginalForm(value);
+
 export const isSetupRecord = (value: unknown): value is SetupRecord => hasRecordForm(value);
--- a/src/sim/core/sim-desk.ts
+++ b/src/sim/core/sim-desk.ts
@@ -25,6 +25,7 @@
   return {
     read: () => told('', (desk) => desk.read()),
     put: (value, proposal, expected) => told(proposal, (desk) => desk.put(value, proposal, expected)),
+    putOriginal: (put) => told(`document ${put.original.version}`, (desk) => desk.putOriginal(put)),
     ask: (proposal) => told(proposal, (desk) => desk.ask(proposal)),
     withdraw: (proposal) => told(proposal, (desk) => desk.withdraw(proposal)),
   };
--- a/src/spread/machine/spread-event.ts
+++ b/src/spread/machine/spread-event.ts
@@ -12,4 +12,5 @@
   | { readonly type: 'frame'; readonly at: Micros; readonly from: string; readonly frame: SpreadFrame }
   | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
-  | { readonly type: 'refresh'; readonly at: Micros };
+  | { readonly type: 'refresh'; readonly at: Micros }
+  | { readonly type: 'seeds'; readonly at: Micros; readonly seeds: readonly string[] };
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -189,6 +189,8 @@
       return withRecord(nowView, event.record);
     case 'list':
       return withList(nowView, event.list);
+    case 'seeds':
+      return stepped({ ...nowView, seeds: event.seeds });
     case 'refresh': {
       const askingView = { ...nowView, inquiry: nowView.inquiry + 1, refreshing: true };
       return stepped(askingView, ...toAll(askingView, inquiryOf(askingView)));
