Ask for the list of servers: lists that merge, one asker, news by the spread

Cause: the platform that the product meets tells no list; it has one that is asked for, with pages, a rate for the whole fleet and a lag, and without a version or a time. Change: asked lists form a join-semilattice with a version that is monotone under the join and a digest; the spread merges them in any order; a pure machine on each node sees to it that, as a rule, one node asks; where the platform tells no time, the first reader begins the line of the fleet. Told lists replace by version as before. Conclusion: wired where the surroundings have a source, else nothing changes.

--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -16,6 +16,8 @@
   | 'undecided'
   | 'unknown-proposal'
   | 'stale-list'
+  | 'over-rate'
+  | 'incomplete'
   | 'invalid-list'
   | 'bad-settings'
   | 'bad-event'
--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../log.js';
 import { openOperatorDesk, type OperatorDesk } from '../operator/operator-desk.js';
 import type { ControlSettings } from '../settings/control-settings.js';
+import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
 import { openControlTask, type ControlTask } from './control-task.js';
@@ -46,6 +47,7 @@
   );
   return openControlTask(settings, spread, log, counters, surroundings, fail).map((control) => {
     const core = openCoreClient(spread, surroundings);
+    const source = openSourceTask('control', settings.node, spread, log, counters, surroundings);
     return {
       spread,
       control,
@@ -59,6 +61,7 @@
       },
       start: async () => {
         await spread.start();
+        source.start();
         control.start();
         log.change('started', { identity: control.view().identity, role: control.view().role });
       },
@@ -66,6 +69,7 @@
         log.change('stopping', {});
         await control.resign();
         await paused(surroundings.clock, handOverUs);
+        source.close();
         await control.close();
         spread.close();
       },
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -6,6 +6,7 @@
 import { openCounters, type Counters } from '../counters.js';
 import type { Log } from '../log.js';
 import type { NodeSettings } from '../settings/node-settings.js';
+import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
 import { openAdmission, type Admission } from './admission.js';
@@ -55,6 +56,7 @@
     surroundings,
     settings.partnersListen,
   );
+  const source = openSourceTask('router', settings.node, spread, log, counters, surroundings);
   const core = coreOf(spread, surroundings);
   const gate = openRefreshGate(spread, clock, (spanUs) => {
     counters.count('freezes');
@@ -97,6 +99,7 @@
   const end = (): void => {
     isStopping = true;
     endLooks();
+    source.close();
     router.close();
     spread.close();
   };
@@ -117,6 +120,7 @@
     },
     start: async () => {
       await spread.start();
+      source.start();
       router.start();
       endLooks = every(clock, lookSpanUs, gate.isShut);
       log.change('started', {});
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -7,6 +7,8 @@
 export type SpreadTaskEvents = {
   readonly setup: [record: SetupRecord];
   readonly list: [list: ServerList];
+  /** A partner told of a whole reading of the platform's list. */
+  readonly read: [by: string, ageUs: Micros];
   readonly time: [platformUs: Micros];
   readonly refreshed: [];
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -3,6 +3,7 @@
 import { every } from '../common/clock/every.js';
 import type { Micros } from '../common/micros.js';
 import type { ServerList } from '../servers/list/server-list.js';
+import type { ListReading } from '../servers/source/list-reading.js';
 import type { SetupRecord } from '../setup/document/setup-record.js';
 import type { Frame } from '../spread/frame/frame.js';
 import type { SpreadEffect } from '../spread/machine/spread-effect.js';
@@ -24,6 +25,8 @@
   readonly start: () => Promise<void>;
   readonly offerSetup: (record: SetupRecord) => void;
   readonly offerList: (list: ServerList) => void;
+  /** Takes a reading of the platform's list that was asked for at a moment of the steady clock. */
+  readonly offerReading: (reading: ListReading, begunAt: Micros) => void;
   readonly refresh: () => void;
   readonly send: (address: string, frame: Frame) => void;
   readonly close: () => void;
@@ -57,6 +60,9 @@
         log.change('list in force', { version: effect.list.version, servers: effect.list.servers.length });
         events.emit('list', effect.list);
         return;
+      case 'read':
+        events.emit('read', effect.by, effect.ageUs);
+        return;
       case 'time':
         events.emit('time', effect.platformUs);
         return;
@@ -78,6 +84,7 @@
     step.effects.forEach(carryOut);
   };
 
+  counters.gauge('list.version', () => view.list?.version ?? 0);
   links.events.on('badFrame', () => counters.count('frames.bad'));
   links.events.on('frame', (from, frame) => {
     switch (frame.type) {
@@ -112,6 +119,7 @@
     },
     offerSetup: (record) => take({ type: 'setup', at: clock.now(), record }),
     offerList: (list) => take({ type: 'list', at: clock.now(), list }),
+    offerReading: (reading, begunAt) => take({ type: 'reading', at: clock.now(), begunAt, reading }),
     refresh: () => take({ type: 'refresh', at: clock.now() }),
     send: (address, frame) => links.send(address, frame),
     close: () => {
--- a/src/process/surroundings/surroundings.ts
+++ b/src/process/surroundings/surroundings.ts
@@ -5,6 +5,7 @@
 import type { DiskRing } from '../../disk/disk-ring.js';
 import type { RingSizes } from '../../disk/ring-sizes.js';
 import type { Dial } from '../../servers/link/dial.js';
+import type { ListSource } from '../../servers/source/list-source.js';
 import type { PartnerLinks } from '../../spread/link/partner-links.js';
 
 /**
@@ -18,5 +19,7 @@
   readonly freshName: () => string;
   readonly openPartnerLinks: (address: string, listenAddress?: string) => PartnerLinks;
   readonly dial: Dial;
+  /** Where the platform's list is asked for; none where the platform tells it. */
+  readonly listSource?: ListSource;
   readonly openRing: (folder: string, sizes: RingSizes) => EitherAsync<TypedError, DiskRing>;
 };
--- a/src/servers/list/check-list.ts
+++ b/src/servers/list/check-list.ts
@@ -21,6 +21,7 @@
       leavingAtUs: number().integer().min(0),
       weights: listedName().optional(),
       weightsAtUs: number().integer().min(0),
+      slots: number().integer().min(0),
     })
       .required()
       .noUnknown()
--- a/src/servers/list/listed-server.ts
+++ b/src/servers/list/listed-server.ts
@@ -11,6 +11,10 @@
   readonly listedAtUs: Micros;
   readonly state: ServerState;
   readonly leavingAtUs?: Micros;
+  /** When a whole reading first lacked it; only tombstones of asked lists have it. */
+  readonly goneAtUs?: Micros;
+  /** How many exchanges it takes at once, where the platform tells. */
+  readonly slots?: number;
   /** The version of the weights that the server runs. */
   readonly weights?: string;
   readonly weightsAtUs?: Micros;
--- /dev/null
+++ b/src/servers/list/merge-lists.ts
@@ -0,0 +1,93 @@
+import type { Micros } from '../../common/micros.js';
+import type { AskedList } from './asked-list.js';
+import type { ListedServer } from './listed-server.js';
+import { digestOfServers, versionOfServers, versionPartOf } from './list-version.js';
+import { rankOfState } from './server-state.js';
+
+const leastOf = (left: Micros | undefined, right: Micros | undefined): Micros | undefined =>
+  left === undefined || right === undefined ? (left ?? right) : Math.min(left, right);
+
+const mostOf = (left: number | undefined, right: number | undefined): number | undefined =>
+  left === undefined || right === undefined ? (left ?? right) : Math.max(left, right);
+
+const originOf = ({ incarnation, service, address, locality }: ListedServer): string =>
+  JSON.stringify([incarnation, service, address, locality]);
+
+const weightsKeyOf = ({ weights, weightsAtUs }: ListedServer): readonly [number, string] => [weightsAtUs ?? -1, weights ?? ''];
+
+const laterWeights = (left: ListedServer, right: ListedServer): ListedServer => {
+  const [leftUs, leftName] = weightsKeyOf(left);
+  const [rightUs, rightName] = weightsKeyOf(right);
+  if (leftUs !== rightUs) return leftUs > rightUs ? left : right;
+  return leftName >= rightName ? left : right;
+};
+
+const present = (entry: Pick<ListedServer, 'leavingAtUs' | 'goneAtUs' | 'slots' | 'weights' | 'weightsAtUs'>) => ({
+  ...(entry.leavingAtUs === undefined ? {} : { leavingAtUs: entry.leavingAtUs }),
+  ...(entry.goneAtUs === undefined ? {} : { goneAtUs: entry.goneAtUs }),
+  ...(entry.slots === undefined ? {} : { slots: entry.slots }),
+  ...(entry.weights === undefined ? {} : { weights: entry.weights }),
+  ...(entry.weightsAtUs === undefined ? {} : { weightsAtUs: entry.weightsAtUs }),
+});
+
+/** The join of two accounts of one life: the furthest state and the earliest stamps. */
+export const mergeServers = (left: ListedServer, right: ListedServer): ListedServer => {
+  const { id, incarnation, service, address, locality } = originOf(left) <= originOf(right) ? left : right;
+  const { weights, weightsAtUs } = laterWeights(left, right);
+  return {
+    id,
+    incarnation,
+    service,
+    address,
+    locality,
+    listedAtUs: Math.min(left.listedAtUs, right.listedAtUs),
+    state: rankOfState(left.state) >= rankOfState(right.state) ? left.state : right.state,
+    ...present({
+      leavingAtUs: leastOf(left.leavingAtUs, right.leavingAtUs),
+      goneAtUs: leastOf(left.goneAtUs, right.goneAtUs),
+      slots: mostOf(left.slots, right.slots),
+      weights,
+      weightsAtUs,
+    }),
+  };
+};
+
+const isDropped = (server: ListedServer, floorUs: Micros): boolean => server.goneAtUs !== undefined && server.goneAtUs < floorUs;
+
+const byId = (left: ListedServer, right: ListedServer): number => (left.id < right.id ? -1 : 1);
+
+/** An asked list from its entries; their order does not matter. */
+export const askedListOf = (entries: readonly ListedServer[], atUs: Micros, floorUs: Micros = 0, spent = 0): AskedList => {
+  const servers = [...entries].sort(byId);
+  return { version: versionOfServers(servers, spent), atUs, servers, digest: digestOfServers(servers), floorUs, spent };
+};
+
+/** The join of two asked lists: commutative, associative and idempotent; the version never goes back. */
+export const mergeLists = (left: AskedList, right: AskedList): AskedList => {
+  const floorUs = Math.max(left.floorUs, right.floorUs);
+  const entries = new Map<string, ListedServer>();
+  for (const server of [...left.servers, ...right.servers]) {
+    const known = entries.get(server.id);
+    entries.set(server.id, known === undefined ? server : mergeServers(known, server));
+  }
+  const kept = [...entries.values()].filter((server) => !isDropped(server, floorUs));
+  const merged = askedListOf(kept, Math.max(left.atUs, right.atUs), floorUs, Math.max(left.spent, right.spent));
+  const behind = Math.max(left.version, right.version) - merged.version;
+  return behind <= 0 ? merged : { ...merged, version: merged.version + behind, spent: merged.spent + behind };
+};
+
+/** How long a tombstone is kept, on the fleet's time line. */
+export const tombstoneUs: Micros = 600_000_000;
+
+/** The list without the tombstones that are old at its moment; what they gave stays in the version. */
+export const withoutOldTombstones = (list: AskedList): AskedList => {
+  const floorUs = Math.max(list.floorUs, list.atUs - tombstoneUs);
+  const dropped = list.servers.filter((server) => isDropped(server, floorUs));
+  if (dropped.length === 0) return list;
+  return askedListOf(
+    list.servers.filter((server) => !dropped.includes(server)),
+    list.atUs,
+    floorUs,
+    list.spent + dropped.reduce((sum, server) => sum + versionPartOf(server), 0),
+  );
+};
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -4,7 +4,7 @@
 import { isCommand } from '../../control/wire/command-guard.js';
 import { isPlainMessage } from '../../control/wire/message-codec.js';
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
-import { listSchema } from '../../servers/list/check-list.js';
+import { isAnyList } from '../../servers/list/check-asked-list.js';
 import { isSetupRecord } from '../../setup/check/setup-guard.js';
 import type { Frame, Question } from './frame.js';
 
@@ -36,13 +36,15 @@
     partner: partnerSchema,
     revision: whole(),
     version: whole(),
+    listDigest: string(),
+    read: object({ atUs: whole(), by: string().required() }).optional().default(undefined),
     platformUs: number().integer(),
     partners: array(object({ partner: partnerSchema, ageUs: whole() }).required()).required(),
     inquiry: number().integer(),
   }),
-  inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole() }),
+  inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole(), listDigest: string() }),
   setup: object({ type: typed('setup'), record: mixed(isSetupRecord).required() }),
-  list: object({ type: typed('list'), list: listSchema }),
+  list: object({ type: typed('list'), list: mixed(isAnyList).required() }),
   control: object({ type: typed('control'), identity: string().required(), to: string().optional(), message: mixed(isPlainMessage).required() }),
   ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
   receipt: object({ type: typed('receipt'), ask: string().required(), receipt: mixed(isReceipt).required() }),
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -2,7 +2,9 @@
 import type { Command } from '../../control/log/command.js';
 import type { Receipt } from '../../control/machine/receipt.js';
 import type { PlainMessage } from '../../control/wire/message-codec.js';
+import type { AskedList } from '../../servers/list/asked-list.js';
 import type { ServerList } from '../../servers/list/server-list.js';
+import type { ReadMark } from '../../servers/source/read-mark.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { Partner } from '../partner/partner.js';
 
@@ -13,14 +15,18 @@
       readonly partner: Partner;
       readonly revision: number;
       readonly version: number;
+      /** What an asked list says, in a few characters; none for a told list. */
+      readonly listDigest?: string;
+      /** The freshest whole reading that the sender knows, or its own while that is fresh. */
+      readonly read?: ReadMark;
       readonly platformUs?: Micros;
       readonly partners: readonly { readonly partner: Partner; readonly ageUs: Micros }[];
       /** The number of the inquiry that this answers. */
       readonly inquiry?: number;
     }
-  | { readonly type: 'inquire'; readonly inquiry: number; readonly revision: number; readonly version: number }
+  | { readonly type: 'inquire'; readonly inquiry: number; readonly revision: number; readonly version: number; readonly listDigest?: string }
   | { readonly type: 'setup'; readonly record: SetupRecord }
-  | { readonly type: 'list'; readonly list: ServerList }
+  | { readonly type: 'list'; readonly list: ServerList | AskedList }
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
   | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
--- a/src/spread/machine/spread-effect.ts
+++ b/src/spread/machine/spread-effect.ts
@@ -8,7 +8,10 @@
 export type SpreadEffect =
   | { readonly type: 'send'; readonly address: string; readonly frame: SpreadFrame }
   | { readonly type: 'setup'; readonly record: SetupRecord }
+  /** The list as decisions see it, without those that are gone. */
   | { readonly type: 'list'; readonly list: ServerList }
+  /** A partner told of a whole reading that began so long ago. */
+  | { readonly type: 'read'; readonly by: string; readonly ageUs: Micros }
   | { readonly type: 'time'; readonly platformUs: Micros }
   | { readonly type: 'partners'; readonly partners: readonly Partner[] }
   | { readonly type: 'isolated'; readonly isolated: boolean }
--- a/src/spread/machine/spread-event.ts
+++ b/src/spread/machine/spread-event.ts
@@ -1,5 +1,6 @@
 import type { Micros } from '../../common/micros.js';
 import type { ServerList } from '../../servers/list/server-list.js';
+import type { ListReading } from '../../servers/source/list-reading.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { Frame } from '../frame/frame.js';
 
@@ -12,4 +13,6 @@
   | { readonly type: 'frame'; readonly at: Micros; readonly from: string; readonly frame: SpreadFrame }
   | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
+  /** A whole or partial reading of the platform's list; `begunAt` is when it was asked for. */
+  | { readonly type: 'reading'; readonly at: Micros; readonly begunAt: Micros; readonly reading: ListReading }
   | { readonly type: 'refresh'; readonly at: Micros };
