--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -3,6 +3,7 @@
 import { every } from '../common/clock/every.js';
 import type { Micros } from '../common/micros.js';
 import type { ServerList } from '../servers/list/server-list.js';
+import type { ListReading } from '../servers/source/list-reading.js';
 import type { SetupRecord } from '../setup/document/setup-record.js';
 import type { Frame } from '../spread/frame/frame.js';
 import type { SpreadEffect } from '../spread/machine/spread-effect.js';
@@ -24,6 +25,8 @@
   readonly start: () => Promise<void>;
   readonly offerSetup: (record: SetupRecord) => void;
   readonly offerList: (list: ServerList) => void;
+  /** Takes a reading of the platform's list that was asked for at a moment of the steady clock. */
+  readonly offerReading: (reading: ListReading, begunAt: Micros) => void;
   readonly refresh: () => void;
   /** Takes other seeds, as its settings now name them. */
   readonly reseed: (seeds: readonly string[]) => void;
@@ -59,6 +62,9 @@
         log.change('list in force', { version: effect.list.version, servers: effect.list.servers.length });
         events.emit('list', effect.list);
         return;
+      case 'read':
+        events.emit('read', effect.by, effect.ageUs);
+        return;
       case 'time':
         events.emit('time', effect.platformUs);
         return;
@@ -80,6 +86,7 @@
     step.effects.forEach(carryOut);
   };
 
+  counters.gauge('list.version', () => view.list?.version ?? 0);
   links.events.on('badFrame', () => counters.count('frames.bad'));
   links.events.on('frame', (from, frame) => {
     switch (frame.type) {
@@ -115,6 +122,7 @@
     offerSetup: (record) => take({ type: 'setup', at: clock.now(), record }),
     offerList: (list) => take({ type: 'list', at: clock.now(), list }),
     reseed: (newSeeds) => take({ type: 'seeds', at: clock.now(), seeds: newSeeds }),
+    offerReading: (reading, begunAt) => take({ type: 'reading', at: clock.now(), begunAt, reading }),
     refresh: () => take({ type: 'refresh', at: clock.now() }),
     send: (address, frame) => links.send(address, frame),
     close: () => {
--- a/src/process/surroundings/surroundings.ts
+++ b/src/process/surroundings/surroundings.ts
@@ -5,6 +5,7 @@
 import type { DiskRing } from '../../disk/disk-ring.js';
 import type { RingSizes } from '../../disk/ring-sizes.js';
 import type { Dial } from '../../servers/link/dial.js';
+import type { ListSource } from '../../servers/source/list-source.js';
 import type { PartnerLinks } from '../../spread/link/partner-links.js';
 
 /**
@@ -20,5 +21,7 @@
   readonly dial: Dial;
   /** Whether servers are known by the fleet's own exchanges alone, where probes are dear. */
   readonly probesNothing?: boolean;
+  /** Where the platform's list is asked for; none where the platform tells it. */
+  readonly listSource?: ListSource;
   readonly openRing: (folder: string, sizes: RingSizes) => EitherAsync<TypedError, DiskRing>;
 };
