--- a/src/control/machine/committing.ts
+++ b/src/control/machine/committing.ts
@@ -2,9 +2,9 @@
 import type { ControlEffect } from './control-effect.js';
 import { andThen, overAll, stepped, type ControlStep } from './control-step.js';
 import type { ControlView } from './control-view.js';
-import { entriesFrom, entryAt, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
+import { entriesFrom, entryAt, lastIndexOf, membersOf, termAt, textCharsOf, votersOf } from './log-reading.js';
 import { restingRoleOf, withRole } from './roles.js';
-import { mostKeptEntries, mostKeptSetups } from './timing.js';
+import { mostKeptEntries, mostKeptSetups, mostTextChars } from './timing.js';
 
 const applied = (view: ControlView, index: number): ControlStep => {
   const entry = entryAt(view, index);
@@ -38,9 +38,11 @@
   };
 };
 
-/** Whether the log is to be folded: it has many entries, or many whole setups. */
+/** Whether the log is to be folded: it has many entries, or many or large whole setups. */
 const isLong = (view: ControlView): boolean =>
-  view.entries.length > mostKeptEntries || view.entries.filter((entry) => entry.command.type === 'setup').length > mostKeptSetups;
+  view.entries.length > mostKeptEntries ||
+  view.entries.filter((entry) => entry.command.type === 'setup').length > mostKeptSetups ||
+  view.entries.reduce((sum, entry) => sum + textCharsOf(entry), 0) > mostTextChars * 4;
 
 /** Commits up to an index: applies, answers, folds. */
 export const committedTo = (view: ControlView, index: number): ControlStep => {
--- a/src/control/machine/log-reading.ts
+++ b/src/control/machine/log-reading.ts
@@ -4,6 +4,9 @@
 
 type Logged = Pick<ControlView, 'image' | 'entries'>;
 
+/** How much an entry weighs by the document that came with it. */
+export const textCharsOf = ({ command }: LogEntry): number => (command.type === 'setup' ? (command.original?.text.length ?? 0) : 0);
+
 export const lastIndexOf = (view: Logged): number => view.entries[view.entries.length - 1]?.index ?? view.image.index;
 
 export const lastTermOf = (view: Logged): number => view.entries[view.entries.length - 1]?.term ?? view.image.term;
--- a/src/control/machine/replicating.ts
+++ b/src/control/machine/replicating.ts
@@ -5,9 +5,9 @@
 import type { ControlEffect } from './control-effect.js';
 import { andThen, overAll, stepped, type ControlStep } from './control-step.js';
 import type { ControlView } from './control-view.js';
-import { entriesFrom, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
+import { entriesFrom, lastIndexOf, membersOf, termAt, textCharsOf, votersOf } from './log-reading.js';
 import type { Progress } from './progress.js';
-import { mostSentEntries, resendSpanUs } from './timing.js';
+import { mostSentEntries, mostTextChars, resendSpanUs } from './timing.js';
 
 export const newProgress = (view: ControlView): Progress => ({
   next: lastIndexOf(view) + 1,
@@ -17,6 +17,13 @@
   pausedUntilUs: 0,
 });
 
+/** The first entries of some, as many as their texts allow, and one at least. */
+const withinText = (entries: readonly LogEntry[]): readonly LogEntry[] => {
+  let textChars = 0;
+  const end = entries.findIndex((entry, place) => (textChars += textCharsOf(entry)) > mostTextChars && place > 0);
+  return end < 0 ? entries : entries.slice(0, end);
+};
+
 /** Sends one machine what it lacks, or a bare heartbeat while it has word to send back. */
 export const sentAppend = (view: ControlView, identity: string): ControlStep => {
   const progress = view.progress.get(identity) ?? newProgress(view);
@@ -31,7 +38,7 @@
     });
   }
   const previousIndex = isPaused ? Math.max(progress.match, view.image.index) : progress.next - 1;
-  const entries = isPaused ? [] : entriesFrom(view, progress.next, mostSentEntries);
+  const entries = isPaused ? [] : withinText(entriesFrom(view, progress.next, mostSentEntries));
   const pausedUntilUs = entries.length > 0 ? view.atUs + resendSpanUs : progress.pausedUntilUs;
   return stepped(
     { ...view, progress: withEntry(view.progress, identity, { ...progress, pausedUntilUs }) },
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -10,5 +10,7 @@
 export const deadSpanUs: Micros = 2_000_000;
 export const forgottenLearnerUs: Micros = 60_000_000;
 export const mostSentEntries = 64;
+/** Texts of setups that go in one batch, be it to a partner or to the disk; one that is larger goes alone. */
+export const mostTextChars = 1 << 20;
 export const mostKeptEntries = 2048;
 export const mostKeptSetups = 16;
--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -62,11 +62,11 @@
       await nextFile.write(0, encodeRecord(nextGeneration, 0, Buffer.from('ledgehill')));
       await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, image));
       await nextFile.sync();
+      await nextFile.write(markOffsetOf(0), encodeMark({ generation: nextGeneration, sequence: 0 }));
       generation = nextGeneration;
       currentFile = nextFile;
       sequence = 1;
       offset = firstRecordOffset + paddedLength(image.length);
-      await mark(nextFile, 0);
       return Right(undefined);
     };
 
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -8,10 +8,10 @@
 import type { ControlEffect } from '../../control/machine/control-effect.js';
 import type { ControlEvent } from '../../control/machine/control-event.js';
 import { startControlView, usualVoters, type ControlView } from '../../control/machine/control-view.js';
-import { membersOf } from '../../control/machine/log-reading.js';
+import { membersOf, textCharsOf } from '../../control/machine/log-reading.js';
 import { pulseOf } from '../../control/machine/replicating.js';
 import { stepControl } from '../../control/machine/step.js';
-import { busyDiskUs, heartbeatSpanUs } from '../../control/machine/timing.js';
+import { busyDiskUs, heartbeatSpanUs, mostTextChars } from '../../control/machine/timing.js';
 import { encodeKept, sequenceKept } from '../../control/wire/kept-codec.js';
 import { messageOfPlain, plainMessageOf } from '../../control/wire/message-codec.js';
 import type { DiskRing } from '../../disk/disk-ring.js';
@@ -48,6 +48,13 @@
   return kept.map(() => freshView);
 };
 
+/** Records are kept together, unless the documents in them are too large for one. */
+const batchesOf = (records: readonly KeptRecord[]): readonly (readonly KeptRecord[])[] => {
+  if (records.length === 0) return [];
+  const textChars = records.flatMap((record) => (record.type === 'entries' ? record.entries : [])).reduce((sum, entry) => sum + textCharsOf(entry), 0);
+  return textChars > mostTextChars ? records.map((record) => [record]) : [records];
+};
+
 const mayPass = (kept: Either<TypedError, void>): boolean =>
   kept.caseOf({ Left: (error) => error.type === 'disk-refusal', Right: () => false });
 
@@ -119,8 +126,7 @@
        * Keeps records, however often the disk refuses them: it may take them later. Until then this machine says nothing,
        * so that a leader is followed by another one; what will never fit is the end of it.
        */
-      const keepAll = async (records: readonly KeptRecord[]): Promise<boolean> => {
-        if (records.length === 0) return true;
+      const keep = async (records: readonly KeptRecord[]): Promise<boolean> => {
         const startedUs = clock.now();
         syncStartedUs = startedUs;
         const append = (): Promise<Either<TypedError, void>> => ring.append(encodeKept(records), () => encodeKept(imageRecordsOf(view)));
@@ -144,6 +150,11 @@
         return kept.isRight();
       };
 
+      const keepAll = async (records: readonly KeptRecord[]): Promise<boolean> => {
+        for (const batch of batchesOf(records)) if (!(await keep(batch))) return false;
+        return true;
+      };
+
       /** What is not led asks wherever core machines are known to be, also when all its seeds are stale. */
       const knownEvents = (): readonly ControlEvent[] => {
         if (view.leader !== undefined) return [];
--- /dev/null
+++ b/tests/control/original.test.ts
@@ -0,0 +1,70 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Command } from '../../src/control/log/command.js';
+import { applyCommand } from '../../src/control/state/apply.js';
+import { startControlState, type ControlState } from '../../src/control/state/control-state.js';
+import { isCommand } from '../../src/control/wire/command-guard.js';
+import { decodeKept, encodeKept } from '../../src/control/wire/kept-codec.js';
+import { isSetupRecord } from '../../src/setup/check/setup-guard.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+
+type Put = { readonly version: number; readonly expected: number; readonly text?: string };
+
+const commandOf = ({ version, expected, text = `document ${version}` }: Put): Command => ({
+  type: 'setup',
+  proposal: `original-${text}`,
+  expected,
+  setup: sampleSetup('first'),
+  original: { version, text },
+  atUs: 1,
+});
+
+const played = (puts: readonly Put[]): { readonly state: ControlState; readonly outcomes: readonly string[] } =>
+  puts.reduce<{ readonly state: ControlState; readonly outcomes: readonly string[] }>(
+    ({ state, outcomes }, put) => {
+      const applied = applyCommand(state, commandOf(put));
+      return {
+        state: applied.state,
+        outcomes: [...outcomes, applied.outcome.type === 'proposal' ? applied.outcome.outcome.type : applied.outcome.type],
+      };
+    },
+    { state: startControlState, outcomes: [] },
+  );
+
+test('the version decides: it builds on the one in force and rises', () => {
+  assert.equal(played([{ version: 3, expected: 0 }, { version: 7, expected: 3 }, { version: 9, expected: 3 }]).outcomes, ['taken', 'taken', 'lost-race']);
+  assert.equal(played([{ version: 3, expected: 1 }, { version: 3, expected: 0 }]).outcomes, ['lost-race', 'taken']);
+  assert.equal(played([{ version: 3, expected: 0 }, { version: 3, expected: 3, text: 'other' }]).outcomes, ['taken', 'lost-race']);
+  assert.equal(played([{ version: 3, expected: 0 }, { version: 2, expected: 3 }]).outcomes, ['taken', 'lost-race']);
+});
+
+test('the same document is taken again, in force or before, and is no second revision', () => {
+  const { state, outcomes } = played([{ version: 3, expected: 0 }, { version: 3, expected: 99 }, { version: 7, expected: 3 }, { version: 3, expected: 0 }]);
+  assert.equal(outcomes, ['taken', 'taken', 'taken', 'taken']);
+  assert.is(state.record?.revision, 2);
+  assert.is(state.record?.original?.version, 7);
+});
+
+test('a lost race does not stand against the same document later', () => {
+  const { state, outcomes } = played([{ version: 3, expected: 0 }, { version: 9, expected: 0 }, { version: 7, expected: 3 }, { version: 9, expected: 7 }]);
+  assert.equal(outcomes, ['taken', 'lost-race', 'taken', 'taken']);
+  assert.is(state.record?.original?.text, 'document 9');
+});
+
+test('a large document goes whole through guards, disk and image', () => {
+  const text = `{"ver":3,"more":"${'é'.repeat(2 << 20)}"}`;
+  const command = commandOf({ version: 3, expected: 0, text });
+  assert.ok(isCommand(command));
+  const { state } = played([{ version: 3, expected: 0, text }]);
+  assert.ok(isSetupRecord(state.record));
+  const image = { index: 1, term: 1, members: [], state };
+  const [record, entries] = decodeKept(
+    encodeKept([{ type: 'image', image }, { type: 'entries', entries: [{ index: 2, term: 1, command }] }]),
+  ).unsafeCoerce();
+  assert.is(record?.type === 'image' ? record.image.state.record?.original?.text : undefined, text);
+  const kept = entries?.type === 'entries' ? entries.entries[0]?.command : undefined;
+  assert.is(kept?.type === 'setup' ? kept.original?.text : undefined, text);
+  assert.not.ok(isCommand({ ...command, original: { version: 3 } }));
+});
+
+test.run();
--- a/tests/disk/disk-ring.test.ts
+++ b/tests/disk/disk-ring.test.ts
@@ -56,6 +56,27 @@
   }
 });
 
+test('a write that is refused for a while is kept once when it is asked for again, at any write', async () => {
+  for (let failing = 1; failing < 200; failing += 1) {
+    const memory = openMemoryFiles(2, fileBytes);
+    memory.failFrom(failing);
+    const ring = await opened(memory);
+    let asked = '';
+    for (const letter of alphabet.slice(0, 90)) {
+      asked += letter;
+      const image = asked;
+      const append = () => ring.append(Buffer.from(letter), () => Buffer.from(image));
+      for (let refusal = 0; refusal < 2; refusal += 1) if ((await append()).isRight()) break;
+        else if (refusal === 1) {
+          memory.failFrom(Number.POSITIVE_INFINITY);
+          assert.ok((await append()).isRight());
+        }
+    }
+    assert.is(textOf(await opened(memory)), asked, `write ${failing}`);
+    assert.is(textOf(await opened(memory.afterPowerLoss(() => false))), asked, `write ${failing}, then power lost`);
+  }
+});
+
 test('a changed byte in anything that was synced is found, never passed over', async () => {
   const chance = seededChance(7);
   for (let round = 0; round < 200; round += 1) {
