--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -29,6 +29,7 @@
   | 'bad-usage'
   | 'damaged-disk'
   | 'disk-error'
+  | 'disk-refusal'
   | 'bad-message'
   | 'link-error'
   | 'link-refused'
