--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -267,7 +267,7 @@
   {
     name: "a client forgets an answer that comes in its last pause",
     file: 'src/process/core-client.ts',
-    find: '          if (lateAnswer !== undefined) return Right(lateAnswer);\n',
+    find: '          if (lateReceipt !== undefined) return Right(lateReceipt);\n',
     put: '',
     by: test('tests/control/core-client.test.js'),
   },
