Measure what the decision machine costs: npm run bench

Cause: nothing in the project told how the cost of an exchange grows with openings, exchanges in flight and servers. Change: npm run bench plays exchanges through the pure machine and prints microseconds of processor, also for a changed list.

--- /dev/null
+++ b/tests/bench/main.ts
@@ -0,0 +1,14 @@
+import { exchangeCost, listCost } from './figures.js';
+
+const print = (line: string): void => void process.stdout.write(`${line}\n`);
+
+print('| openings known | in flight | servers | us of processor for an exchange |');
+print('| --- | --- | --- | --- |');
+for (const servers of [13, 100, 1500])
+  for (const inFlight of [10, 200, 1000])
+    for (const openings of [100, 4000, 20_000]) {
+      const cost = exchangeCost({ openings, inFlight, servers });
+      print(`| ${openings} | ${inFlight} | ${servers} | ${cost.toFixed(1)} |`);
+    }
+print('\n| servers | us of processor for a list that changes |\n| --- | --- |');
+for (const servers of [13, 100, 1500]) print(`| ${servers} | ${listCost(servers).toFixed(0)} |`);
