Let an exchange cost the same however much a node knows

Cause: every event copied whole maps; a schedule filtered and sorted all openings for each exchange; every tick walked all exchanges; placing walked all vnodes and ordered all owners, in time quadratic in servers; a list hashed every vnode of every server once for each ring and compared two whole rings for each join. Ruled out: maps that one owner changes in place, since images and replays need older views. Change: persistent maps (immutable) in the view; openings kept by arc of the ring, and a rank counted within one range; a tick looks through exchanges only once one may have something to do; the first eight owners of a vnode kept with its stage, later ones found by a walk that stops when it may; sums of pressure kept by ring; the ranges of a join or leave found from the member's own points; points of 8,192 servers kept (lru-cache). Warmth was not bounded while nothing was stale; it is now. Mutant: 'work falls back on the next owner' follows its line to owners-in-turn.ts.

--- a/src/decision/machine/step/exchange-changes.ts
+++ b/src/decision/machine/step/exchange-changes.ts
@@ -1,18 +1,22 @@
-import { withEntry, withoutEntry } from '../../../common/maps.js';
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import type { DecisionView } from '../view/decision-view.js';
 import type { ExchangeView } from '../view/exchange-view.js';
+import { ringPressureAfter } from './ring-pressure.js';
+import { wakeUsOf } from './wake.js';
 
 export const withExchange = (view: DecisionView, exchange: ExchangeView): DecisionView => ({
   ...view,
-  exchanges: withEntry(view.exchanges, exchange.exchange, exchange),
+  exchanges: view.exchanges.set(exchange.exchange, exchange),
+  wakeUs: Math.min(view.wakeUs, wakeUsOf(exchange)),
 });
 
 export const withPressure = (view: DecisionView, server: ServerKey, change: number): DecisionView => {
-  const pressure = (view.pressure.get(server) ?? 0) + change;
+  const formerPressure = view.pressure.get(server) ?? 0;
+  const pressure = Math.max(0, formerPressure + change);
   return {
     ...view,
-    pressure: pressure <= 0 ? withoutEntry(view.pressure, server) : withEntry(view.pressure, server, pressure),
+    pressure: pressure === 0 ? view.pressure.delete(server) : view.pressure.set(server, pressure),
+    ringPressure: ringPressureAfter(view, server, pressure - formerPressure),
   };
 };
 
@@ -24,5 +28,5 @@
 
 export const withoutExchange = (view: DecisionView, exchange: ExchangeView): DecisionView => {
   const freedView = exchange.server === undefined ? view : withPressure(view, exchange.server, -1);
-  return { ...freedView, exchanges: withoutEntry(freedView.exchanges, exchange.exchange) };
+  return { ...freedView, exchanges: freedView.exchanges.delete(exchange.exchange) };
 };
--- a/src/decision/machine/step/flights.ts
+++ b/src/decision/machine/step/flights.ts
@@ -1,4 +1,3 @@
-import { withEntry, withoutEntry } from '../../../common/maps.js';
 import type { Flight, FlightKey } from '../../flight/flight.js';
 import type { DecisionView } from '../view/decision-view.js';
 import type { ExchangeView } from '../view/exchange-view.js';
@@ -6,7 +5,7 @@
 
 export const withFlight = (view: DecisionView, flightKey: FlightKey, flight: Flight): DecisionView => ({
   ...view,
-  flights: withEntry(view.flights, flightKey, flight),
+  flights: view.flights.set(flightKey, flight),
 });
 
 /** Takes an exchange out of the flight that it follows. */
@@ -31,7 +30,7 @@
   if (exchange.leads === undefined || flight?.leader !== exchange.exchange) return { view, followers: [] };
   const endedView: DecisionView = {
     ...withExchange(view, { ...exchange, leads: undefined }),
-    flights: withoutEntry(view.flights, exchange.leads),
+    flights: view.flights.delete(exchange.leads),
   };
   const freedView = flight.followers.reduce((reachedView, follower) => {
     const followerView = reachedView.exchanges.get(follower);
--- a/src/decision/machine/step/on-tick.ts
+++ b/src/decision/machine/step/on-tick.ts
@@ -7,6 +7,7 @@
 import { onFailed } from './on-delivery.js';
 import { restage } from './restage.js';
 import { direct } from './direct.js';
+import { tooSlowUsOf, wakeUsOf } from './wake.js';
 
 const pastBudget = (view: DecisionView, exchange: ExchangeView): DecisionStep => {
   const landing = landed(view, exchange);
@@ -22,12 +23,6 @@
   );
 };
 
-const isTooSlow = (view: DecisionView, exchange: ExchangeView): boolean =>
-  exchange.server !== undefined &&
-  exchange.rule.repeatable &&
-  !exchange.started &&
-  view.atUs >= exchange.deliveredUs + exchange.rule.firstPieceUs;
-
 const movedOn = (view: DecisionView, exchange: ExchangeView): DecisionStep =>
   andThen(stepped(view, { type: 'cancel', exchange: exchange.exchange, attempt: exchange.attempt }), (cancelledView) =>
     onFailed(cancelledView, {
@@ -47,11 +42,15 @@
   if (view.atUs >= exchange.dueUs) return pastBudget(view, exchange);
   if (exchange.follows !== undefined && view.atUs >= (exchange.holdUntilUs ?? exchange.dueUs))
     return direct(unfollowed(view, exchange), exchangeName);
-  return isTooSlow(view, exchange) ? movedOn(view, exchange) : still(view);
+  return view.atUs >= tooSlowUsOf(exchange) ? movedOn(view, exchange) : still(view);
 };
 
-/** Lets time pass: stages, waits, budgets and slow servers. */
+/** Lets time pass: stages, waits, budgets and slow servers. Looks through the exchanges only once one may have something to do. */
 export const onTick = (view: DecisionView): DecisionStep => {
   const staged = platformUsOf(view) >= view.stage.nextChangeUs ? restage(view) : still(view);
-  return overAll(staged, [...view.exchanges.keys()], onExchangeTick);
+  if (view.atUs < view.wakeUs) return staged;
+  const wokenExchanges = [...view.exchanges.values()].filter((exchange) => view.atUs >= wakeUsOf(exchange));
+  const woken = overAll(staged, wokenExchanges.map((exchange) => exchange.exchange), onExchangeTick);
+  const wakeUs = woken.view.exchanges.reduce((least, exchange) => Math.min(least, wakeUsOf(exchange)), Number.POSITIVE_INFINITY);
+  return { view: { ...woken.view, wakeUs }, effects: woken.effects };
 };
--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -1,18 +1,20 @@
 import type { Micros } from '../../../common/micros.js';
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import { flightKeyOf } from '../../flight/flight.js';
-import { scheduleOf } from '../../hotness/schedule.js';
+import { rankIn } from '../../hotness/schedule.js';
 import { paceAllows, paceKeyOf } from '../../pace/pace.js';
-import { acrossLocalities } from '../../ring/across-localities.js';
-import { rangeHolds, type Range } from '../../ring/range.js';
-import { ownersFrom, vnodeIndexAt, type Ring } from '../../ring/ring.js';
+import { ownersAt } from '../../ring/owners-at.js';
+import { rangeAt, type Range } from '../../ring/range.js';
+import { vnodeIndexAt, type Ring } from '../../ring/ring.js';
 import type { Migration } from '../../timeline/migration.js';
 import type { ServiceStage } from '../../timeline/service-stage.js';
 import type { Reason } from '../effect/reason.js';
 import type { ReasonType } from '../effect/reason-type.js';
 import { platformUsOf, type DecisionView } from '../view/decision-view.js';
 import type { ExchangeView } from '../view/exchange-view.js';
+import { calmestOf, firstOf } from './first-of.js';
 import type { Placement } from './placement.js';
+import { usableIn } from './ring-pressure.js';
 import { isCold } from './warmth.js';
 
 type Wish = {
@@ -24,7 +26,7 @@
 };
 
 const rangeIn = (migration: Migration, exchange: ExchangeView): Range | undefined =>
-  migration.ranges.find((range) => rangeHolds(range, exchange.position));
+  rangeAt(migration.ranges, exchange.position);
 
 /** The node's own part of the fleet's pace for one range. */
 const spanOf = (view: DecisionView, migration: Migration): number =>
@@ -47,9 +49,8 @@
 const isScheduled = (view: DecisionView, exchange: ExchangeView, migration: Migration, range: Range): boolean => {
   const slot = Math.floor((platformUsOf(view) - migration.fromUs) / spanOf(view, migration) - view.phase);
   if (slot < 0) return false;
-  const schedule = scheduleOf(view.hotness, exchange.rule.service, range, view.atUs, migration.warmup.prefixesPerRange);
-  const rank = schedule.indexOf(exchange.prefix);
-  return rank >= 0 && rank <= slot;
+  const most = Math.min(slot + 1, migration.warmup.prefixesPerRange);
+  return rankIn(view.hotness, { prefix: exchange.prefix, service: exchange.rule.service }, range, view.atUs, most) !== undefined;
 };
 
 const settlingWish = (view: DecisionView, stage: ServiceStage, exchange: ExchangeView, owner: ServerKey): Wish => {
@@ -92,11 +93,11 @@
   return undefined;
 };
 
-const pressureBoundOf = (view: DecisionView, usable: readonly ServerKey[]): number => {
+const pressureBoundOf = (view: DecisionView, stage: ServiceStage, exchange: ExchangeView): number => {
   const figures = view.record?.setup.pressure;
-  if (figures === undefined || usable.length === 0) return 1;
-  const total = usable.reduce((sum, server) => sum + (view.pressure.get(server) ?? 0), 0);
-  return Math.max(figures.floor, Math.ceil((figures.factor * (total + 1)) / usable.length));
+  const usable = usableIn(view, stage, exchange);
+  if (figures === undefined || usable.count === 0) return 1;
+  return Math.max(figures.floor, Math.ceil((figures.factor * (usable.pressure + 1)) / usable.count));
 };
 
 const ringRangeOf = (ring: Ring, exchange: ExchangeView): Reason['range'] => {
@@ -112,9 +113,10 @@
 export const place = (view: DecisionView, exchange: ExchangeView): Placement | undefined => {
   const stage = view.stage.services.get(exchange.rule.service);
   if (stage === undefined) return undefined;
-  const owners = acrossLocalities(ownersFrom(stage.ring, exchange.position), (owner) => stage.localities.get(owner) ?? '');
-  const usable = owners.filter((server) => isUsable(view, stage, exchange, server));
-  const bound = pressureBoundOf(view, usable);
+  const owners = ownersAt(stage, exchange.position);
+  const firstUsable = (isWished: (server: ServerKey) => boolean): ServerKey | undefined =>
+    firstOf(owners.all(), (server) => isUsable(view, stage, exchange, server) && isWished(server));
+  const bound = pressureBoundOf(view, stage, exchange);
   const pressureOf = (server: ServerKey): number => view.pressure.get(server) ?? 0;
   const placed = (wish: Wish): Placement => ({
     server: wish.server,
@@ -129,7 +131,7 @@
       service: exchange.rule.service,
       position: exchange.position,
       range: wish.range === undefined ? ringRangeOf(stage.ring, exchange) : { after: wish.range.after, upTo: wish.range.upTo },
-      owners: owners.slice(0, 4),
+      owners: owners.first.slice(0, 4),
       migration: wish.migration?.name,
       commitUs: wish.migration?.commitUs,
       cold: stage.type === 'model' && isCold(view, wish.server, exchange.prefix),
@@ -140,8 +142,8 @@
   const plain = (server: ServerKey, type: ReasonType): Placement =>
     placed({ server, type, migration: undefined, range: undefined, takesSlot: false });
 
-  const firstOwner = owners[0];
-  const nearestOwner = usable[0];
+  const firstOwner = owners.first[0];
+  const nearestOwner = firstUsable(() => true);
   if (firstOwner === undefined || nearestOwner === undefined) {
     const joiningServer = stage.joining
       .filter((server) => isUsable(view, stage, exchange, server))
@@ -149,7 +151,8 @@
     return joiningServer === undefined ? undefined : plain(joiningServer, 'emergency');
   }
   if (stage.type === 'web') {
-    const calmestServer = [...usable].sort((left, right) => pressureOf(left) - pressureOf(right))[0] ?? nearestOwner;
+    const idleServer = firstUsable((server) => pressureOf(server) === 0);
+    const calmestServer = idleServer ?? calmestOf(owners.all(), (server) => isUsable(view, stage, exchange, server), pressureOf) ?? nearestOwner;
     return plain(calmestServer, calmestServer === firstOwner ? 'ring' : 'spill');
   }
   const migrationWish = nearestOwner === firstOwner ? pendingWish(view, stage, exchange, firstOwner, bound) : undefined;
@@ -157,6 +160,6 @@
   const ringWish = settlingWish(view, stage, exchange, nearestOwner);
   if (pressureOf(ringWish.server) < bound)
     return placed(nearestOwner === firstOwner || ringWish.type !== 'ring' ? ringWish : { ...ringWish, type: 'dark-owner' });
-  const spillServer = usable.find((server) => pressureOf(server) < bound) ?? nearestOwner;
+  const spillServer = firstUsable((server) => pressureOf(server) < bound) ?? nearestOwner;
   return plain(spillServer, 'spill');
 };
--- a/src/decision/machine/step/restage.ts
+++ b/src/decision/machine/step/restage.ts
@@ -1,9 +1,11 @@
 import { serverKeyOf } from '../../../servers/list/server-key.js';
+import { ringOwners } from '../../ring/ring.js';
 import { stageAt } from '../../timeline/stage.js';
 import type { Migration } from '../../timeline/migration.js';
 import type { Decision } from '../effect/decision.js';
 import { platformUsOf, type DecisionView } from '../view/decision-view.js';
 import { still, type DecisionStep } from './decision-step.js';
+import { ringPressureAt } from './ring-pressure.js';
 
 const bookedDecision = (service: string, migration: Migration): readonly Decision[] =>
   migration.key === undefined
@@ -39,7 +41,8 @@
   const endedDecisions = [...view.joining]
     .filter(([key]) => !joining.has(key))
     .map(([key, { service, entryUs }]): Decision => {
-      const isInRing = stage.services.get(service)?.ring.vnodes.some((vnode) => vnode.owner === key) ?? false;
+      const ring = stage.services.get(service)?.ring;
+      const isInRing = ring !== undefined && ringOwners(ring).has(key);
       return isInRing ? { type: 'entered', server: key, service, entryUs } : { type: 'withdrawn', server: key, service };
     });
   const listedKeys = new Set(view.list.servers.map(serverKeyOf));
@@ -48,7 +51,8 @@
       ...view,
       stage,
       joining,
-      warmth: new Map([...view.warmth].filter(([key]) => listedKeys.has(key))),
+      ringPressure: ringPressureAt(stage, view.pressure),
+      warmth: view.warmth.filter((_, key) => listedKeys.has(key)),
       dark: new Set([...view.dark].filter((key) => listedKeys.has(key))),
     },
     effects: [...endedDecisions, ...bookedDecisions],
--- a/src/decision/machine/step/retry-allowance.ts
+++ b/src/decision/machine/step/retry-allowance.ts
@@ -1,4 +1,3 @@
-import { withEntry } from '../../../common/maps.js';
 import { mayTryAgain } from '../../retry/retry-budget.js';
 import { triesAfter, windowUs } from '../../retry/tries.js';
 import type { DecisionView } from '../view/decision-view.js';
@@ -17,5 +16,5 @@
 /** Counts a try: a first one when it is sent, an extra one when it is decided, or many that fail at once would all pass. */
 export const withTry = (view: DecisionView, service: string, isExtra: boolean): DecisionView => ({
   ...view,
-  tries: withEntry(view.tries, service, triesAfter(view.tries.get(service) ?? [], view.atUs, isExtra)),
+  tries: view.tries.set(service, triesAfter(view.tries.get(service) ?? [], view.atUs, isExtra)),
 });
--- a/src/decision/machine/step/warmth.ts
+++ b/src/decision/machine/step/warmth.ts
@@ -1,4 +1,6 @@
-import { withEntry } from '../../../common/maps.js';
+import { leastKeys } from '../../../common/least-keys.js';
+import type { Micros } from '../../../common/micros.js';
+import { emptyMap, type PersistentMap } from '../../../common/persistent-map.js';
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import type { Prefix } from '../../ring/prefix.js';
 import type { DecisionView } from '../view/decision-view.js';
@@ -12,9 +14,12 @@
   return servedUs === undefined || servedUs + staleUs <= view.atUs;
 };
 
+/** Makes room for an eighth at once, so that the openings are ranked once for many new ones. */
+const withoutOldest = (prefixes: PersistentMap<Prefix, Micros>): PersistentMap<Prefix, Micros> =>
+  prefixes.deleteAll(leastKeys(prefixes, mostPrefixes / 8, (servedUs) => servedUs));
+
 export const warmed = (view: DecisionView, server: ServerKey, prefix: Prefix): DecisionView => {
-  const knownPrefixes = view.warmth.get(server) ?? new Map<Prefix, number>();
-  const keptPrefixes =
-    knownPrefixes.size < mostPrefixes ? knownPrefixes : new Map([...knownPrefixes].filter(([known]) => !isCold(view, server, known)));
-  return { ...view, warmth: withEntry(view.warmth, server, withEntry(keptPrefixes, prefix, view.atUs)) };
+  const knownPrefixes = view.warmth.get(server) ?? emptyMap<Prefix, Micros>();
+  const keptPrefixes = knownPrefixes.size < mostPrefixes || knownPrefixes.has(prefix) ? knownPrefixes : withoutOldest(knownPrefixes);
+  return { ...view, warmth: view.warmth.set(server, keptPrefixes.set(prefix, view.atUs)) };
 };
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -1,11 +1,12 @@
 import { boundAt, type TimeBound } from '../../../common/clock/time-bound.js';
 import type { Micros } from '../../../common/micros.js';
+import { emptyMap, emptyOrderedMap, type PersistentMap } from '../../../common/persistent-map.js';
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import type { ServerList } from '../../../servers/list/server-list.js';
 import type { SetupRecord } from '../../../setup/document/setup-record.js';
 import type { Flight, FlightKey } from '../../flight/flight.js';
-import type { Hotness } from '../../hotness/hotness.js';
-import type { Pace } from '../../pace/pace.js';
+import { emptyHotness, type Hotness } from '../../hotness/hotness.js';
+import { emptyPace, type Pace } from '../../pace/pace.js';
 import type { Tries } from '../../retry/tries.js';
 import type { Prefix } from '../../ring/prefix.js';
 import type { Stage } from '../../timeline/stage.js';
@@ -24,13 +25,18 @@
   readonly stage: Stage;
   readonly joining: ReadonlyMap<ServerKey, { readonly service: string; readonly entryUs: Micros }>;
   readonly hotness: Hotness;
-  readonly warmth: ReadonlyMap<ServerKey, ReadonlyMap<Prefix, Micros>>;
+  readonly warmth: PersistentMap<ServerKey, PersistentMap<Prefix, Micros>>;
   readonly pace: Pace;
-  readonly flights: ReadonlyMap<FlightKey, Flight>;
-  readonly exchanges: ReadonlyMap<string, ExchangeView>;
-  readonly pressure: ReadonlyMap<ServerKey, number>;
+  readonly flights: PersistentMap<FlightKey, Flight>;
+  /** In the order in which they came. */
+  readonly exchanges: PersistentMap<string, ExchangeView>;
+  /** No exchange has anything to do by itself before this moment. */
+  readonly wakeUs: Micros;
+  readonly pressure: PersistentMap<ServerKey, number>;
+  /** The sum of the pressure on the servers in each service's ring. */
+  readonly ringPressure: ReadonlyMap<string, number>;
   readonly dark: ReadonlySet<ServerKey>;
-  readonly tries: ReadonlyMap<string, Tries>;
+  readonly tries: PersistentMap<string, Tries>;
   readonly draining: boolean;
 };
 
@@ -43,14 +49,16 @@
   list: undefined,
   stage: { services: new Map(), nextChangeUs: Number.POSITIVE_INFINITY },
   joining: new Map(),
-  hotness: new Map(),
-  warmth: new Map(),
-  pace: new Map(),
-  flights: new Map(),
-  exchanges: new Map(),
-  pressure: new Map(),
+  hotness: emptyHotness,
+  warmth: emptyMap(),
+  pace: emptyPace,
+  flights: emptyMap(),
+  exchanges: emptyOrderedMap(),
+  wakeUs: Number.POSITIVE_INFINITY,
+  pressure: emptyMap(),
+  ringPressure: new Map(),
   dark: new Set(),
-  tries: new Map(),
+  tries: emptyMap(),
   draining: false,
 };
 
--- a/src/decision/ring/ring.ts
+++ b/src/decision/ring/ring.ts
@@ -1,7 +1,8 @@
 import type { ServerKey } from '../../servers/list/server-key.js';
-import { positionOf, type Position } from './position.js';
+import type { Position } from './position.js';
 import type { RingMember } from './ring-member.js';
 import type { Vnode } from './vnode.js';
+import { vnodePositions } from './vnode-positions.js';
 
 /** A prefix-hash ring: vnodes in order of position. */
 export type Ring = {
@@ -9,15 +10,39 @@
   readonly size: number;
 };
 
+const byPosition = (left: Vnode, right: Vnode): number => left.position - right.position || (left.owner < right.owner ? -1 : 1);
+
+const vnodesOf = (member: RingMember, vnodeCount: number): readonly Vnode[] =>
+  vnodePositions(member.id, vnodeCount).map((position) => ({ position, owner: member.key }));
+
 export const ringOf = (members: readonly RingMember[], vnodeCount: number): Ring => ({
   size: members.length,
   vnodes: members
-    .flatMap((member) =>
-      Array.from({ length: vnodeCount }, (_, index) => ({ position: positionOf(`${member.id}#${index}`), owner: member.key })),
-    )
-    .sort((left, right) => left.position - right.position || (left.owner < right.owner ? -1 : 1)),
+    .flatMap((member) => vnodesOf(member, vnodeCount))
+    .sort(byPosition),
 });
 
+/** The ring without one of its members, made without sorting anew. */
+export const withoutMember = (ring: Ring, key: ServerKey): Ring => {
+  const vnodes = ring.vnodes.filter((vnode) => vnode.owner !== key);
+  return vnodes.length === ring.vnodes.length ? ring : { size: ring.size - 1, vnodes };
+};
+
+/** The ring with one more member, made without sorting anew. */
+export const withMember = (ring: Ring, member: RingMember, vnodeCount: number): Ring => {
+  const ownVnodes = [...vnodesOf(member, vnodeCount)].sort(byPosition);
+  const vnodes: Vnode[] = [];
+  let ownIndex = 0;
+  for (const vnode of ring.vnodes) {
+    for (let own = ownVnodes[ownIndex]; own !== undefined && byPosition(own, vnode) < 0; own = ownVnodes[ownIndex]) {
+      vnodes.push(own);
+      ownIndex += 1;
+    }
+    vnodes.push(vnode);
+  }
+  return { size: ring.size + 1, vnodes: [...vnodes, ...ownVnodes.slice(ownIndex)] };
+};
+
 /** The index of the vnode that owns a position: the first at or after it, around the ring. */
 export const vnodeIndexAt = (ring: Ring, position: Position): number => {
   let lowIndex = 0;
@@ -34,13 +59,27 @@
 export const ownerAt = (ring: Ring, position: Position): ServerKey | undefined =>
   ring.vnodes[vnodeIndexAt(ring, position)]?.owner;
 
-/** Every server of the ring, in the order in which a position meets them. */
-export const ownersFrom = (ring: Ring, position: Position): readonly ServerKey[] => {
-  const firstIndex = vnodeIndexAt(ring, position);
+/** Every server of the ring, in the order in which they are met from a vnode on. */
+export function* walkedOwners(ring: Ring, firstIndex: number): Generator<ServerKey, void> {
   const metOwners = new Set<ServerKey>();
   for (let step = 0; step < ring.vnodes.length && metOwners.size < ring.size; step += 1) {
     const metVnode = ring.vnodes[(firstIndex + step) % ring.vnodes.length];
-    if (metVnode !== undefined) metOwners.add(metVnode.owner);
+    if (metVnode === undefined || metOwners.has(metVnode.owner)) continue;
+    metOwners.add(metVnode.owner);
+    yield metVnode.owner;
   }
-  return [...metOwners];
+}
+
+/** Every server of the ring, in the order in which a position meets them. */
+export const ownersFrom = (ring: Ring, position: Position): readonly ServerKey[] => [...walkedOwners(ring, vnodeIndexAt(ring, position))];
+
+const ownersByRing = new WeakMap<Ring, ReadonlySet<ServerKey>>();
+
+/** The servers of a ring, found once for each ring. */
+export const ringOwners = (ring: Ring): ReadonlySet<ServerKey> => {
+  const knownOwners = ownersByRing.get(ring);
+  if (knownOwners !== undefined) return knownOwners;
+  const owners = new Set(ring.vnodes.map((vnode) => vnode.owner));
+  ownersByRing.set(ring, owners);
+  return owners;
 };
--- a/src/decision/timeline/stage.ts
+++ b/src/decision/timeline/stage.ts
@@ -4,8 +4,9 @@
 import type { Service } from '../../setup/document/service.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { Warmup } from '../../setup/document/warmup.js';
-import { previewRanges } from '../ring/preview.js';
-import { ringOf, type Ring } from '../ring/ring.js';
+import { joinRanges, leaveRanges, previewRanges } from '../ring/preview.js';
+import type { RingMember } from '../ring/ring-member.js';
+import { ringOf, withMember, withoutMember, type Ring } from '../ring/ring.js';
 import type { Booking } from './booking.js';
 import { bookingsOf, lengthOf, warmupAt } from './bookings.js';
 import type { Migration } from './migration.js';
@@ -22,30 +23,35 @@
     ? server.leavingAtUs + record.setup.leaving.graceUs
     : Number.POSITIVE_INFINITY;
 
-const ringOfBookings = (bookings: readonly Booking[], warmup: Warmup): Ring =>
-  ringOf(
-    bookings.map((booking) => ({ key: booking.key, id: booking.server.id })),
-    warmup.vnodes,
-  );
+const memberOf = (booking: Booking): RingMember => ({ key: booking.key, id: booking.server.id });
+
+const ringOfBookings = (bookings: readonly Booking[], warmup: Warmup): Ring => ringOf(bookings.map(memberOf), warmup.vnodes);
 
 const isUp = (booking: Booking): boolean => booking.server.state === 'up';
 
-const joinOf = (booking: Booking, others: readonly Booking[], warmup: Warmup): Migration => {
-  const before = ringOfBookings(others, warmup);
-  const after = ringOfBookings([...others, booking], warmup);
-  return {
-    type: 'join',
-    name: `join ${booking.server.id}`,
-    key: booking.key,
-    fromUs: booking.sinceUs,
-    commitUs: booking.entryUs,
-    settledUs: booking.entryUs + booking.warmup.settleUs,
-    ranges: previewRanges(before, after),
-    warmup: booking.warmup,
-  };
+const joinOf = (booking: Booking, before: Ring, warmup: Warmup): Migration => ({
+  type: 'join',
+  name: `join ${booking.server.id}`,
+  key: booking.key,
+  fromUs: booking.sinceUs,
+  commitUs: booking.entryUs,
+  settledUs: booking.entryUs + booking.warmup.settleUs,
+  ranges: joinRanges(before, memberOf(booking), warmup.vnodes),
+  warmup: booking.warmup,
+});
+
+/** The joins that are booked, each on the ring that those before it leave behind. */
+const joinsOf = (booked: readonly Booking[], ring: Ring, warmup: Warmup): readonly Migration[] => {
+  const joins: Migration[] = [];
+  let before = ring;
+  for (const booking of booked) {
+    joins.push(joinOf(booking, before, warmup));
+    before = withMember(before, memberOf(booking), warmup.vnodes);
+  }
+  return joins;
 };
 
-const leaveOf = (booking: Booking, staying: readonly Booking[], record: SetupRecord, warmup: Warmup): Migration => {
+const leaveOf = (booking: Booking, stayingRing: Ring, record: SetupRecord, warmup: Warmup): Migration => {
   const commitUs = goneAt(booking.server, record);
   return {
     type: 'leave',
@@ -54,7 +60,7 @@
     fromUs: booking.server.leavingAtUs ?? commitUs,
     commitUs,
     settledUs: commitUs,
-    ranges: previewRanges(ringOfBookings([...staying, booking], warmup), ringOfBookings(staying, warmup)),
+    ranges: leaveRanges(stayingRing, memberOf(booking), warmup.vnodes),
     warmup,
   };
 };
@@ -88,19 +94,20 @@
   const epochWarmup = warmupAt(record, platformUs);
   const earlierWarmup = record.epochs[record.epochs.findLastIndex((epoch) => epoch.sinceUs <= platformUs) - 1]?.warmup;
   const ringWarmup = rebalance !== undefined && platformUs < rebalance.commitUs && earlierWarmup !== undefined ? earlierWarmup : epochWarmup;
-  const pendingJoins = booked.map((booking, index) => joinOf(booking, [...entered, ...booked.slice(0, index)], ringWarmup));
-  const pendingLeaves = entered
-    .filter((booking) => !isUp(booking))
-    .map((booking) => leaveOf(booking, entered.filter(isUp), record, ringWarmup));
+  const ring = ringOfBookings(entered, ringWarmup);
+  const pendingJoins = joinsOf(booked, ring, ringWarmup);
+  const leavingBookings = entered.filter((booking) => !isUp(booking));
+  const stayingRing = leavingBookings.reduce((reachedRing, booking) => withoutMember(reachedRing, booking.key), ring);
+  const pendingLeaves = leavingBookings.map((booking) => leaveOf(booking, stayingRing, record, ringWarmup));
   const pendingRebalance = rebalance !== undefined && platformUs < rebalance.commitUs ? [rebalance] : [];
   const settledRebalance = rebalance !== undefined && platformUs >= rebalance.commitUs ? [rebalance] : [];
   const settlingJoins = entered
     .filter((booking) => booking.entryUs > booking.sinceUs && platformUs < booking.entryUs + booking.warmup.settleUs)
-    .map((booking) => joinOf(booking, entered.filter((other) => other.key !== booking.key), ringWarmup));
+    .map((booking) => joinOf(booking, withoutMember(ring, booking.key), ringWarmup));
   return {
     service: service.name,
     type: service.type,
-    ring: ringOfBookings(entered, ringWarmup),
+    ring,
     pending: service.type === 'web' ? [] : [...pendingJoins, ...pendingLeaves, ...pendingRebalance],
     settling: service.type === 'web' ? [] : [...settlingJoins, ...settledRebalance],
     joining: booked.map((booking) => booking.key),
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -350,8 +350,8 @@
   },
   {
     name: 'work falls back on the next owner of the ring, wherever it stands',
-    file: 'src/decision/ring/across-localities.ts',
-    find: '      counts.set(localityOf(nextOwner), countOf(nextOwner) + 1);\n',
+    file: 'src/decision/ring/owners-in-turn.ts',
+    find: '    nextTurn.count += 1;\n',
     put: '',
     by: test('tests/decision/localities.test.js'),
   },
