Let a command load only what it runs

Cause: every command imported the routers, the core, the rehearsal and the simulator before it looked at its arguments. Ruled out: options that are declared only once a command is chosen; 'help rehearse' would not show them. Conclusion: what is left is the engine's start, commander and purify-ts.

--- a/src/cli/decide-command.ts
+++ b/src/cli/decide-command.ts
@@ -2,7 +2,6 @@
 import { createInterface } from 'node:readline';
 import type { Command } from 'commander';
 import { messageOf, typedError } from '../common/typed-error.js';
-import { openTraceReader } from '../decision/trace/trace-reader.js';
 import { fail } from './fail.js';
 
 /** Events in, decisions out, one JSON document a line. */
@@ -11,6 +10,7 @@
     .command('decide [file]')
     .description('play a stream of events (NDJSON) against the decision machine and print its decisions')
     .action(async (file: string | undefined) => {
+      const { openTraceReader } = await import('../decision/trace/trace-reader.js');
       const reader = openTraceReader();
       const input = file === undefined || file === '-' ? process.stdin : createReadStream(file);
       const lines = createInterface({ input, crlfDelay: Infinity });
--- a/src/cli/operator-commands.ts
+++ b/src/cli/operator-commands.ts
@@ -3,9 +3,8 @@
 import { EitherAsync, Right } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
 import type { Setup } from '../setup/document/setup.js';
-import { convertObjects } from '../setup/objects/convert-objects.js';
 import { fail, print } from './fail.js';
-import { httpCall, type HttpCall } from './http-call.js';
+import type { HttpCall } from './http-call.js';
 
 const readText = (path: string): EitherAsync<TypedError, string> =>
   EitherAsync(({ throwE }) => {
@@ -19,11 +18,15 @@
 /** The setup that a file of objects describes. */
 const converted = (path: string): EitherAsync<TypedError, Setup> =>
   readText(path).chain((text) =>
-    EitherAsync.liftEither(convertObjects(text).mapLeft((faults) => typedError('invalid-setup', 'the objects do not hold', faults))),
+    EitherAsync(async ({ liftEither }) => {
+      const { convertObjects } = await import('../setup/objects/convert-objects.js');
+      return liftEither(convertObjects(text).mapLeft((faults) => typedError('invalid-setup', 'the objects do not hold', faults)));
+    }),
   );
 
 /** Prints what a node answered; the exit is 0 for done, 3 for unknown, 1 for anything else. */
 const show = async (call: EitherAsync<TypedError, HttpCall>): Promise<void> => {
+  const { httpCall } = await import('./http-call.js');
   (await call.chain(httpCall).run()).ifLeft(fail).ifRight(({ status, body }) => {
     print(body);
     process.exitCode = status === 200 ? 0 : status === 202 ? 3 : 1;
--- a/src/cli/rehearse-command.ts
+++ b/src/cli/rehearse-command.ts
@@ -1,11 +1,7 @@
 import { Option, type Command } from 'commander';
 import { typedError } from '../common/typed-error.js';
-import { deployments } from '../rehearsal/deployment/deployments.js';
-import { rehearse } from '../rehearsal/run/rehearse.js';
-import { scenarios } from '../rehearsal/run/scenarios.js';
-import { summaryOf } from '../rehearsal/run/summary.js';
-import { simScenarios } from '../sim/sim-scenarios.js';
 import { fail, print } from './fail.js';
+import { knownDeployments, knownScenarios, knownSimScenarios } from './known-scenarios.js';
 import { parseSeeds, playVirtual } from './play-virtual.js';
 
 type RehearseFlags = {
@@ -31,28 +27,33 @@
     .command('rehearse')
     .description('start a whole fleet on this machine, play a scenario against it and check every rule')
     .addOption(
-      new Option('--scenario <name>', 'which scenario').choices(scenarios.map((scenario) => scenario.name)).default('short'),
+      new Option('--scenario <name>', 'which scenario').choices(knownScenarios.map((scenario) => scenario.name)).default('short'),
     )
-    .addOption(new Option('--deployment <name>', 'which deployment of the brief').choices(Object.keys(deployments)).default('cuenca'))
+    .addOption(new Option('--deployment <name>', 'which deployment of the brief').choices([...knownDeployments]).default('cuenca'))
     .option('--seconds <count>', 'how long traffic runs, from 5 to 3600')
     .option('--seed <number>', 'the seed of all chance', '1')
     .option('--keep', 'keep the folder with settings, logs and data')
     .addOption(
-      new Option('--virtual <name>', 'play the state machines in virtual time instead').choices(simScenarios.map((scenario) => scenario.name)),
+      new Option('--virtual <name>', 'play the state machines in virtual time instead').choices(knownSimScenarios.map((scenario) => scenario.name)),
     )
     .option('--seeds <first-last>', 'the seeds that are played in virtual time', '1-20')
-    .addHelpText('after', `\nScenarios:\n${listed(scenarios)}\n\nIn virtual time:\n${listed(simScenarios)}`);
+    .addHelpText('after', `\nScenarios:\n${listed(knownScenarios)}\n\nIn virtual time:\n${listed(knownSimScenarios)}`);
   const misused = (message: string): never => command.error(`error: ${message}\n\n${command.helpInformation()}`, { exitCode: 2 });
 
   command.action(async (flags: RehearseFlags) => {
-    const virtualScenario = simScenarios.find((known) => known.name === flags.virtual);
-    if (virtualScenario !== undefined) {
+    if (flags.virtual !== undefined) {
+      const { simScenarios } = await import('../sim/sim-scenarios.js');
+      const virtualScenario = simScenarios.find((known) => known.name === flags.virtual) ?? misused(`no scenario is named ${flags.virtual}`);
       const seeds = parseSeeds(flags.seeds) ?? misused('--seeds must be one seed or first-last');
       const sum = await playVirtual(virtualScenario, seeds, tell);
       print(sum);
       if (sum.brokenSeeds.length > 0) fail(typedError('rule-broken', `${sum.brokenSeeds.length} of ${sum.seeds} seeds break a rule`));
       return;
     }
+    const { deployments } = await import('../rehearsal/deployment/deployments.js');
+    const { rehearse } = await import('../rehearsal/run/rehearse.js');
+    const { scenarios } = await import('../rehearsal/run/scenarios.js');
+    const { summaryOf } = await import('../rehearsal/run/summary.js');
     const scenario = scenarios.find((known) => known.name === flags.scenario) ?? misused(`no scenario is named ${flags.scenario}`);
     if (!wholeForm.test(flags.seed)) misused('--seed must be a whole number');
     const seconds = flags.seconds ?? String(scenario.seconds);
--- a/src/cli/run-commands.ts
+++ b/src/cli/run-commands.ts
@@ -1,8 +1,5 @@
 import { Option, type Command } from 'commander';
 import { EitherAsync } from 'purify-ts';
-import { runControl } from '../process/run-control.js';
-import { runRouter } from '../process/run-router.js';
-import { checkControlSettings, checkRouterSettings, readSettingsFile } from '../process/settings/check-settings.js';
 import { fail } from './fail.js';
 
 type NodeFlags = {
@@ -47,19 +44,23 @@
 
 /** The two kinds of process. */
 export const addRunCommands = (program: Command): void => {
-  withNodeFlags(program.command('router').description('run a router node')).action(async (flags: NodeFlags) =>
-    finish(
+  withNodeFlags(program.command('router').description('run a router node')).action(async (flags: NodeFlags) => {
+    const { runRouter } = await import('../process/run-router.js');
+    const { checkRouterSettings, readSettingsFile } = await import('../process/settings/check-settings.js');
+    await finish(
       EitherAsync.liftEither(
         readSettingsFile(flags.settings).chain((settings) => checkRouterSettings({ ...settings, ...given(flags, nodeNames) })),
       ).chain(runRouter),
-    ),
-  );
+    );
+  });
   withNodeFlags(program.command('control').description('run a core machine'))
     .option('--data <folder>', 'the data folder')
     .option('--ring-files <count>', 'how many files the disk ring has', Number)
     .option('--ring-file-bytes <bytes>', 'how large each of them is', Number)
-    .action(async (flags: NodeFlags) =>
-      finish(
+    .action(async (flags: NodeFlags) => {
+      const { runControl } = await import('../process/run-control.js');
+      const { checkControlSettings, readSettingsFile } = await import('../process/settings/check-settings.js');
+      await finish(
         EitherAsync.liftEither(
           readSettingsFile(flags.settings).chain((settings) =>
             checkControlSettings({
@@ -70,6 +71,6 @@
             }),
           ),
         ).chain(runControl),
-      ),
-    );
+      );
+    });
 };
