--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -267,7 +267,7 @@
   {
     name: "a client forgets an answer that comes in its last pause",
     file: 'src/process/core-client.ts',
-    find: '          if (lateAnswer !== undefined) return Right(lateAnswer);\n',
+    find: '          if (lateReceipt !== undefined) return Right(lateReceipt);\n',
     put: '',
     by: test('tests/control/core-client.test.js'),
   },
@@ -350,8 +350,8 @@
   },
   {
     name: 'work falls back on the next owner of the ring, wherever it stands',
-    file: 'src/decision/ring/across-localities.ts',
-    find: '      counts.set(localityOf(nextOwner), countOf(nextOwner) + 1);\n',
+    file: 'src/decision/ring/owners-in-turn.ts',
+    find: '    nextTurn.count += 1;\n',
     put: '',
     by: test('tests/decision/localities.test.js'),
   },
