Say how asked lists and askers were chosen; make two tests catch what they are for

Cause: with the comparison of digests at one version taken out, the test named after it still passed, as its lists met before they could differ; nor did a test fail when a reader told of another's reading instead of its own. Ruled out: the guard against late readings does not show in the fleet test, as a woken node folds before it hears of the newer server; its own test in fold-reading fails without it. Before/after: each of these faults, put in by hand, passed before and fails now.

--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -73,6 +73,14 @@
 const inForce = (view: SpreadView, list: ServerList | AskedList, from?: string): SpreadStep =>
   andThen(withTime({ ...view, list }, list.atUs), (timedView) => told(timedView, { type: 'list', list: livingListOf(list) }, from));
 
+/** Decisions take lists by version; what differs in the digest alone is settled between partners. */
+const merging = (view: SpreadView, known: AskedList, list: AskedList, from?: string): SpreadStep => {
+  const mergedView = { ...view, formerLists: [known, ...view.formerLists].slice(0, mostFormerLists) };
+  return list.version > known.version
+    ? inForce(mergedView, list, from)
+    : andThen(withTime({ ...mergedView, list }, list.atUs), (timedView) => stepped(timedView, ...toAll(timedView, digestOf(timedView, false), from)));
+};
+
 /** A told list replaces by version, an asked one is merged; where the platform tells, nothing asked is taken. */
 const withList = (view: SpreadView, list: ServerList | AskedList, from?: string): SpreadStep => {
   const known = view.list;
@@ -85,7 +93,7 @@
   const merged = mergeLists(known, list);
   return merged.digest === known.digest && merged.version === known.version
     ? stepped(view)
-    : inForce({ ...view, formerLists: [known, ...view.formerLists].slice(0, mostFormerLists) }, merged, from);
+    : merging(view, known, merged, from);
 };
 
 /** Folds a reading into the list. Where nobody knows a time yet, the line of the fleet begins here. */
--- a/tests/servers/asking.test.ts
+++ b/tests/servers/asking.test.ts
@@ -73,6 +73,8 @@
 test('an asker that is frozen is followed by another, and wakes to what the others know', async () => {
   for (let seed = 1; seed <= 10; seed += 1) {
     const group = await openQuiet(seed);
+    const calls = group.platform.calls.length;
+    while (group.platform.calls.length === calls) await group.world.playUntil(group.world.now() + 1_000);
     const frozen = lastAsker(group);
     frozen?.sim.freeze();
     const others = group.nodes.filter((node) => node !== frozen);
--- a/tests/servers/spread-asked.test.ts
+++ b/tests/servers/spread-asked.test.ts
@@ -18,6 +18,7 @@
   const views = new Map<string, SpreadView>(addresses.map((address) => [address, startSpreadView({ node: address, role: 'router', address, http: address, locality: 'a' }, addresses)]));
   const effects: SpreadEffect[] = [];
   let atUs = 0;
+  let isCut = false;
   const take = (address: string, event: SpreadEvent): void => {
     const view = views.get(address);
     if (view === undefined) return;
@@ -27,13 +28,26 @@
       effects.push(effect);
       if (effect.type === 'send') {
         assert.ok(isFrame(JSON.parse(JSON.stringify(effect.frame))), effect.frame.type);
-        take(effect.address, { type: 'frame', at: atUs, from: address, frame: effect.frame });
+        if (!isCut) take(effect.address, { type: 'frame', at: atUs, from: address, frame: effect.frame });
       }
     }
   };
   return {
     effects,
     listAt: (index: number): ServerList | undefined => views.get(addresses[index] ?? '')?.list,
+    cut: () => {
+      isCut = true;
+    },
+    heal: () => {
+      isCut = false;
+    },
+    read: (index: number, ids: readonly string[]) =>
+      take(addresses[index] ?? '', {
+        type: 'reading',
+        at: atUs,
+        begunAt: atUs,
+        reading: { whole: true, servers: ids.map((id) => ({ id, service: 'model', address: '10.0.0.1:80', locality: 'a', state: 'up' })) },
+      }),
     offer: (index: number, list: ServerList) => take(addresses[index] ?? '', { type: 'list', at: atUs, list }),
     refresh: (index: number) => take(addresses[index] ?? '', { type: 'refresh', at: atUs }),
     play: (ticks: number) => {
@@ -50,8 +64,10 @@
   const left = askedListOf([serverOf('sa', startUs)], startUs);
   const right = askedListOf([serverOf('sb', startUs)], startUs);
   assert.is(left.version, right.version);
+  machines.cut();
   machines.offer(0, left);
   machines.offer(1, right);
+  machines.heal();
   machines.play(3);
   for (const index of [0, 1]) assert.equal(machines.listAt(index)?.servers.map(({ id }) => id), ['sa', 'sb']);
 });
@@ -105,4 +121,16 @@
   assert.is(machines.effects.filter(({ type }) => type === 'refreshed').length, 1);
 });
 
+test('a reader tells of its own reading while that is fresh, also when it knows a fresher one', () => {
+  const machines = openMachines(2);
+  machines.read(0, ['sa']);
+  machines.play(1);
+  machines.read(1, ['sa']);
+  machines.play(1);
+  machines.effects.length = 0;
+  machines.play(1);
+  const told = machines.effects.flatMap((effect) => (effect.type === 'send' && effect.frame.type === 'digest' ? [effect.frame.read?.by] : []));
+  assert.equal(told, ['router/n0:1', 'router/n1:1']);
+});
+
 test.run();
