Give up links whose receiver gives no sign, and ask every known core machine

Cause: a link to a machine that lost power or was cut off stays up at its sender, whose system sends again after ever longer pauses; a machine that returns would hear nothing for seconds. Its seeds may be stale too. Ruled out: keep-alive probes, which do not run while bytes are unconfirmed; a user time-out, which Node does not offer.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -10,6 +10,8 @@
   platform: 'node',
   format: 'esm',
   target: 'node20',
+  minifyWhitespace: true,
+  minifySyntax: true,
   legalComments: 'none',
   logLevel: 'warning',
   banner: { js: "import { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);" },
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -160,7 +160,7 @@
         if (view.leader !== undefined) return [];
         const { seeds, partners } = spread.view();
         const addresses = [...partners.values()].flatMap(({ partner }) => (partner.role === 'control' ? [partner.address] : []));
-        return [{ type: 'known', at: clock.now(), seeds, addresses }];
+        return [{ type: 'known', at: clock.now(), seeds, addresses: [...addresses, ...knownAddresses.values()] }];
       };
 
       const mailbox = openMailbox<ControlEvent>(async (events) => {
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -15,6 +15,7 @@
   readonly machines?: number;
   readonly voters?: number;
   readonly refounds?: boolean;
+  readonly laterSeeds?: readonly string[];
 };
 
 /** The core machines in a virtual world, and what is watched of them. */
@@ -49,7 +50,7 @@
 };
 
 /** A core in a world that holds more than the core. */
-export const openCoreIn = (commons: SimCommons, ringFileBytes?: number, { machines: size = seedCount, voters, refounds }: CoreShape = {}): CoreFleet => {
+export const openCoreIn = (commons: SimCommons, ringFileBytes?: number, { machines: size = seedCount, voters, refounds, laterSeeds }: CoreShape = {}): CoreFleet => {
   const { world } = commons;
   const rules = openCoreRules(world);
   const bornAddresses = ['core-a:1', 'core-b:1', 'core-c:1', 'core-d:1', 'core-e:1'].slice(0, size);
@@ -67,6 +68,7 @@
         ringFileBytes,
         voters,
         refounds,
+        laterSeeds,
         logOf: (control) => rules.logOf(() => control.view().identity),
         hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
       }),
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -44,6 +44,8 @@
   readonly voters?: number;
   /** Whether it may found a core again after it has lost its disk. */
   readonly refounds?: boolean;
+  /** The seeds it is told after it has lost its disk, where they are others. */
+  readonly laterSeeds?: readonly string[];
   readonly logOf: (control: SimControl) => Log;
   /** Hears of a machine whose disk gives back something else than it said. */
   readonly hearUnkept: (what: string) => void;
@@ -53,7 +55,7 @@
 const usualFileBytes = 1 << 20;
 export const usualDiskUs: Micros = 2_000;
 
-export const openSimControl = ({ name, locality, bornAddress, seeds, commons, ringFileBytes = usualFileBytes, voters, refounds = true, logOf, hearUnkept }: SimControlPlan): SimControl => {
+export const openSimControl = ({ name, locality, bornAddress, seeds, commons, ringFileBytes = usualFileBytes, voters, refounds = true, laterSeeds, logOf, hearUnkept }: SimControlPlan): SimControl => {
   const { world } = commons;
   const node = openSimNode(world, (type, what) => commons.note(type, name, what));
   const said = openSaid();
@@ -121,7 +123,7 @@
           locality,
           http: `${address}/http`,
           partners: address,
-          seeds: seeds(),
+          seeds: hasLostDisk ? (laterSeeds ?? seeds()) : seeds(),
           data: name,
           ringFiles,
           ringFileBytes,
--- a/src/spread/link/tcp-links.ts
+++ b/src/spread/link/tcp-links.ts
@@ -7,21 +7,30 @@
 import type { Frame } from '../frame/frame.js';
 import { isFrame } from '../frame/frame-guard.js';
 import { addressParts } from './address-parts.js';
+import { freshPatience, isOverdue, patienceAfterSend, signSpanUs, type Patience } from './patience.js';
 import type { LinkEvents } from './link-events.js';
 import type { PartnerLinks } from './partner-links.js';
 
 const mostFrameBytes = 64 << 20;
 const mostWaitingBytes = 64 << 20;
 const redialUs: Micros = 200_000;
-const dialBudgetUs: Micros = 2_000_000;
+const dialBudgetUs: Micros = 700_000;
+/** What a receiver writes back now and then, so that its sender knows of a link that leads nowhere. */
+const sign = Uint8Array.of(1);
 
 const envelopeSchema = object({ from: string().required(), frame: mixed(isFrame).required() }).required();
 
-type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[] };
+type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[]; patience: Patience };
 
 const readFrames = (socket: Socket, events: EventEmitter<LinkEvents>): void => {
   let pending: Buffer = Buffer.alloc(0);
+  let signedUs = Number.NEGATIVE_INFINITY;
   socket.on('data', (chunk: Buffer) => {
+    const nowUs = steadyNow();
+    if (nowUs >= signedUs + signSpanUs) {
+      signedUs = nowUs;
+      socket.write(sign);
+    }
     pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
     while (pending.length >= 4) {
       const frameLength = pending.readInt32LE(0);
@@ -78,8 +87,10 @@
       if (outLinks.get(target)?.socket === socket) outLinks.delete(target);
       redialAfter.set(target, steadyNow() + redialUs);
     });
-    socket.resume();
-    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting };
+    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting, patience: freshPatience };
+    socket.on('data', () => {
+      outLink.patience = freshPatience;
+    });
     outLinks.set(target, outLink);
     return outLink;
   };
@@ -93,7 +104,9 @@
       if (outLink.waiting.length < 256) outLink.waiting.push(bytes);
       return;
     }
-    if (outLink.socket.writableLength > mostWaitingBytes) outLink.socket.destroy();
+    const nowUs = steadyNow();
+    outLink.patience = patienceAfterSend(outLink.patience, nowUs);
+    if (outLink.socket.writableLength > mostWaitingBytes || isOverdue(outLink.patience, nowUs)) outLink.socket.destroy();
     else outLink.socket.write(bytes);
   };
 
--- a/tests/sim/core-members.test.ts
+++ b/tests/sim/core-members.test.ts
@@ -75,6 +75,20 @@
   }
 });
 
+test('an emptied machine whose seeds are all stale is taken back by those who knew its address', async () => {
+  for (let seed = 1; seed <= 5; seed += 1) {
+    const fleet = openCoreFleet(seed, undefined, { refounds: false, laterSeeds: ['core-x:1', 'core-y:1', 'core-z:1'] });
+    await fleet.playFor(5 * second);
+    const machine = fleet.machines[seed % 3];
+    machine?.loseDisk();
+    await fleet.playFor(second);
+    machine?.start();
+    await fleet.playFor(3 * second);
+    assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}`);
+    assert.ok(machine?.view().role === 'follower' || machine?.view().role === 'leader', `seed ${seed}: ${machine?.view().role}`);
+  }
+});
+
 test('machines without a disk and without a leave to found do not found a core', async () => {
   const fleet = openCoreFleet(3, undefined, { refounds: false });
   await fleet.playFor(5 * second);
