Do not count a core machine whose disk refuses as leading

Cause: such a machine still held itself for the leader by its counters while the others had elected another. Ruled out: changing its role, which a step of the machine decides. Change: the gauge control.leads is 0 while the disk refuses. Conclusion: the gauge says what the others see.

--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -209,7 +209,7 @@
       });
       counters.gauge('control.term', () => view.term);
       counters.gauge('control.commit', () => view.commit);
-      counters.gauge('control.leads', () => (view.role === 'leader' ? 1 : 0));
+      counters.gauge('control.leads', () => (view.role === 'leader' && !refuses ? 1 : 0));
       counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : clock.now() - syncStartedUs));
 
       return {
