--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -160,7 +160,7 @@
         if (view.leader !== undefined) return [];
         const { seeds, partners } = spread.view();
         const addresses = [...partners.values()].flatMap(({ partner }) => (partner.role === 'control' ? [partner.address] : []));
-        return [{ type: 'known', at: clock.now(), seeds, addresses }];
+        return [{ type: 'known', at: clock.now(), seeds, addresses: [...addresses, ...knownAddresses.values()] }];
       };
 
       const mailbox = openMailbox<ControlEvent>(async (events) => {
@@ -209,7 +209,7 @@
       });
       counters.gauge('control.term', () => view.term);
       counters.gauge('control.commit', () => view.commit);
-      counters.gauge('control.leads', () => (view.role === 'leader' ? 1 : 0));
+      counters.gauge('control.leads', () => (view.role === 'leader' && !refuses ? 1 : 0));
       counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : clock.now() - syncStartedUs));
 
       return {
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -92,8 +92,8 @@
   {
     name: 'an invalid setup is taken',
     file: 'src/process/operator/operator-desk.ts',
-    find: "      const checkedSetup = checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults));",
-    put: "      const checkedSetup = checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults)).alt(Right(value));",
+    find: "  checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults));",
+    put: "  checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults)).alt(Right(value));",
     by: seeds('fleet', 'invalid-never-taken', 5),
   },
   {
