--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -120,7 +120,7 @@
   {
     name: 'an unknown outcome called a refusal',
     file: 'src/decision/machine/step/give-up.ts',
-    find: 'if (exchange.sent || exchange.nextIsExtra)',
+    find: 'if (exchange.sent || exchange.mayHaveRun)',
     put: 'if (exchange.attempt < 0)',
     by: seeds('fleet', 'refused-never-runs', 5),
   },
@@ -190,14 +190,14 @@
   {
     name: 'news is not asked for',
     file: 'src/spread/machine/step.ts',
-    find: '      const lacks = digest.revision > hadRevision || digest.version > hadVersion;',
-    put: '      const lacks = digest.version > hadVersion;',
+    find: '      const lacks = digest.revision > hadRevision || lacksList(timedView, digest, hadVersion, isPending);',
+    put: '      const lacks = lacksList(timedView, digest, hadVersion, isPending);',
     by: seeds('fleet', 'in-force-within-two-seconds', 3),
   },
   {
     name: 'the list is spread by the platform alone',
     file: 'src/spread/machine/step.ts',
-    find: '      const lacks = digest.revision > hadRevision || digest.version > hadVersion;',
+    find: '      const lacks = digest.revision > hadRevision || lacksList(timedView, digest, hadVersion, isPending);',
     put: '      const lacks = digest.revision > hadRevision;',
     by: test('tests/spread/spread.test.js'),
   },
@@ -288,8 +288,8 @@
   {
     name: 'a core that lost everything asks no node for the newest setup',
     file: 'src/process/control/control-task.ts',
-    find: "            mailbox.post({ type: 'tick', at: nowUs, chance: chance() });\n            restore();",
-    put: "            mailbox.post({ type: 'tick', at: nowUs, chance: chance() });",
+    find: "            [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);\n            restore();",
+    put: "            [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);",
     by: test('tests/sim/lost-core.test.js'),
   },
   {
