Place work by what servers must read and until when they are busy, told among routers

Change: openings are chains of parts with sizes; a node knows what each server has read, counts what it must read anew, learns the rate from first pieces, and keeps until when each server is busy; large readings are told to the other routers at once. An exchange that would use up 0.6 of its time at its owner goes where its first piece comes 50 ms sooner or more. What is soon read is more urgent. Openings of which the first part is a third or more stand at three places a first part. The rule's most tries hold.

--- a/src/decision/machine/effect/decision.ts
+++ b/src/decision/machine/effect/decision.ts
@@ -12,6 +12,9 @@
       readonly server: ServerKey;
       readonly fromPiece: number;
       readonly extra: boolean;
+      /** What the server has to read, in tokens, as far as is known. */
+      readonly tokens?: number;
+      readonly urgency?: number;
       readonly reason: Reason;
     }
   | {
--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -2,6 +2,7 @@
 import type { ServerKey } from '../../../servers/list/server-key.js';
 import type { ServerList } from '../../../servers/list/server-list.js';
 import type { SetupRecord } from '../../../setup/document/setup-record.js';
+import type { Work } from '../../work/work.js';
 import type { Prefix } from '../../ring/prefix.js';
 import type { DeliveryError } from './delivery-error.js';
 
@@ -23,6 +24,9 @@
       readonly budgetUs?: Micros;
       /** The service that its rule has drawn for it, where the rule is split. */
       readonly service?: string;
+      readonly work?: Work;
+      /** What its place on the ring follows from, where that is not its whole opening. */
+      readonly anchor?: string;
     }
   | { readonly type: 'sent'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'firstPiece'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
@@ -40,6 +44,8 @@
     }
   | { readonly type: 'done'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'abandoned'; readonly at: Micros; readonly exchange: string }
+  /** Another node has given a server something to read. */
+  | { readonly type: 'work'; readonly at: Micros; readonly server: ServerKey; readonly service: string; readonly tokens: number }
   | { readonly type: 'dark'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'light'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'tick'; readonly at: Micros }
--- a/src/decision/machine/step/direct.ts
+++ b/src/decision/machine/step/direct.ts
@@ -7,6 +7,8 @@
 import { withExchange, withPressure } from './exchange-changes.js';
 import { withFlight } from './flights.js';
 import { giveUp } from './give-up.js';
+import { toReadAt, waitUsOf, withReading } from '../../work/busy.js';
+import { urgencyOf } from '../../work/urgency.js';
 import { place } from './place.js';
 import type { Placement } from './placement.js';
 import { hasRetryAllowance, withTry } from './retry-allowance.js';
@@ -28,7 +30,10 @@
   const flightKey = flightKeyOf(placement.server, exchange.prefix);
   const leads = placement.reason.cold && !view.flights.has(flightKey);
   const attempt = exchange.attempt + 1;
-  const triedView = exchange.nextIsExtra ? withTry(view, exchange.rule.service, true) : view;
+  const { work } = exchange;
+  const given = { tokens: work === undefined ? 0 : toReadAt(view, placement.server, work), waitUs: waitUsOf(view, placement.server) };
+  const workedView = work === undefined ? view : withReading(view, placement.server, exchange.rule.service, given.tokens);
+  const triedView = exchange.nextIsExtra ? withTry(workedView, exchange.rule.service, true) : workedView;
   const deliveredView = withExchange(withPressure(triedView, placement.server, 1), {
     ...exchange,
     attempt,
@@ -36,6 +41,7 @@
     tried: [...exchange.tried, placement.server],
     deliveredUs: view.atUs,
     sent: false,
+    given,
     leads: leads ? flightKey : undefined,
   });
   const pacedView =
@@ -50,6 +56,7 @@
     fromPiece: exchange.fromPiece,
     extra: exchange.nextIsExtra,
     reason: placement.reason,
+    ...(work === undefined ? {} : { tokens: given.tokens, urgency: urgencyOf(view, exchange, given.tokens) }),
   };
   return stepped(leads ? withFlight(pacedView, flightKey, { leader: exchange.exchange, followers: [] }) : pacedView, decision);
 };
--- a/src/decision/machine/step/on-delivery.ts
+++ b/src/decision/machine/step/on-delivery.ts
@@ -8,6 +8,8 @@
 import { withTry } from './retry-allowance.js';
 import { direct } from './direct.js';
 import { warmed } from './warmth.js';
+import { prefixesOf, withRateSample } from '../../work/busy.js';
+import type { ServerKey } from '../../../servers/list/server-key.js';
 
 type Attempted = Extract<DecisionEvent, { readonly type: 'sent' | 'firstPiece' | 'done' | 'failed' }>;
 type Failed = Extract<DecisionEvent, { readonly type: 'failed' }>;
@@ -20,6 +22,12 @@
 
 const releaseAll = (view: DecisionView, followers: readonly string[]): DecisionStep => overAll(still(view), followers, direct);
 
+const warmedAll = (view: DecisionView, server: ServerKey, { prefix, work }: ExchangeView): DecisionView =>
+  prefixesOf(prefix, work).reduce((reachedView, held) => warmed(reachedView, server, held), view);
+
+const sampled = (view: DecisionView, { rule, given, deliveredUs, started }: ExchangeView): DecisionView =>
+  started ? view : withRateSample(view, { service: rule.service, tokens: given.tokens, waitUs: given.waitUs, tookUs: view.atUs - deliveredUs });
+
 export const onSent = (view: DecisionView, event: Attempted): DecisionStep => {
   const exchange = current(view, event);
   if (exchange === undefined || exchange.sent) return still(view);
@@ -30,7 +38,7 @@
 export const onFirstPiece = (view: DecisionView, event: Attempted): DecisionStep => {
   const exchange = current(view, event);
   if (exchange?.server === undefined) return still(view);
-  const landing = landed(warmed(view, exchange.server, exchange.prefix), exchange);
+  const landing = landed(warmedAll(sampled(view, exchange), exchange.server, exchange), exchange);
   const startedExchange = landing.view.exchanges.get(exchange.exchange) ?? exchange;
   return releaseAll(withExchange(landing.view, { ...startedExchange, started: true }), landing.followers);
 };
@@ -38,7 +46,7 @@
 export const onDone = (view: DecisionView, event: Attempted): DecisionStep => {
   const exchange = current(view, event);
   if (exchange?.server === undefined) return still(view);
-  const landing = landed(warmed(view, exchange.server, exchange.prefix), exchange);
+  const landing = landed(warmedAll(view, exchange.server, exchange), exchange);
   const endedExchange = landing.view.exchanges.get(exchange.exchange) ?? exchange;
   return releaseAll(withoutExchange(landing.view, endedExchange), landing.followers);
 };
--- a/src/decision/machine/step/on-exchange.ts
+++ b/src/decision/machine/step/on-exchange.ts
@@ -25,7 +25,7 @@
   const tierPlace = setup.tiers.findIndex((tier) => tier.name === rule.tier);
   const tier = setup.tiers[tierPlace];
   if (tier === undefined) return refused(view, event, 'unknown-kind');
-  const position = positionOf(event.prefix);
+  const position = positionOf(event.anchor ?? event.prefix);
   const isModel = view.stage.services.get(rule.service)?.type === 'model';
   const touch = { prefix: event.prefix, position, service: rule.service, tierPlace, weight: tier.weight, atUs: view.atUs };
   const heatedView = isModel ? { ...view, hotness: heated(view.hotness, touch) } : view;
@@ -38,6 +38,9 @@
       tierPlace,
       prefix: event.prefix,
       position,
+      work: event.work,
+      arrivedUs: view.atUs,
+      given: { tokens: 0, waitUs: 0 },
       dueUs: view.atUs + Math.min(rule.budgetUs, event.budgetUs ?? rule.budgetUs),
       attempt: 0,
       tried: [],
--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -14,6 +14,8 @@
 import type { ExchangeView } from '../view/exchange-view.js';
 import { calmestOf, firstOf } from './first-of.js';
 import type { Placement } from './placement.js';
+import { readUsOf, toReadAt, waitUsOf } from '../../work/busy.js';
+import type { Work } from '../../work/work.js';
 import { usableIn } from './ring-pressure.js';
 import { isCold } from './warmth.js';
 
@@ -100,6 +102,24 @@
   return Math.max(figures.floor, Math.ceil((figures.factor * (usable.pressure + 1)) / usable.count));
 };
 
+/** When an exchange would get its first piece from a server, counted from now. */
+const readyUsAt = (view: DecisionView, exchange: ExchangeView, work: Work, server: ServerKey): Micros =>
+  waitUsOf(view, server) + readUsOf(view, exchange.rule.service, toReadAt(view, server, work));
+
+/** The part of the time that is left up to the target which the owner may take before work is sent where it has to be read anew. */
+const patience = 0.6;
+const leastGainUs: Micros = 50_000;
+
+/** A server where the first piece would come clearly sooner, for an exchange that would miss its target at its owner. */
+const quicker = (view: DecisionView, exchange: ExchangeView, owner: ServerKey, candidates: readonly ServerKey[]): ServerKey | undefined => {
+  const { work, rule } = exchange;
+  if (work === undefined || rule.targetUs === undefined) return undefined;
+  const ownerUs = readyUsAt(view, exchange, work, owner);
+  if (ownerUs <= patience * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
+  const best = calmestOf(candidates, () => true, (server) => readyUsAt(view, exchange, work, server));
+  return best !== undefined && best !== owner && readyUsAt(view, exchange, work, best) + leastGainUs < ownerUs ? best : undefined;
+};
+
 const ringRangeOf = (ring: Ring, exchange: ExchangeView): Reason['range'] => {
   const ownIndex = vnodeIndexAt(ring, exchange.position);
   const ownVnode = ring.vnodes[ownIndex];
@@ -139,6 +159,7 @@
       pressureBound: bound,
     },
   });
+  const candidates = (): readonly ServerKey[] => owners.first.filter((server) => isUsable(view, stage, exchange, server) && pressureOf(server) < bound);
   const plain = (server: ServerKey, type: ReasonType): Placement =>
     placed({ server, type, migration: undefined, range: undefined, takesSlot: false });
 
@@ -158,6 +179,8 @@
   const migrationWish = nearestOwner === firstOwner ? pendingWish(view, stage, exchange, firstOwner, bound) : undefined;
   if (migrationWish !== undefined) return placed(migrationWish);
   const ringWish = settlingWish(view, stage, exchange, nearestOwner);
+  const quickerServer = quicker(view, exchange, ringWish.server, candidates());
+  if (quickerServer !== undefined) return plain(quickerServer, 'spill');
   if (pressureOf(ringWish.server) < bound)
     return placed(nearestOwner === firstOwner || ringWish.type !== 'ring' ? ringWish : { ...ringWish, type: 'dark-owner' });
   const spillServer = firstUsable((server) => pressureOf(server) < bound) ?? nearestOwner;
--- a/src/decision/machine/step/restage.ts
+++ b/src/decision/machine/step/restage.ts
@@ -52,6 +52,7 @@
       stage,
       joining,
       ringPressure: ringPressureAt(stage, view.pressure),
+      busy: view.busy.filter((busyUs) => busyUs > view.atUs),
       warmth: view.warmth.filter((_, key) => listedKeys.has(key)),
       dark: new Set([...view.dark].filter((key) => listedKeys.has(key))),
     },
--- a/src/decision/machine/step/step.ts
+++ b/src/decision/machine/step/step.ts
@@ -1,3 +1,4 @@
+import { withReading } from '../../work/busy.js';
 import { withoutSpan } from '../../../common/clock/time-bound.js';
 import { positionEnd, positionOf } from '../../ring/position.js';
 import type { DecisionEvent } from '../event/decision-event.js';
@@ -38,6 +39,8 @@
       return onFailed(view, event);
     case 'abandoned':
       return onAbandoned(view, event.exchange);
+    case 'work':
+      return still(withReading(view, event.server, event.service, event.tokens));
     case 'dark':
       return still({ ...view, dark: new Set([...view.dark, event.server]) });
     case 'light':
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -10,6 +10,7 @@
 import type { Tries } from '../../retry/tries.js';
 import type { Prefix } from '../../ring/prefix.js';
 import type { Stage } from '../../timeline/stage.js';
+import type { Busy } from '../../work/busy.js';
 import type { ExchangeView } from './exchange-view.js';
 
 /** The whole view of the decision machine. */
@@ -32,6 +33,9 @@
   readonly exchanges: PersistentMap<string, ExchangeView>;
   /** No exchange has anything to do by itself before this moment. */
   readonly wakeUs: Micros;
+  readonly busy: Busy;
+  /** Tokens a second that a server of each service has been seen to read. */
+  readonly rates: PersistentMap<string, number>;
   readonly pressure: PersistentMap<ServerKey, number>;
   /** The sum of the pressure on the servers in each service's ring. */
   readonly ringPressure: ReadonlyMap<string, number>;
@@ -55,6 +59,8 @@
   flights: emptyMap(),
   exchanges: emptyOrderedMap(),
   wakeUs: Number.POSITIVE_INFINITY,
+  busy: emptyMap(),
+  rates: emptyMap(),
   pressure: emptyMap(),
   ringPressure: new Map(),
   dark: new Set(),
--- a/src/decision/machine/view/exchange-view.ts
+++ b/src/decision/machine/view/exchange-view.ts
@@ -3,6 +3,7 @@
 import type { Rule } from '../../../setup/document/rule.js';
 import type { FlightKey } from '../../flight/flight.js';
 import type { Position } from '../../ring/position.js';
+import type { Work } from '../../work/work.js';
 import type { Prefix } from '../../ring/prefix.js';
 
 /** One exchange in the machine's view. */
@@ -12,6 +13,10 @@
   readonly tierPlace: number;
   readonly prefix: Prefix;
   readonly position: Position;
+  readonly work: Work | undefined;
+  readonly arrivedUs: Micros;
+  /** What its server had to read, and how long it would have to wait before that, as far as was known. */
+  readonly given: { readonly tokens: number; readonly waitUs: Micros };
   readonly dueUs: Micros;
   readonly attempt: number;
   readonly tried: readonly ServerKey[];
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -1,4 +1,4 @@
-import { boolean, number, object, string, type Schema } from 'yup';
+import { array, boolean, number, object, string, type Schema } from 'yup';
 import { typed } from '../../common/union.js';
 import { listSchema } from '../../servers/list/check-list.js';
 import { recordSchema } from '../../setup/check/record-schema.js';
@@ -26,6 +26,16 @@
     kind: name(),
     prefix: name(),
     budgetUs: number().integer().min(1),
+    service: string().min(1).max(256),
+    anchor: string().min(1).max(256),
+    work: object({
+      levels: array(object({ prefix: name(), tokens: at() }).noUnknown().required()).required(),
+      readTokens: at(),
+      writeTokens: at(),
+    })
+      .noUnknown()
+      .optional()
+      .default(undefined),
   }).noUnknown(),
   sent: object({ type: typed('sent'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
   firstPiece: object({ type: typed('firstPiece'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
@@ -37,9 +47,11 @@
     sent: boolean().required(),
     pieces: at(),
     error: string().required().oneOf(deliveryErrors),
+    notRun: boolean(),
   }).noUnknown(),
   done: object({ type: typed('done'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
   abandoned: object({ type: typed('abandoned'), at: at(), exchange: name() }).noUnknown(),
+  work: object({ type: typed('work'), at: at(), server: name(), service: name(), tokens: at() }).noUnknown(),
   dark: object({ type: typed('dark'), at: at(), server: name() }).noUnknown(),
   light: object({ type: typed('light'), at: at(), server: name() }).noUnknown(),
   tick: object({ type: typed('tick'), at: at() }).noUnknown(),
--- a/src/decision/trace/trace-reader.ts
+++ b/src/decision/trace/trace-reader.ts
@@ -50,6 +50,7 @@
       case 'node':
       case 'gap':
       case 'time':
+      case 'work':
       case 'dark':
       case 'light':
       case 'tick':
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -4,6 +4,7 @@
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
+import { openingNameOf } from '../../decision/work/work-of.js';
 import { ruleAt } from '../../setup/match/rule-index.js';
 import type { CallerLink } from '../../router/delivery/caller-link.js';
 import { claimKeyOf } from '../../router/exchange/claim-key.js';
@@ -126,10 +127,9 @@
       refuse(caller, typedError('unknown-place', 'no rule is for this host and path'));
       return;
     }
-    const shared = exchange.opening.length > 1 ? exchange.opening.slice(0, -1) : exchange.opening;
     router.accept({
       rule,
-      body: { kind: rule.kind, opening: shared.map(({ part }) => part).join(','), budgetUs: exchange.budgetUs },
+      body: { kind: rule.kind, opening: exchange.opening.length === 0 ? exchange.name : openingNameOf(exchange.opening), budgetUs: exchange.budgetUs },
       opaque: exchange,
       caller,
       claimed: undefined,
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -14,6 +14,7 @@
 import type { DeliveryEnd } from '../../router/delivery/delivery-end.js';
 import { carry } from '../../router/delivery/carry.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
+import { anchorOf, workOf } from '../../decision/work/work-of.js';
 import { shareOf } from '../../setup/match/share-of.js';
 import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
@@ -60,6 +61,8 @@
 const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
+/** What is read sooner than word of it helps is not told of. */
+const leastToldTokens = 4_000;
 
 export type RouterTaskParts = {
   readonly node: string;
@@ -72,6 +75,11 @@
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
 
+const workFieldsOf = (service: string, { opening, readTokens, writeTokens }: OpaqueExchange) => {
+  const anchor = anchorOf(service, opening);
+  return { work: workOf(service, opening, readTokens, writeTokens), ...(anchor === undefined ? {} : { anchor }) };
+};
+
 export const openRouterTask = ({ node, spread, gate, log, counters, surroundings, release }: RouterTaskParts): RouterTask => {
   const { clock, dial, freshName, probesNothing = false } = surroundings;
   const boot = freshName();
@@ -155,6 +163,7 @@
         tell(decision.exchange, 'deliver', decision);
         counters.count(`reasons.${decision.reason.type}`);
         if (decision.extra) counters.count('tries.extra');
+        tellWork(decision);
         const continuation = find(decision.exchange);
         if (continuation !== undefined) startTry(continuation, decision);
         return;
@@ -198,6 +207,15 @@
     }
   };
 
+  /** Lets the other routers know of what a server has to read, where that is much. */
+  const tellWork = ({ exchange, server, tokens = 0 }: Extract<Decision, { readonly type: 'deliver' }>): void => {
+    const continuation = find(exchange);
+    if (continuation === undefined || tokens < leastToldTokens) return;
+    counters.count('work.told');
+    for (const { partner } of spread.view().partners.values())
+      if (partner.role === 'router') spread.send(partner.address, { type: 'work', server, service: continuation.rule.service, tokens });
+  };
+
   const withContinuation = (exchange: string, use: (continuation: Continuation) => void): void => {
     const continuation = find(exchange);
     if (continuation === undefined) return;
@@ -254,7 +272,7 @@
     if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
     const { opaque } = continuation;
     if (opaque !== undefined && link.carry !== undefined) {
-      const order = { exchange: opaque, budgetUs: Math.max(1_000, continuation.dueUs - clock.now()), afterPiece: continuation.stream.lastPiece, urgency: undefined };
+      const order = { exchange: opaque, budgetUs: Math.max(1_000, continuation.dueUs - clock.now()), afterPiece: continuation.stream.lastPiece, urgency: decision.urgency };
       const carried = await carry(continuation, link, link.carry, order, signal, { piece: () => countPiece(continuation, attempt) });
       if (!signal.aborted) {
         if (carried.type === 'failed' && carried.error === 'link-lost') passive?.suspect(decision.server);
@@ -360,6 +378,7 @@
     prober.watch(list.servers);
     pool.keepOnly(new Set(list.servers.map(serverKeyOf)));
   });
+  spread.events.on('work', ({ server, service, tokens }) => take({ type: 'work', at: clock.now(), server, service, tokens }));
   counters.gauge('exchanges.inFlight', () => slab.size());
   counters.gauge('links.open', () => pool.size());
   counters.gauge('flights', () => journal.view().flights.size);
@@ -405,6 +424,7 @@
         prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
         ...(rule.split === undefined ? {} : { service: rule.service }),
+        ...(opaque === undefined || !isModel ? {} : workFieldsOf(rule.service, opaque)),
       });
     },
     noteRefusal: (exchange, rule, { type }) => {
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -13,5 +13,6 @@
   readonly refreshed: [];
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly ask: [from: string, frame: Extract<Frame, { readonly type: 'ask' }>];
+  readonly work: [frame: Extract<Frame, { readonly type: 'work' }>];
   readonly receipt: [frame: Extract<Frame, { readonly type: 'receipt' }>];
 };
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -96,6 +96,9 @@
       case 'ask':
         events.emit('ask', from, frame);
         return;
+      case 'work':
+        events.emit('work', frame);
+        return;
       case 'receipt':
         events.emit('receipt', frame);
         return;
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -46,6 +46,7 @@
   setup: object({ type: typed('setup'), record: mixed(isSetupRecord).required() }),
   list: object({ type: typed('list'), list: mixed(isAnyList).required() }),
   control: object({ type: typed('control'), identity: string().required(), to: string().optional(), message: mixed(isPlainMessage).required() }),
+  work: object({ type: typed('work'), server: string().required(), service: string().required(), tokens: whole() }),
   ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
   receipt: object({ type: typed('receipt'), ask: string().required(), receipt: mixed(isReceipt).required() }),
 });
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -29,6 +29,8 @@
   | { readonly type: 'list'; readonly list: ServerList | AskedList }
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
+  /** A server was given something to read, so many tokens. */
+  | { readonly type: 'work'; readonly server: string; readonly service: string; readonly tokens: number }
   | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
   | { readonly type: 'receipt'; readonly ask: string; readonly receipt: Receipt };
 
--- /dev/null
+++ b/tests/decision/work.test.ts
@@ -0,0 +1,126 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { rateOf, toReadAt, waitUsOf } from '../../src/decision/work/busy.js';
+import { anchorOf, openingNameOf, workOf } from '../../src/decision/work/work-of.js';
+import { prefixOf } from '../../src/decision/ring/prefix.js';
+import type { OpeningPart } from '../../src/router/opaque/opening-part.js';
+import { foundersAt, listOf, recordOf, second, setup } from './figures.js';
+import { deliversOf, openPlayer, typesOf, type Deliver, type Player } from './player.js';
+
+const targeted = { ...setup, rules: setup.rules.map((rule) => ({ ...rule, targetUs: second, mostTries: 2 })) };
+
+const opened = (): Player => {
+  const player = openPlayer();
+  player.play(
+    { type: 'tick', at: 0 },
+    { type: 'setup', at: 0, record: recordOf(targeted) },
+    { type: 'list', at: 0, list: listOf(1, 90 * second, foundersAt(4, 0)) },
+  );
+  return player;
+};
+
+const opening: readonly OpeningPart[] = [
+  { part: 'a1', tokens: 500 },
+  { part: 'b2', tokens: 4_500 },
+  { part: 'own', tokens: 7_000 },
+];
+
+const send = (player: Player, at: number, exchange: string, given: readonly OpeningPart[], kind = 'ask'): Deliver => {
+  const work = workOf('model', given, 0, 400);
+  const prefix = prefixOf('model', openingNameOf(given));
+  const [deliver] = deliversOf(player.play({ type: 'exchange', at, exchange, kind, prefix, work }));
+  if (deliver === undefined) throw new Error('nothing was delivered');
+  return deliver;
+};
+
+test('a work holds each shared part with all before it; the last part is its own', () => {
+  const work = workOf('model', opening, 0, 400);
+  assert.equal(work.levels.map((level) => level.tokens), [500, 5_000]);
+  assert.is(work.readTokens, 12_000);
+  assert.is(work.levels[1]?.prefix, prefixOf('model', 'a1,b2'));
+  assert.is(openingNameOf(opening), 'a1,b2');
+});
+
+test('a server has to read anew only what this node has not seen it read', () => {
+  const player = opened();
+  const deliver = send(player, 1, 'e1', opening);
+  const work = workOf('model', opening, 0, 400);
+  assert.is(deliver.tokens, 12_000);
+  assert.is(toReadAt(player.view(), deliver.server, work), 12_000);
+  player.play(
+    { type: 'sent', at: 2, exchange: 'e1', attempt: 1 },
+    { type: 'firstPiece', at: 300_000, exchange: 'e1', attempt: 1 },
+  );
+  assert.is(toReadAt(player.view(), deliver.server, work), 7_000);
+  const sibling: readonly OpeningPart[] = [{ part: 'a1', tokens: 500 }, { part: 'other', tokens: 100 }, { part: 'mine', tokens: 10 }];
+  assert.is(toReadAt(player.view(), deliver.server, workOf('model', sibling, 0, 1)), 110);
+});
+
+test('the rate of a service is learned from first pieces at idle servers, and waits are counted by it', () => {
+  const player = opened();
+  const deliver = send(player, 1, 'e1', opening);
+  assert.ok(waitUsOf(player.view(), deliver.server) > 200_000);
+  player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 }, { type: 'firstPiece', at: 140_001, exchange: 'e1', attempt: 1 });
+  assert.is(Math.round(rateOf(player.view(), 'model')), 100_000);
+});
+
+test('an exchange that would miss its target behind large readings goes where its first piece comes sooner', () => {
+  const player = opened();
+  const { server } = send(player, 1, 'e1', opening);
+  player.play({ type: 'work', at: 2, server, service: 'model', tokens: 60_000 });
+  const moved = send(player, 3, 'e2', opening, 'draft');
+  assert.is.not(moved.server, server);
+  assert.is(moved.reason.type, 'spill');
+});
+
+test('one that still meets its target stays with the owner of its opening', () => {
+  const player = opened();
+  const { server } = send(player, 1, 'e1', opening);
+  player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 }, { type: 'firstPiece', at: 240_000, exchange: 'e1', attempt: 1 });
+  player.play({ type: 'work', at: 400_000, server, service: 'model', tokens: 10_000 });
+  assert.is(send(player, 400_001, 'e2', opening).server, server);
+});
+
+test('what is soon read is more urgent than what takes long', () => {
+  const player = opened();
+  const small = send(player, 1, 'e1', [{ part: 's', tokens: 100 }, { part: 'own', tokens: 300 }]);
+  const large = send(player, 2, 'e2', [{ part: 'l', tokens: 100 }, { part: 'own', tokens: 40_000 }]);
+  assert.ok((small.urgency ?? 9) < (large.urgency ?? 0));
+});
+
+test('openings whose first part makes up much of them stand at three places a first part; others each at their own', () => {
+  const places = new Set(Array.from({ length: 50 }, (_, place) => anchorOf('model', [{ part: 'f', tokens: 300 }, { part: `s${place}`, tokens: 200 }, { part: 'own', tokens: 9 }])));
+  assert.is(places.size, 3);
+  assert.is(anchorOf('model', opening), undefined);
+  assert.is(anchorOf('model', [{ part: 'only', tokens: 5 }]), undefined);
+});
+
+test('a run-once exchange that its server vouches not to have run goes to another one, and may be refused after its last try', () => {
+  const player = opened();
+  const deliver = send(player, 1, 'e1', opening, 'record');
+  player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 });
+  const next = deliversOf(player.play({ type: 'failed', at: 3, exchange: 'e1', attempt: 1, sent: true, pieces: 0, error: 'turned-away', notRun: true }));
+  assert.is(next.length, 0, 'a node that has just started has nothing to pay an extra try with');
+  assert.equal(typesOf(player.all()).slice(-1), ['refuse']);
+  assert.is(player.view().exchanges.size, 0);
+  assert.ok(deliver.server !== '');
+});
+
+test('the rule bounds the servers that one exchange is sent to', () => {
+  const player = opened();
+  for (let place = 0; place < 40; place += 1) {
+    const at = 11 * second + place * 1_000;
+    const deliver = send(player, at, `f${place}`, [{ part: `p${place}`, tokens: 10 }]);
+    player.play({ type: 'sent', at, exchange: deliver.exchange, attempt: 1 }, { type: 'done', at: at + 500, exchange: deliver.exchange, attempt: 1 });
+  }
+  const at = 13 * second;
+  send(player, at, 'e1', opening);
+  player.play({ type: 'sent', at, exchange: 'e1', attempt: 1 });
+  const secondTry = deliversOf(player.play({ type: 'failed', at: at + 1, exchange: 'e1', attempt: 1, sent: true, pieces: 0, error: 'link-lost' }));
+  assert.is(secondTry.length, 1);
+  player.play({ type: 'sent', at: at + 2, exchange: 'e1', attempt: 2 });
+  const third = player.play({ type: 'failed', at: at + 3, exchange: 'e1', attempt: 2, sent: true, pieces: 0, error: 'link-lost' });
+  assert.equal(typesOf(third), ['unknown']);
+});
+
+test.run();
