Play the adapter's whole path with real processes on loopback

Ruled out: the existing rehearsal, which speaks the product's own interface and not the platform's. Change: tests/platform/stand-in (servers driven by the emulator, list with lag, pages and rate, operator, clients with tries, readiness) and tests/platform/whole-path.test.ts; the launcher may start another program with a settings text of its own. tests/platform/judge.test.ts shows that each breach is found. Conclusion: three control and three router processes serve all four kinds through a change, a drain, a join, a crash, a reused address and a SIGTERM.

--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -7,7 +7,16 @@
 
 const mainPath = fileURLToPath(new URL('../../cli/main.js', import.meta.url));
 
+/** What is started where it is not the project's own command line. */
+export type LaunchProgram = {
+  readonly main: string;
+  readonly settingsText: string;
+  /** The variable that names the settings file. */
+  readonly settingsVariable: string;
+};
+
 export type LaunchPlan = {
+  readonly program?: LaunchProgram;
   readonly node: string;
   readonly role: 'router' | 'control';
   readonly locality: string;
@@ -39,7 +48,7 @@
   const writeSettings = (): void =>
     writeFileSync(
       settingsPath,
-      JSON.stringify({
+      plan.program?.settingsText ?? JSON.stringify({
         node: plan.node,
         locality: plan.locality,
         ...addresses,
@@ -71,7 +80,11 @@
       boot += 1;
       writeSettings();
       const logFile = openSync(logPath, 'a');
-      child = spawn(process.execPath, [mainPath, plan.role, '--settings', settingsPath], { stdio: ['ignore', logFile, logFile, 'ipc'] });
+      const { program } = plan;
+      child = spawn(process.execPath, program === undefined ? [mainPath, plan.role, '--settings', settingsPath] : [program.main, plan.role], {
+        stdio: ['ignore', logFile, logFile, 'ipc'],
+        env: program === undefined ? process.env : { ...process.env, [program.settingsVariable]: settingsPath },
+      });
       closeSync(logFile);
     },
     kill: async () => {
--- /dev/null
+++ b/tests/platform/stand-in/misdeed.ts
@@ -0,0 +1,9 @@
+/** How a stand-in server misbehaves with its next answer. */
+export type Misdeed =
+  | 'reset'
+  | 'surplus'
+  | 'other-id'
+  | 'no-seal'
+  | 'encoded'
+  | 'silence'
+  | 'close-before-answer';
--- /dev/null
+++ b/tests/platform/stand-in/open-clients.ts
@@ -0,0 +1,114 @@
+import { randomBytes } from 'node:crypto';
+import { Agent, Client, type Dispatcher } from 'undici';
+import { steadyClock } from '../../../src/common/clock/steady-clock.js';
+import { paused } from '../../../src/common/clock/paused.js';
+import { steadyNow, toMillis } from '../../../src/common/micros.js';
+import { messageOf } from '../../../src/common/typed-error.js';
+import type { ClientTry, Seen } from './seen.js';
+import { streamText } from './server-text.js';
+
+/** What a client wants. */
+export type Wanted = {
+  readonly route: string;
+  readonly kind: ClientTry['kind'];
+  readonly host: string;
+  readonly target: string;
+  readonly body: string;
+  readonly budgetUs: number;
+  readonly mostTries: number;
+  readonly readTokens?: number;
+  readonly writeTokens?: number;
+  readonly opening?: string;
+};
+
+/** What a request came to in the end; a stream's events of all its tries in order. */
+export type ClientEnd = {
+  readonly isServed: boolean;
+  readonly events: string;
+  readonly tries: readonly ClientTry[];
+};
+
+const stride = 7;
+const ownPromises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const endings: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
+
+const lastIdIn = (text: string, before: number): number => {
+  const ids = [...text.matchAll(/(?:^|\n)id: (\d+)\n[^]*?\n\n/g)].map((match) => Number(match[1]));
+  return ids.at(-1) ?? before;
+};
+
+/** Only whole events count as received. */
+const wholeEvents = (text: string): string => text.slice(0, text.lastIndexOf('\n\n') + 2 || 0);
+
+/** Clients that try again as the platform's page says; `pick` gives the node for a new connection. */
+export const openClients = (seen: Seen, pick: (tried: readonly string[]) => string | undefined) => {
+  const agent = new Agent({ pipelining: 1, connections: 16, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
+
+  const tryOnce = async (wanted: Wanted, node: string, dispatcher: Dispatcher, lastEventId: number, dueUs: number): Promise<readonly [ClientTry, number]> => {
+    const { route, kind, target, body, readTokens = 0, writeTokens = 0 } = wanted;
+    const attempt = randomBytes(8).toString('hex');
+    const isStream = kind === 'stream' || kind === 'resumed';
+    const base = { attempt, route, kind, node, method: 'POST', target, body, lastEventId, events: isStream ? Math.ceil(writeTokens / stride) : 0, sentUs: steadyNow() };
+    let status = 0;
+    let seal: string | undefined;
+    let retryUs = 0;
+    const chunks: Buffer[] = [];
+    const ended = (whole: boolean, error?: string): readonly [ClientTry, number] => {
+      const made: ClientTry = { ...base, endUs: steadyNow(), status, seal, bytes: Buffer.concat(chunks).toString('latin1'), whole, error };
+      seen.tries.push(made);
+      return [made, retryUs];
+    };
+    const leftUs = Math.max(1_000, dueUs - steadyNow());
+    try {
+      const answered = await dispatcher.request({
+        origin: `http://${node}`,
+        method: 'POST',
+        path: target,
+        headers: {
+          host: wanted.host,
+          'Ledgehill-Attempt-Id': attempt,
+          'Ledgehill-Budget-Ms': String(Math.floor(leftUs / 1_000)),
+          'X-Client': 'kept',
+          ...(isStream ? { 'Ledgehill-Model': 'm', 'Ledgehill-Token-Count': `${readTokens},${writeTokens}`, 'Ledgehill-Prompt-Prefix': wanted.opening ?? '' } : {}),
+          ...(lastEventId > 0 ? { 'Last-Event-Id': String(lastEventId) } : {}),
+        },
+        body: Buffer.from(body, 'latin1'),
+        signal: AbortSignal.timeout(toMillis(leftUs)),
+      });
+      status = answered.statusCode;
+      const given = answered.headers['ledgehill-server-seal'];
+      seal = typeof given === 'string' ? given : undefined;
+      retryUs = Number(answered.headers['retry-after'] ?? 0) * 1_000_000;
+      for await (const chunk of answered.body) if (Buffer.isBuffer(chunk)) chunks.push(chunk);
+      return ended(true);
+    } catch (thrown) {
+      return ended(false, messageOf(thrown));
+    }
+  };
+
+  return {
+    ask: async (wanted: Wanted): Promise<ClientEnd> => {
+      const dueUs = steadyNow() + wanted.budgetUs;
+      const tries: ClientTry[] = [];
+      let events = '';
+      while (tries.length < wanted.mostTries && steadyNow() < dueUs) {
+        const node = pick(tries.map((made) => made.node));
+        if (node === undefined) break;
+        const fresh = tries.length === 0 ? undefined : new Client(`http://${node}`, { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
+        const [made, retryUs] = await tryOnce(wanted, node, fresh ?? agent, lastIdIn(events, 0), dueUs);
+        await fresh?.destroy();
+        tries.push(made);
+        if (made.status >= 200 && made.status < 300) events += wanted.kind === 'resumed' && !made.whole ? wholeEvents(made.bytes) : made.bytes;
+        if (made.whole && made.status >= 200 && made.status < 300) return { isServed: true, events, tries };
+        if (wanted.kind === 'resumed' && events === streamText(wanted.body, 0, made.events)) return { isServed: true, events, tries };
+        if (endings.has(made.status)) break;
+        if ((wanted.kind === 'once' || wanted.kind === 'stream') && !(made.whole && ownPromises.has(made.status))) break;
+        await paused(steadyClock, Math.min(retryUs || 50_000, (dueUs - steadyNow()) / 3));
+      }
+      return { isServed: false, events, tries };
+    },
+    close: () => agent.destroy(),
+  };
+};
+
+export type Clients = ReturnType<typeof openClients>;
