--- /dev/null
+++ b/tests/platform/raw/carried.ts
@@ -0,0 +1,63 @@
+import type { CarriedHead } from '../../../src/servers/link/carried-head.js';
+import type { ServerLink } from '../../../src/servers/link/server-link.js';
+import type { Carriage } from '../../../src/servers/link/carriage.js';
+import type { OpaqueExchange } from '../../../src/router/opaque/opaque-exchange.js';
+import type { OpaqueOrder } from '../../../src/servers/link/opaque-order.js';
+
+/** What a link told of an exchange. */
+export type Carried = {
+  readonly head: CarriedHead | undefined;
+  readonly pieces: readonly (readonly [string, number | undefined])[];
+  readonly text: string;
+  readonly ending: string;
+};
+
+export const exchangeOf = (name: string, more: Partial<OpaqueExchange> = {}): OpaqueExchange => ({
+  name,
+  host: 'a.example',
+  path: '/p/x',
+  method: 'POST',
+  target: '/p/x?a=%20b&&c=//',
+  headers: ['Host', 'a.example', 'Ledgehill-Attempt-Id', name, 'Content-Length', '4', 'X-Own', 'One', 'x-own', 'two'],
+  body: Buffer.from([0, 255, 13, 10]),
+  afterPiece: undefined,
+  opening: [],
+  readTokens: 0,
+  writeTokens: 0,
+  budgetUs: 1_000_000,
+  ...more,
+});
+
+export const orderOf = (name: string, more: Partial<OpaqueOrder> = {}): OpaqueOrder => ({
+  exchange: exchangeOf(name),
+  budgetUs: 1_234_567,
+  afterPiece: undefined,
+  urgency: undefined,
+  ...more,
+});
+
+/** Carries one exchange to its last word; `begun` gets the carriage. */
+export const carried = (link: ServerLink, order: OpaqueOrder, begun: (carriage: Carriage) => void = () => undefined): Promise<Carried> =>
+  new Promise((resolve, reject) => {
+    if (link.carry === undefined) {
+      reject(new Error('the link carries nothing'));
+      return;
+    }
+    let head: CarriedHead | undefined;
+    const pieces: (readonly [string, number | undefined])[] = [];
+    const words: string[] = [];
+    const end = (ending: string): void => {
+      words.push(ending);
+      setImmediate(() => resolve({ head, pieces, text: pieces.map(([text]) => text).join(''), ending: words.join(' then ') }));
+    };
+    begun(
+      link.carry(order, {
+        head: (given) => {
+          head = given;
+        },
+        piece: (bytes, number) => void pieces.push([Buffer.from(bytes).toString('latin1'), number]),
+        end: () => end('end'),
+        lost: () => end('lost'),
+      }),
+    );
+  });
