--- a/tests/platform/raw/raw-server.ts
+++ b/tests/platform/raw/raw-server.ts
@@ -18,6 +18,7 @@
   let place = 0;
   const server = createServer((socket) => {
     sockets.push(socket);
+    socket.setDefaultEncoding('latin1');
     let rest = '';
     socket.on('error', () => undefined);
     socket.on('data', (chunk: Buffer) => {
