--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -107,7 +107,7 @@
   waitUsOf(view, server) + readUsOf(view, exchange.rule.service, toReadAt(view, server, work));
 
 /** The part of the time that is left up to the target which the owner may take before work is sent where it has to be read anew. */
-const patience = 0.6;
+const patience = 0.8;
 const leastGainUs: Micros = 50_000;
 
 /** A server where the first piece would come clearly sooner, for an exchange that would miss its target at its owner. */
@@ -117,7 +117,10 @@
   const ownerUs = readyUsAt(view, exchange, work, owner);
   if (ownerUs <= patience * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
   const best = calmestOf(candidates, () => true, (server) => readyUsAt(view, exchange, work, server));
-  return best !== undefined && best !== owner && readyUsAt(view, exchange, work, best) + leastGainUs < ownerUs ? best : undefined;
+  const leftUs = exchange.arrivedUs + rule.targetUs - view.atUs;
+  if (best === undefined || best === owner) return undefined;
+  const bestUs = readyUsAt(view, exchange, work, best);
+  return bestUs + leastGainUs < ownerUs && bestUs < leftUs ? best : undefined;
 };
 
 const ringRangeOf = (ring: Ring, exchange: ExchangeView): Reason['range'] => {
