Spread by gossip to a few, and know members by what changed

Cause: each process sent a digest to every partner every 200 ms, with all partners in every fifth: 630 KB/s a node at 421. Ruled out: a tree under the control machines (a lost inner node cuts its leaves until it is noticed, and splits from the core must still spread 'leaving'); heartbeats of all in every digest (still grows with the nodes). Change: up to 16 addresses all is told to all as before. Above that a beat of 200 ms to 1 s goes to the next of a round and to one by chance, two thirds within the locality, and is answered; news goes at once to 8 from who has it first and 3 from each that hears it; marks of readings too. Membership by incarnations, suspicion and refutation, changes handed on some times log n; the whole is asked for at the start and when it differs for long.

--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -10,6 +10,8 @@
   /** A partner told of a whole reading of the platform's list. */
   readonly read: [by: string, ageUs: Micros];
   readonly time: [platformUs: Micros];
+  /** How many routers are thought to live. */
+  readonly routers: [routers: number];
   readonly refreshed: [];
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly ask: [from: string, frame: Extract<Frame, { readonly type: 'ask' }>];
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -35,6 +35,8 @@
 };
 
 const tickUs: Micros = 50_000;
+/** More partners than this are counted in the log, and not named. */
+const mostNamed = 16;
 
 export const openSpreadTask = (
   self: Partner,
@@ -69,7 +71,10 @@
         events.emit('time', effect.platformUs);
         return;
       case 'partners':
-        log.change('partners known', { nodes: effect.partners.map((partner) => partner.node).sort() });
+        log.change('partners known', effect.partners.length > mostNamed ? { count: effect.partners.length } : { nodes: effect.partners.map((partner) => partner.node).sort() });
+        return;
+      case 'routers':
+        events.emit('routers', effect.routers);
         return;
       case 'isolated':
         log.change(effect.isolated ? 'isolated' : 'among partners', {});
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -1,4 +1,4 @@
-import { array, mixed, number, object, string } from 'yup';
+import { array, boolean, mixed, number, object, string } from 'yup';
 import { typed, unionGuard } from '../../common/union.js';
 import type { Receipt } from '../../control/machine/receipt.js';
 import { isCommand } from '../../control/wire/command-guard.js';
@@ -10,12 +10,18 @@
 
 const whole = () => number().required().integer().min(0);
 
-const partnerSchema = object({
+const partnerFields = object({
   node: string().required(),
   role: string().required().oneOf(['router', 'control'] as const),
   address: string().required(),
   http: string().required(),
   locality: string().required(),
+});
+
+const newsSchema = object({
+  partner: partnerFields.required(),
+  incarnation: whole(),
+  state: string().required().oneOf(['alive', 'suspect', 'dead'] as const),
 }).required();
 
 const isQuestion = unionGuard<Question>({
@@ -33,13 +39,18 @@
 export const isFrame = unionGuard<Frame>({
   digest: object({
     type: typed('digest'),
-    partner: partnerSchema,
+    partner: partnerFields.optional().default(undefined),
+    incarnation: whole(),
     revision: whole(),
     version: whole(),
     listDigest: string(),
     read: object({ atUs: whole(), by: string().required() }).optional().default(undefined),
     platformUs: number().integer(),
-    partners: array(object({ partner: partnerSchema, ageUs: whole() }).required()).required(),
+    partners: array(newsSchema).required(),
+    crowd: whole(),
+    whole: boolean(),
+    asks: string().oneOf(['digest', 'whole'] as const),
+    unknown: boolean(),
     inquiry: number().integer(),
   }),
   inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole(), listDigest: string() }),
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -6,13 +6,16 @@
 import type { ServerList } from '../../servers/list/server-list.js';
 import type { ReadMark } from '../../servers/source/read-mark.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { PartnerNews } from '../partner/partner-news.js';
 import type { Partner } from '../partner/partner.js';
 
 /** What one process says to another: one BSON document on a TCP link. */
 export type Frame =
   | {
       readonly type: 'digest';
-      readonly partner: Partner;
+      /** Who the sender is; only while the receiver may not know. */
+      readonly partner?: Partner;
+      readonly incarnation: number;
       readonly revision: number;
       readonly version: number;
       /** What an asked list says, in a few characters; none for a told list. */
@@ -20,7 +23,16 @@
       /** The freshest whole reading that the sender knows, or its own while that is fresh. */
       readonly read?: ReadMark;
       readonly platformUs?: Micros;
-      readonly partners: readonly { readonly partner: Partner; readonly ageUs: Micros }[];
+      /** Changes of membership, or the whole of it. */
+      readonly partners: readonly PartnerNews[];
+      /** What the sender's whole membership is, in one figure. */
+      readonly crowd: number;
+      /** Whether `partners` is the whole membership. */
+      readonly whole?: boolean;
+      /** What is asked back: a digest, or one with the whole membership. */
+      readonly asks?: 'digest' | 'whole';
+      /** The sender does not know who the receiver is. */
+      readonly unknown?: boolean;
       /** The number of the inquiry that this answers. */
       readonly inquiry?: number;
     }
--- a/src/spread/machine/spread-effect.ts
+++ b/src/spread/machine/spread-effect.ts
@@ -14,5 +14,7 @@
   | { readonly type: 'read'; readonly by: string; readonly ageUs: Micros }
   | { readonly type: 'time'; readonly platformUs: Micros }
   | { readonly type: 'partners'; readonly partners: readonly Partner[] }
+  /** How many routers are thought to live. */
+  | { readonly type: 'routers'; readonly routers: number }
   | { readonly type: 'isolated'; readonly isolated: boolean }
   | { readonly type: 'refreshed' };
--- a/src/spread/machine/spread-view.ts
+++ b/src/spread/machine/spread-view.ts
@@ -5,7 +5,12 @@
 import type { ReadMark } from '../../servers/source/read-mark.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { KnownPartner } from '../partner/known-partner.js';
+import type { LostPartner } from '../partner/lost-partner.js';
 import type { Partner } from '../partner/partner.js';
+import { drawOf } from './draw.js';
+
+/** A partner that is due to answer. */
+export type Awaited = { readonly askedUs: Micros; readonly tries: number };
 
 /** What one process knows of setup, list, time and partners. */
 export type SpreadView = {
@@ -21,7 +26,31 @@
   readonly ownRead: ReadMark | undefined;
   /** The platform's time as far as it is certain. */
   readonly platform: TimeBound | undefined;
+  /** Who is thought to live, by address. */
   readonly partners: ReadonlyMap<string, KnownPartner>;
+  readonly lost: ReadonlyMap<string, LostPartner>;
+  /** How many routers are thought to live, this one among them. */
+  readonly routers: number;
+  /** What all partners that live are, in one figure; equal where membership is equal. */
+  readonly crowd: number;
+  /** This process's own incarnation. */
+  readonly incarnation: number;
+  /** Changes of membership that are still to be handed on, by address: how often. */
+  readonly changed: ReadonlyMap<string, number>;
+  /** Who has been told who this is, and has been heard since. */
+  readonly introduced: ReadonlySet<string>;
+  /** Who is due to answer, since when, and how often it was asked. */
+  readonly awaited: ReadonlyMap<string, Awaited>;
+  /** Whom the coming beats go to: each partner once, in an order by chance. */
+  readonly round: readonly string[];
+  readonly draw: number;
+  /** When membership began to differ from that of partners; undefined while it does not. */
+  readonly differsUs: Micros | undefined;
+  /** When the whole membership last came. */
+  readonly wholeUs: Micros;
+  readonly uneasyUs: Micros;
+  /** Of which moment the last reading is that was handed on at once. */
+  readonly pushedReadUs: Micros;
   readonly digestUs: Micros;
   readonly digests: number;
   readonly heardUs: Micros;
@@ -30,6 +59,8 @@
   readonly isolated: boolean;
   readonly inquiry: number;
   readonly refreshing: boolean;
+  /** When partners are asked once more for what is fresh. */
+  readonly askedAgainUs: Micros;
 };
 
 export const startSpreadView = (self: Partner, seeds: readonly string[]): SpreadView => ({
@@ -43,6 +74,19 @@
   ownRead: undefined,
   platform: undefined,
   partners: new Map(),
+  lost: new Map(),
+  routers: self.role === 'router' ? 1 : 0,
+  crowd: 0,
+  incarnation: 0,
+  changed: new Map(),
+  introduced: new Set(),
+  awaited: new Map(),
+  round: [],
+  draw: drawOf(self.address),
+  differsUs: undefined,
+  wholeUs: Number.NEGATIVE_INFINITY,
+  uneasyUs: 0,
+  pushedReadUs: Number.NEGATIVE_INFINITY,
   digestUs: 0,
   digests: 0,
   heardUs: Number.NEGATIVE_INFINITY,
@@ -50,4 +94,5 @@
   isolated: true,
   inquiry: 0,
   refreshing: false,
+  askedAgainUs: 0,
 });
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -1,5 +1,5 @@
 import { boundAt, longestStepUs, raisedBound, withoutSpan } from '../../common/clock/time-bound.js';
-import { withEntry } from '../../common/maps.js';
+import { withEntry, withoutEntry } from '../../common/maps.js';
 import type { Micros } from '../../common/micros.js';
 import { isAsked, type AskedList } from '../../servers/list/asked-list.js';
 import { livingListOf } from '../../servers/list/living-list.js';
@@ -8,62 +8,47 @@
 import { foldReading } from '../../servers/source/fold-reading.js';
 import type { ListReading } from '../../servers/source/list-reading.js';
 import { laterMark, readerKeyOf, type ReadMark } from '../../servers/source/read-mark.js';
-import { staleReadUs } from '../../servers/source/source-machine.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
-import type { Partner } from '../partner/partner.js';
+import { digestsTo, digestTo, listDigestOf, revisionOf, versionOf } from './digest.js';
+import { nextDraw, someOf } from './draw.js';
+import { isDisputed, newsOf, withNews, withoutOverdue, withPartner } from './membership.js';
 import type { SpreadEffect } from './spread-effect.js';
 import type { SpreadEvent, SpreadFrame } from './spread-event.js';
+import { andThen, stepped, type SpreadStep } from './spread-step.js';
 import type { SpreadView } from './spread-view.js';
+import { addressesOf, hasFew, newsTargets, somePartners } from './targets.js';
+import {
+  askSpanUs, beatUsOf, differingSpanUs, digestSpanUs, isolatedSpanUs, probeSpanUs, probeTries, pushedReadSpanUs, uneasyHeardUs, uneasyReadUs, wholeSpanUs,
+} from './timing.js';
 
-/** A new view of the spread and what it wants done. */
-export type SpreadStep = {
-  readonly view: SpreadView;
-  readonly effects: readonly SpreadEffect[];
-};
-
-export const digestSpanUs: Micros = 200_000;
-export const isolatedSpanUs: Micros = 1_500_000;
-export const forgottenSpanUs: Micros = 30_000_000;
-/** For so long one asked partner is given before another is asked for the same news. */
-export const askSpanUs: Micros = 150_000;
 const digestsPerRoll = 5;
-const mostFormerLists = 4;
+const mostFormerLists = 8;
+/** How many hear news at once from who is first to know it, and from each that hears it. */
+const firstTellings = 8;
+const tellings = 3;
+/** How many are asked at once after a freeze. */
+const refreshTargets = 6;
 /** Where a fleet's own time line begins: well above 0, so that a moment before it can be named. */
 export const lineStartUs: Micros = 1_000_000_000_000;
 
 /** What a partner says that it knows. */
 type Known = { readonly revision: number; readonly version: number; readonly listDigest?: string };
 
-const stepped = (view: SpreadView, ...effects: readonly SpreadEffect[]): SpreadStep => ({ view, effects });
-
-const andThen = (step: SpreadStep, next: (view: SpreadView) => SpreadStep): SpreadStep => {
-  const nextStep = next(step.view);
-  return { view: nextStep.view, effects: [...step.effects, ...nextStep.effects] };
-};
-
-const revisionOf = (view: SpreadView): number => view.record?.revision ?? 0;
-const versionOf = (view: SpreadView): number => view.list?.version ?? 0;
-
-const listDigestOf = (view: SpreadView): string | undefined =>
-  view.list !== undefined && isAsked(view.list) ? view.list.digest : undefined;
-
-const addressesOf = (view: SpreadView): readonly string[] =>
-  [...new Set([...view.seeds, ...view.partners.keys()])].filter((address) => address !== view.self.address);
-
-const toAll = (view: SpreadView, frame: SpreadFrame, except?: string): readonly SpreadEffect[] =>
-  addressesOf(view)
-    .filter((address) => address !== except)
-    .map((address) => ({ type: 'send', address, frame }));
-
 const withTime = (view: SpreadView, platformUs: Micros | undefined): SpreadStep => {
   if (platformUs === undefined) return stepped(view);
   const platform = raisedBound(view.platform, platformUs, view.atUs);
   return platform === view.platform ? stepped(view) : stepped({ ...view, platform }, { type: 'time', platformUs });
 };
 
-/** Makes news known here, and lets all others know that there is some; they ask for its text. */
+/** Lets others know at once that there is news: all of few, or some, who go on telling it. They ask for its text. */
+const pushed = (view: SpreadView, from?: string): SpreadStep => {
+  const { targets, view: drawnView } = newsTargets(view, from === undefined ? firstTellings : tellings, from);
+  return digestsTo(drawnView, targets);
+};
+
+/** Makes news known here and to others. */
 const told = (view: SpreadView, news: SpreadEffect, from?: string): SpreadStep =>
-  stepped(view, news, ...toAll(view, digestOf(view, false), from));
+  andThen(stepped(view, news), (toldView) => pushed(toldView, from));
 
 const withRecord = (view: SpreadView, record: SetupRecord, from?: string): SpreadStep =>
   record.revision <= revisionOf(view)
@@ -78,7 +63,7 @@
   const mergedView = { ...view, formerLists: [known, ...view.formerLists].slice(0, mostFormerLists) };
   return list.version > known.version
     ? inForce(mergedView, list, from)
-    : andThen(withTime({ ...mergedView, list }, list.atUs), (timedView) => stepped(timedView, ...toAll(timedView, digestOf(timedView, false), from)));
+    : andThen(withTime({ ...mergedView, list }, list.atUs), (timedView) => pushed(timedView, from));
 };
 
 /** A told list replaces by version, an asked one is merged; where the platform tells, nothing asked is taken. */
@@ -96,6 +81,13 @@
     : merging(view, known, merged, from);
 };
 
+/** Beats of a larger fleet are too slow for the news that a reading was made; it is handed on at once. */
+const pushedRead = (view: SpreadView, from?: string): SpreadStep => {
+  const { read } = view;
+  if (read === undefined || read.atUs < view.pushedReadUs + pushedReadSpanUs || hasFew(view)) return stepped(view);
+  return pushed({ ...view, pushedReadUs: read.atUs }, from);
+};
+
 /** Folds a reading into the list. Where nobody knows a time yet, the line of the fleet begins here. */
 const withReading = (view: SpreadView, reading: ListReading, begunAt: Micros): SpreadStep => {
   if (view.list !== undefined && !isAsked(view.list)) return stepped(view);
@@ -109,49 +101,21 @@
   const list = foldReading(view.list, reading, nowUs, begunUs);
   return andThen(
     view.platform === undefined ? stepped(readView, { type: 'time', platformUs: nowUs }) : stepped(readView),
-    (timedView) => withList(timedView, list),
+    (timedView) => andThen(withList(timedView, list), (listedView) => (reading.whole ? pushedRead(listedView) : stepped(listedView))),
   );
 };
 
-/** A reader tells of its own reading while that is fresh, so that two that read hear of each other. */
-const toldRead = (view: SpreadView): ReadMark | undefined => {
-  if (view.platform === undefined || view.ownRead === undefined) return view.read;
-  return boundAt(view.platform, view.atUs) <= view.ownRead.atUs + staleReadUs ? view.ownRead : view.read;
-};
-
-const withRead = (view: SpreadView, read: ReadMark | undefined): SpreadStep =>
+const withRead = (view: SpreadView, read: ReadMark | undefined, from: string): SpreadStep =>
   read === undefined || view.platform === undefined || read.by === readerKeyOf(view.self)
     ? stepped(view)
-    : stepped(
-        { ...view, read: laterMark(view.read, read) },
-        { type: 'read', by: read.by, ageUs: Math.max(0, boundAt(view.platform, view.atUs) - read.atUs) },
+    : andThen(
+        stepped(
+          { ...view, read: laterMark(view.read, read) },
+          { type: 'read', by: read.by, ageUs: Math.max(0, boundAt(view.platform, view.atUs) - read.atUs) },
+        ),
+        (readView) => pushedRead(readView, from),
       );
 
-const digestOf = (view: SpreadView, isFull: boolean, inquiry?: number): SpreadFrame => ({
-  type: 'digest',
-  partner: view.self,
-  revision: revisionOf(view),
-  version: versionOf(view),
-  listDigest: listDigestOf(view),
-  read: toldRead(view),
-  platformUs: view.platform === undefined ? undefined : boundAt(view.platform, view.atUs),
-  partners: isFull
-    ? [...view.partners.values()].map(({ partner, heardUs }) => ({ partner, ageUs: Math.max(0, view.atUs - heardUs) }))
-    : [],
-  inquiry,
-});
-
-const withPartner = (view: SpreadView, partner: Partner, heardUs: Micros): SpreadStep => {
-  const isOwn = partner.address === view.self.address;
-  const known = view.partners.get(partner.address);
-  if (isOwn || heardUs <= view.atUs - forgottenSpanUs || (known !== undefined && known.heardUs >= heardUs)) return stepped(view);
-  const partners = withEntry(view.partners, partner.address, { partner, heardUs });
-  const isNew = known === undefined || known.partner.node !== partner.node || known.partner.http !== partner.http;
-  return isNew
-    ? stepped({ ...view, partners }, { type: 'partners', partners: [...partners.values()].map((entry) => entry.partner) })
-    : stepped({ ...view, partners });
-};
-
 /** Of an asked list the entries that a former one lacks, which merge into it as the whole would. */
 const newsSince = (list: AskedList, former: AskedList): AskedList => {
   const formerDigests = new Set(former.servers.map((server) => JSON.stringify(server)));
@@ -196,15 +160,58 @@
   return (view.list !== undefined && digest.listDigest !== undefined) || digest.version <= versionOf(view);
 };
 
-const onDigest = (view: SpreadView, from: string, digest: Extract<SpreadFrame, { readonly type: 'digest' }>): SpreadStep => {
-  const introduced = [{ partner: digest.partner, ageUs: 0 }, ...digest.partners].reduce<SpreadStep>(
-    (step, { partner, ageUs }) => andThen(step, (reachedView) => withPartner(reachedView, partner, view.atUs - ageUs)),
-    stepped(view),
+type Digest = Extract<SpreadFrame, { readonly type: 'digest' }>;
+
+const heardOfSelf = (view: SpreadView, from: string, digest: Digest): SpreadStep => {
+  const introduced = new Set(view.introduced);
+  if (digest.unknown === true) introduced.delete(from);
+  else introduced.add(from);
+  const isNoted = introduced.size === view.introduced.size && introduced.has(from) === view.introduced.has(from);
+  const notedView = isNoted ? view : { ...view, introduced };
+  const known = view.partners.get(from);
+  const partner = digest.partner ?? known?.partner ?? view.lost.get(from)?.partner;
+  return partner === undefined || partner.address !== from ? stepped(notedView) : withPartner(notedView, partner, digest.incarnation);
+};
+
+/** When membership differs from a partner's for long, changes were missed, and the whole of it is asked for. */
+const compared = (view: SpreadView, digest: Digest): SpreadView => {
+  const wholeUs = digest.whole === true ? view.atUs : view.wholeUs;
+  if (digest.crowd === view.crowd) return { ...view, wholeUs, differsUs: undefined };
+  return { ...view, wholeUs, differsUs: digest.whole === true ? undefined : (view.differsUs ?? view.atUs) };
+};
+
+/** Some of those that newly hear of a suspicion look for themselves, so that one broken link ends nobody. */
+const lookedAt = (view: SpreadView, suspects: readonly string[]): SpreadStep =>
+  suspects.reduce<SpreadStep>((step, address) => {
+    const drawn = nextDraw(step.view.draw);
+    const drawnView = { ...step.view, draw: drawn.draw };
+    if (drawn.chance >= 4 / Math.max(1, drawnView.partners.size)) return { view: drawnView, effects: step.effects };
+    return andThen({ view: drawnView, effects: step.effects }, (askingView) => digestTo(askingView, address, { asks: 'digest' }));
+  }, stepped(view));
+
+const withMembership = (view: SpreadView, from: string, digest: Digest): SpreadStep => {
+  const wasSuspect = new Set(digest.partners.flatMap(({ partner }) => (view.partners.get(partner.address)?.suspectUs === undefined ? [] : [partner.address])));
+  const { incarnation } = view;
+  const folded = digest.partners.reduce<SpreadStep>(
+    (step, news) => andThen(step, (foldedView) => withNews(foldedView, news)),
+    heardOfSelf(view, from, digest),
   );
-  return andThen(
+  const suspects = digest.partners.flatMap(({ partner: { address } }) =>
+    folded.view.partners.get(address)?.suspectUs !== undefined && !wasSuspect.has(address) ? [address] : [],
+  );
+  return andThen(andThen(folded, (foldedView) => lookedAt(foldedView, suspects)), (foldedView) => {
+    const comparedView = compared(foldedView, digest);
+    const disputes = isDisputed(comparedView, from, digest.incarnation);
+    const isDue = digest.asks !== undefined || digest.unknown === true || disputes || comparedView.incarnation !== incarnation;
+    return isDue ? digestTo(comparedView, from, { whole: digest.asks === 'whole', disputes }) : stepped(comparedView);
+  });
+};
+
+const onDigest = (view: SpreadView, from: string, digest: Digest): SpreadStep =>
+  andThen(
     andThen(
-      andThen(introduced, (introducedView) => withTime(introducedView, digest.platformUs)),
-      (timedView) => withRead(timedView, digest.read),
+      andThen(withMembership(view, from, digest), (introducedView) => withTime(introducedView, digest.platformUs)),
+      (timedView) => withRead(timedView, digest.read, from),
     ),
     (timedView) => {
       const isReceipt = timedView.refreshing && digest.inquiry === timedView.inquiry;
@@ -227,7 +234,6 @@
       );
     },
   );
-};
 
 /** Asks for all that is newer than what is had, or is already on its way from another partner. */
 const inquiryOf = (view: SpreadView, revision = revisionOf(view), version = versionOf(view)): SpreadFrame => ({
@@ -243,11 +249,7 @@
     case 'digest':
       return onDigest(view, from, frame);
     case 'inquire':
-      return stepped(view, ...caughtUp(view, from, frame), {
-        type: 'send',
-        address: from,
-        frame: digestOf(view, false, frame.inquiry),
-      });
+      return andThen(stepped(view, ...caughtUp(view, from, frame)), (givenView) => digestTo(givenView, from, { inquiry: frame.inquiry }));
     case 'setup':
       return withRecord(view, frame.record, from);
     case 'list':
@@ -255,27 +257,109 @@
   }
 };
 
-const onHeard = (view: SpreadView): SpreadStep => {
-  const heardView = { ...view, heardUs: view.atUs };
+const onHeard = (view: SpreadView, from: string): SpreadStep => {
+  const known = view.partners.get(from);
+  const heardView: SpreadView = {
+    ...view,
+    heardUs: view.atUs,
+    awaited: withoutEntry(view.awaited, from),
+    partners: known === undefined ? view.partners : withEntry(view.partners, from, { ...known, heardUs: view.atUs }),
+  };
   return view.isolated ? stepped({ ...heardView, isolated: false }, { type: 'isolated', isolated: false }) : stepped(heardView);
 };
 
+const awaiting = (view: SpreadView, addresses: readonly string[]): SpreadView => {
+  const awaited = new Map(view.awaited);
+  for (const address of addresses) if (view.partners.has(address) && !awaited.has(address)) awaited.set(address, { askedUs: view.atUs, tries: 1 });
+  return { ...view, awaited };
+};
+
+/** Asks those again that owe a sign, and brings those under suspicion that went on owing it. */
+const withProbes = (view: SpreadView): SpreadStep => {
+  const due = [...view.awaited].filter(([, { askedUs }]) => view.atUs >= askedUs + probeSpanUs);
+  return due.reduce<SpreadStep>(
+    (step, [address, { tries }]) =>
+      andThen(step, (dueView) => {
+        if (tries < probeTries)
+          return digestTo({ ...dueView, awaited: withEntry(dueView.awaited, address, { askedUs: dueView.atUs, tries: tries + 1 }) }, address, { asks: 'digest' });
+        const waitedView = { ...dueView, awaited: withoutEntry(dueView.awaited, address) };
+        const [news] = newsOf(waitedView, address);
+        return news === undefined || news.state !== 'alive' ? stepped(waitedView) : withNews(waitedView, { ...news, state: 'suspect' });
+      }),
+    stepped(view),
+  );
+};
+
+/** Who has not heard of anybody, or of a whole reading, for a while, asks some at once. */
+const withUnease = (view: SpreadView): SpreadStep => {
+  if (hasFew(view) || view.atUs < view.uneasyUs) return stepped(view);
+  const isReadOld = view.read !== undefined && view.platform !== undefined && boundAt(view.platform, view.atUs) > view.read.atUs + uneasyReadUs;
+  if (!isReadOld && view.atUs <= view.heardUs + uneasyHeardUs) return stepped(view);
+  const { targets, view: drawnView } = somePartners({ ...view, uneasyUs: view.atUs + digestSpanUs }, 2);
+  return digestsTo(drawnView, targets, () => ({ asks: 'digest' }));
+};
+
+/** One partner after the other, each once a round, in an order by chance. */
+const nextOfRound = (view: SpreadView): { readonly target: string | undefined; readonly view: SpreadView } => {
+  const living = view.round.filter((address) => view.partners.has(address));
+  if (living.length > 0) return { target: living[0], view: { ...view, round: living.slice(1) } };
+  const shuffled = someOf(view.draw, [...view.partners.keys()], view.partners.size);
+  return { target: shuffled.some[0], view: { ...view, draw: shuffled.draw, round: shuffled.some.slice(1) } };
+};
+
+const asksWhole = (view: SpreadView): boolean =>
+  view.wholeUs === Number.NEGATIVE_INFINITY ||
+  (view.differsUs !== undefined && view.atUs > view.differsUs + differingSpanUs && view.atUs > view.wholeUs + wholeSpanUs);
+
+/** A seed, or one that was given up, by turns: whoever was cut off for long is met again by it. */
+const farOne = (view: SpreadView): { readonly targets: readonly string[]; readonly view: SpreadView } => {
+  if (view.digests % digestsPerRoll !== 0) return { targets: [], view };
+  const missing = [...new Set([...view.seeds, ...view.lost.keys()])].filter((address) => address !== view.self.address && !view.partners.has(address));
+  const drawn = someOf(view.draw, missing, 1);
+  return { targets: drawn.some, view: { ...view, draw: drawn.draw } };
+};
+
+/** A beat of a fleet of few goes to all, with all partners in every fifth. */
+const beatToAll = (view: SpreadView): SpreadStep => {
+  const isFull = view.digests % digestsPerRoll === 0;
+  const addresses = addressesOf(view);
+  const isAskingWhole = asksWhole(view);
+  return digestsTo(awaiting(view, addresses), addresses, () => ({ whole: isFull && !isAskingWhole, ...(isAskingWhole ? { asks: 'whole' } : {}) }));
+};
+
+/** A beat of a larger one goes to the next of the round and to one by chance, and sometimes to one that was given up. */
+const beatToSome = (view: SpreadView): SpreadStep => {
+  const round = nextOfRound(view);
+  const near = somePartners(round.view, 1, round.target);
+  const far = farOne(near.view);
+  const targets = [...new Set([...(round.target === undefined ? [] : [round.target]), ...near.targets, ...far.targets])];
+  const wholeFrom = asksWhole(far.view) ? targets[0] : undefined;
+  const askingView = wholeFrom === undefined ? far.view : { ...far.view, wholeUs: view.atUs };
+  return digestsTo(awaiting(askingView, targets), targets, (address) => ({ asks: address === wholeFrom ? 'whole' : 'digest' }));
+};
+
+const withInquiries = (view: SpreadView): SpreadStep => {
+  const { targets, view: drawnView } = newsTargets(view, refreshTargets);
+  return stepped(drawnView, ...targets.map((address) => ({ type: 'send' as const, address, frame: inquiryOf(drawnView) })));
+};
+
+const withBeat = (view: SpreadView): SpreadStep => {
+  if (view.atUs < view.digestUs) return stepped(view);
+  const isFew = hasFew(view);
+  const dueView = { ...view, digestUs: view.atUs + (isFew ? digestSpanUs : beatUsOf(view.partners.size)) };
+  return andThen(isFew ? beatToAll(dueView) : beatToSome(dueView), (toldView) => stepped({ ...toldView, digests: toldView.digests + 1 }));
+};
+
 const onTick = (view: SpreadView): SpreadStep => {
   const becomesIsolated = !view.isolated && view.atUs > view.heardUs + isolatedSpanUs;
   const checkedStep = becomesIsolated
     ? stepped({ ...view, isolated: true }, { type: 'isolated' as const, isolated: true })
     : stepped(view);
-  if (view.atUs < view.digestUs) return checkedStep;
-  return andThen(checkedStep, (checkedView) => {
-    const isFull = checkedView.digests % digestsPerRoll === 0;
-    const partners = new Map([...checkedView.partners].filter(([, known]) => known.heardUs > view.atUs - forgottenSpanUs));
-    const dueView = { ...checkedView, partners, digests: checkedView.digests + 1, digestUs: view.atUs + digestSpanUs };
-    return stepped(
-      dueView,
-      ...toAll(dueView, digestOf(dueView, isFull)),
-      ...(dueView.refreshing ? toAll(dueView, inquiryOf(dueView)) : []),
-    );
-  });
+  const asksAgain = view.refreshing && view.atUs >= view.askedAgainUs;
+  return [withoutOverdue, withProbes, withUnease, withBeat].reduce<SpreadStep>(
+    andThen,
+    asksAgain ? andThen(checkedStep, (askingView) => withInquiries({ ...askingView, askedAgainUs: view.atUs + digestSpanUs })) : checkedStep,
+  );
 };
 
 /** The spread machine: setup by revision and list by version, or by merging, go to everyone, and never backwards. */
@@ -285,12 +369,14 @@
     ...view,
     atUs: Math.max(view.atUs, event.at),
     platform: spanUs >= longestStepUs ? withoutSpan(view.platform, spanUs) : view.platform,
+    /** Who did not run can not tell who owed it a sign. */
+    awaited: spanUs >= longestStepUs ? new Map() : view.awaited,
   };
   switch (event.type) {
     case 'tick':
       return onTick(nowView);
     case 'frame':
-      return andThen(onHeard(nowView), (heardView) => onFrame(heardView, event.from, event.frame));
+      return andThen(onHeard(nowView, event.from), (heardView) => onFrame(heardView, event.from, event.frame));
     case 'setup':
       return withRecord(nowView, event.record);
     case 'list':
@@ -300,8 +386,7 @@
     case 'reading':
       return withReading(nowView, event.reading, event.begunAt);
     case 'refresh': {
-      const askingView = { ...nowView, inquiry: nowView.inquiry + 1, refreshing: true };
-      return stepped(askingView, ...toAll(askingView, inquiryOf(askingView)));
+      return withInquiries({ ...nowView, inquiry: nowView.inquiry + 1, refreshing: true, askedAgainUs: nowView.atUs + digestSpanUs });
     }
   }
 };
--- /dev/null
+++ b/tests/spread/many.ts
@@ -0,0 +1,144 @@
+import { calculateObjectSize } from 'bson';
+import { seededChance } from '../../src/common/chance.js';
+import type { Micros } from '../../src/common/micros.js';
+import type { SpreadEvent, SpreadFrame } from '../../src/spread/machine/spread-event.js';
+import { startSpreadView, type SpreadView } from '../../src/spread/machine/spread-view.js';
+import { stepSpread } from '../../src/spread/machine/step.js';
+
+/** A node of many: its machine, whether it lives, and where it is. */
+export type ManyNode = {
+  readonly address: string;
+  readonly region: number;
+  readonly locality: string;
+  view: SpreadView;
+  isUp: boolean;
+  boot: number;
+  sentFrames: number;
+  sentBytes: number;
+  farBytes: number;
+};
+
+export type ManyPlan = {
+  readonly seed: number;
+  readonly routers: number;
+  readonly controls: number;
+  readonly localities: number;
+  readonly regions: number;
+  readonly lossShare?: number;
+};
+
+const tickUs: Micros = 50_000;
+const farDelayUs: Micros = 40_000;
+
+/** Spread machines in virtual time, with delays within and between regions, deaths, starts and cuts. */
+export const openMany = ({ seed, routers, controls, localities, regions, lossShare = 0 }: ManyPlan) => {
+  const chance = seededChance(seed);
+  const slots = new Map<number, (() => void)[]>();
+  let atUs = 0;
+  const slotUs = 500;
+  const after = (spanUs: Micros, act: () => void): void => {
+    const slot = Math.ceil((atUs + Math.max(1, spanUs)) / slotUs);
+    const acts = slots.get(slot);
+    if (acts === undefined) slots.set(slot, [act]);
+    else acts.push(act);
+  };
+  const nodes: ManyNode[] = [];
+  const byAddress = new Map<string, ManyNode>();
+  let isCut = (_from: ManyNode, _to: ManyNode): boolean => false;
+  /** Living nodes that somebody gave up: `giver gave up whom`. */
+  const falseAlarms: string[] = [];
+  const seeds: string[] = [];
+
+  const deliver = (from: ManyNode, address: string, frame: SpreadFrame): void => {
+    const to = byAddress.get(address);
+    const bytes = calculateObjectSize(frame);
+    from.sentFrames += 1;
+    from.sentBytes += bytes;
+    if (to === undefined) return;
+    if (to.locality !== from.locality) from.farBytes += bytes;
+    if (isCut(from, to) || chance() < lossShare) return;
+    const { boot } = to;
+    after(200 + chance() * 1_500 + (from.region === to.region ? 0 : farDelayUs), () => {
+      if (to.isUp && to.boot === boot && !isCut(from, to)) take(to, { type: 'frame', at: atUs, from: from.address, frame });
+    });
+  };
+  const take = (node: ManyNode, event: SpreadEvent): void => {
+    const step = stepSpread(node.view, event);
+    const former = node.view.lost;
+    node.view = step.view;
+    if (step.view.lost !== former)
+      for (const [address] of step.view.lost) if (!former.has(address) && byAddress.get(address)?.isUp === true) falseAlarms.push(`${node.address} gave up ${address}`);
+    for (const effect of step.effects) if (effect.type === 'send') deliver(node, effect.address, effect.frame);
+  };
+  const start = (node: ManyNode): void => {
+    node.isUp = true;
+    node.boot += 1;
+    const { boot } = node;
+    node.view = startSpreadView({ ...node.view.self }, seeds);
+    const tick = (): void => {
+      if (!node.isUp || node.boot !== boot) return;
+      take(node, { type: 'tick', at: atUs });
+      after(tickUs, tick);
+    };
+    after(chance() * tickUs, tick);
+  };
+  for (let index = 0; index < controls + routers; index += 1) {
+    const role = index < controls ? 'control' : 'router';
+    const place = index % localities;
+    const address = `10.0.${index >> 8}.${index & 255}:7000`;
+    const locality = `locality-${place}`;
+    const self = { node: `${role}-${index}`, role, address, http: `${address.split(':')[0] ?? ''}:8000`, locality } as const;
+    const node: ManyNode = {
+      address, region: place % regions, locality, view: startSpreadView(self, []), isUp: false, boot: 0, sentFrames: 0, sentBytes: 0, farBytes: 0,
+    };
+    nodes.push(node);
+    byAddress.set(address, node);
+    if (index < Math.min(3, controls)) seeds.push(address);
+  }
+  const play = (spanUs: Micros): void => {
+    const endUs = atUs + spanUs;
+    for (let slot = Math.floor(atUs / slotUs); slot * slotUs <= endUs; slot += 1) {
+      atUs = Math.max(atUs, slot * slotUs);
+      const acts = slots.get(slot);
+      if (acts === undefined) continue;
+      slots.delete(slot);
+      for (const act of acts) act();
+    }
+    atUs = endUs;
+  };
+  const living = (): readonly ManyNode[] => nodes.filter(({ isUp }) => isUp);
+  return {
+    nodes,
+    living,
+    falseAlarms,
+    play,
+    start,
+    now: () => atUs,
+    chance,
+    kill: (node: ManyNode) => {
+      node.isUp = false;
+    },
+    cut: (isBetween: (from: ManyNode, to: ManyNode) => boolean) => {
+      isCut = isBetween;
+    },
+    offer: (node: ManyNode, event: SpreadEvent) => take(node, event),
+    /** How long until all living nodes have something; undefined when that takes too long. */
+    until: (has: (node: ManyNode) => boolean, mostUs: Micros, stepUs: Micros = 50_000): Micros | undefined => {
+      const sinceUs = atUs;
+      while (atUs < sinceUs + mostUs) {
+        if (living().every(has)) return atUs - sinceUs;
+        play(stepUs);
+      }
+      return living().every(has) ? atUs - sinceUs : undefined;
+    },
+    resetCounts: () => {
+      for (const node of nodes) {
+        node.sentFrames = 0;
+        node.sentBytes = 0;
+        node.farBytes = 0;
+      }
+    },
+  };
+};
+
+export type Many = ReturnType<typeof openMany>;
