Share the retry allowance by the routers that are counted

Cause: the allowance was divided by a figure in the setup that nobody on the platform tells. Ruled out: the living count alone (two sides of a cut would each give out the whole; nodes learn of a loss at different moments).

--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'node'; readonly at: Micros; readonly node: string }
   /** The node did not run, or its clock jumped, for a span up to now; it does not count as time of the platform. */
   | { readonly type: 'gap'; readonly at: Micros; readonly spanUs: Micros }
+  /** How many routers are thought to live, this one among them. */
+  | { readonly type: 'fleet'; readonly at: Micros; readonly routers: number }
   | { readonly type: 'setup'; readonly at: Micros; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly at: Micros; readonly list: ServerList }
   | { readonly type: 'time'; readonly at: Micros; readonly platformUs: Micros }
--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -10,7 +10,7 @@
 import type { ServiceStage } from '../../timeline/service-stage.js';
 import type { Reason } from '../effect/reason.js';
 import type { ReasonType } from '../effect/reason-type.js';
-import { platformUsOf, type DecisionView } from '../view/decision-view.js';
+import { platformUsOf, routersOf, type DecisionView } from '../view/decision-view.js';
 import type { ExchangeView } from '../view/exchange-view.js';
 import { calmestOf, firstOf } from './first-of.js';
 import type { Placement } from './placement.js';
@@ -28,9 +28,14 @@
 const rangeIn = (migration: Migration, exchange: ExchangeView): Range | undefined =>
   rangeAt(migration.ranges, exchange.position);
 
+const pacersOf = (view: DecisionView): number => {
+  const routers = routersOf(view);
+  return Number.isFinite(routers) ? routers : 1;
+};
+
 /** The node's own part of the fleet's pace for one range. */
 const spanOf = (view: DecisionView, migration: Migration): number =>
-  migration.warmup.paceUs * (view.record?.setup.fleet.routers ?? 1);
+  migration.warmup.paceUs * pacersOf(view);
 
 const isUsable = (view: DecisionView, stage: ServiceStage, exchange: ExchangeView, server: ServerKey): boolean =>
   stage.allowed.has(server) && !view.dark.has(server) && !exchange.tried.includes(server);
--- a/src/decision/machine/step/retry-allowance.ts
+++ b/src/decision/machine/step/retry-allowance.ts
@@ -1,6 +1,6 @@
 import { mayTryAgain } from '../../retry/retry-budget.js';
 import { triesAfter, windowUs } from '../../retry/tries.js';
-import type { DecisionView } from '../view/decision-view.js';
+import { routersOf, type DecisionView } from '../view/decision-view.js';
 
 /** Whether this node may make one more extra try to a service now. */
 export const hasRetryAllowance = (view: DecisionView, service: string): boolean => {
@@ -9,7 +9,7 @@
   const isJustStarted = view.atUs < view.startedUs + windowUs;
   return mayTryAgain(view.tries.get(service) ?? [], view.atUs, {
     fraction: setup.retry.fraction,
-    constant: isJustStarted ? 0 : setup.retry.fleetExtra / setup.fleet.routers,
+    constant: isJustStarted ? 0 : setup.retry.fleetExtra / routersOf(view),
   });
 };
 
--- a/src/decision/machine/step/step.ts
+++ b/src/decision/machine/step/step.ts
@@ -1,4 +1,5 @@
 import { withoutSpan } from '../../../common/clock/time-bound.js';
+import { countsAfter } from '../../retry/router-counts.js';
 import { positionEnd, positionOf } from '../../ring/position.js';
 import type { DecisionEvent } from '../event/decision-event.js';
 import { platformUsOf, type DecisionView } from '../view/decision-view.js';
@@ -16,6 +17,8 @@
   switch (event.type) {
     case 'node':
       return still({ ...view, phase: positionOf(event.node) / positionEnd });
+    case 'fleet':
+      return still({ ...view, counts: countsAfter(view.counts, event.routers, view.atUs) });
     case 'setup':
       return view.record !== undefined && event.record.revision <= view.record.revision
         ? still(view)
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -6,6 +6,7 @@
 import type { SetupRecord } from '../../../setup/document/setup-record.js';
 import type { Flight, FlightKey } from '../../flight/flight.js';
 import { emptyHotness, type Hotness } from '../../hotness/hotness.js';
+import { mostCounted, type RouterCounts } from '../../retry/router-counts.js';
 import { emptyPace, type Pace } from '../../pace/pace.js';
 import type { Tries } from '../../retry/tries.js';
 import type { Prefix } from '../../ring/prefix.js';
@@ -21,6 +22,8 @@
   /** The platform's time as far as it is certain. */
   readonly platform: TimeBound | undefined;
   readonly record: SetupRecord | undefined;
+  /** How many routers were counted, by when; the last of each window that is still of concern. */
+  readonly counts: RouterCounts;
   readonly list: ServerList | undefined;
   readonly stage: Stage;
   readonly joining: ReadonlyMap<ServerKey, { readonly service: string; readonly entryUs: Micros }>;
@@ -46,6 +49,7 @@
   phase: 0,
   platform: undefined,
   record: undefined,
+  counts: [],
   list: undefined,
   stage: { services: new Map(), nextChangeUs: Number.POSITIVE_INFINITY },
   joining: new Map(),
@@ -64,3 +68,7 @@
 
 /** The platform's time at this view's moment. */
 export const platformUsOf = (view: DecisionView): Micros => (view.platform === undefined ? view.atUs : boundAt(view.platform, view.atUs));
+
+/** How many routers share what the fleet allows: as the setup says, or as many as were counted; without end before any count. */
+export const routersOf = (view: DecisionView): number =>
+  view.record?.setup.fleet?.routers ?? mostCounted(view.counts, view.atUs) ?? Number.POSITIVE_INFINITY;
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -17,6 +17,7 @@
   node: object({ type: typed('node'), at: at(), node: name() }).noUnknown(),
   setup: object({ type: typed('setup'), at: at(), record: recordSchema }).noUnknown(),
   list: object({ type: typed('list'), at: at(), list: listSchema }).noUnknown(),
+  fleet: object({ type: typed('fleet'), at: at(), routers: number().required().integer().min(1) }).noUnknown(),
   gap: object({ type: typed('gap'), at: at(), spanUs: at() }).noUnknown(),
   time: object({ type: typed('time'), at: at(), platformUs: at() }).noUnknown(),
   exchange: object({
--- a/src/decision/trace/trace-reader.ts
+++ b/src/decision/trace/trace-reader.ts
@@ -48,6 +48,7 @@
       case 'abandoned':
         return attempts.has(event.exchange) ? undefined : { field: 'exchange', message: `${event.exchange} has not come yet` };
       case 'node':
+      case 'fleet':
       case 'gap':
       case 'time':
       case 'dark':
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -354,6 +354,7 @@
   };
 
   spread.events.on('setup', (record) => take({ type: 'setup', at: clock.now(), record }));
+  spread.events.on('routers', (routers) => take({ type: 'fleet', at: clock.now(), routers }));
   spread.events.on('time', (platformUs) => take({ type: 'time', at: clock.now(), platformUs }));
   spread.events.on('list', (list) => {
     take({ type: 'list', at: clock.now(), list });
@@ -413,6 +414,7 @@
     },
     drain: () => take({ type: 'drain', at: clock.now() }),
     start: () => {
+      take({ type: 'fleet', at: clock.now(), routers: spread.view().routers });
       take({ type: 'node', at: clock.now(), node });
       endTicks = every(clock, tickUs, () => {
         endSilentTries();
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -29,7 +29,7 @@
 
 const hasSetupForm = hasAll({
   name: isName,
-  fleet: hasAll({ routers: isFigure }),
+  fleet: (value) => value === undefined || hasAll({ routers: isFigure })(value),
   services: isListOf(hasAll({ name: isName, type: (value) => value === 'model' || value === 'web' })),
   tiers: isListOf(hasAll({ name: isName, weight: isFigure, share: isFigure })),
   rules: isListOf(
--- a/src/setup/check/setup-schema.ts
+++ b/src/setup/check/setup-schema.ts
@@ -55,7 +55,7 @@
 
 export const setupSchema = object({
   name: nameOf(),
-  fleet: object({ routers: wholeFrom(1, 1000) }).required().noUnknown(),
+  fleet: object({ routers: wholeFrom(1, 1000) }).noUnknown().optional().default(undefined),
   services: array(serviceSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
   tiers: array(tierSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
   rules: array(ruleSchema.required()).required().min(1).test('unique', '${path} kinds must be unique', namesAreUnique),
--- a/src/setup/document/setup.ts
+++ b/src/setup/document/setup.ts
@@ -9,7 +9,8 @@
 /** A whole setup, as an operator sends it. */
 export type Setup = {
   readonly name: string;
-  readonly fleet: { readonly routers: number };
+  /** How many routers there are, where the operator tells; otherwise they are counted. */
+  readonly fleet?: { readonly routers: number };
   readonly services: readonly Service[];
   readonly tiers: readonly Tier[];
   readonly rules: readonly Rule[];
--- a/tests/setup/examples.test.ts
+++ b/tests/setup/examples.test.ts
@@ -16,7 +16,7 @@
     const deployment = deployments[name];
     const setup = checkSetup(readJson(deployment.setupPath)).unsafeCoerce();
     assert.equal([deployment.routers, deployment.exchangesPerSecond], sizes[name]);
-    assert.equal([deployment.models, deployment.webs, setup.fleet.routers], [13, 3, deployment.routers]);
+    assert.equal([deployment.models, deployment.webs, setup.fleet?.routers], [13, 3, deployment.routers]);
     assert.equal(deployment.kinds.map((kind) => kind.kind).sort(), setup.rules.map((rule) => rule.kind).sort());
     for (const kind of deployment.kinds) assert.is(setup.rules.find((rule) => rule.kind === kind.kind)?.repeatable, !kind.runsOnce);
     const files = readdirSync(`examples/${name}/settings`);
