--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -61,8 +61,11 @@
 const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
-/** What is read sooner than word of it helps is not told of. */
+/** What is read sooner than word of it helps is not told of; in a large fleet only what is read longest. */
 const leastToldTokens = 4_000;
+const leastWidelyToldTokens = 10_000;
+const mostClosely = 24;
+const mostTold = 100;
 
 export type RouterTaskParts = {
   readonly node: string;
@@ -211,9 +214,11 @@
   const tellWork = ({ exchange, server, tokens = 0 }: Extract<Decision, { readonly type: 'deliver' }>): void => {
     const continuation = find(exchange);
     if (continuation === undefined || tokens < leastToldTokens) return;
+    const routers = [...spread.view().partners.values()].filter(({ partner }) => partner.role === 'router');
+    if (routers.length > mostClosely && tokens < leastWidelyToldTokens) return;
     counters.count('work.told');
-    for (const { partner } of spread.view().partners.values())
-      if (partner.role === 'router') spread.send(partner.address, { type: 'work', server, service: continuation.rule.service, tokens });
+    for (const { partner } of routers.slice(0, mostTold))
+      spread.send(partner.address, { type: 'work', server, service: continuation.rule.service, tokens });
   };
 
   const withContinuation = (exchange: string, use: (continuation: Continuation) => void): void => {
