Let a partner that speaks again be spoken to at once

Cause: in src/spread/link/tcp-links.ts a refused dial bars the next one for 200 ms, and frames sent meanwhile are dropped. A core machine goes on dialing a router that restarts, so the receipt of that router's first question falls into such a pause; the router waits 600 ms before it asks again. Change: a frame from a partner ends the pause before the next dial to it. A test with real links, and a mutant. Before/after: the test fails without the change (three of three) and passes with it. Conclusion: this shortens each restart; a dial that hangs at a machine that had no power is not helped by it.

--- a/src/spread/link/tcp-links.ts
+++ b/src/spread/link/tcp-links.ts
@@ -22,7 +22,7 @@
 
 type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[]; patience: Patience };
 
-const readFrames = (socket: Socket, events: EventEmitter<LinkEvents>): void => {
+const readFrames = (socket: Socket, tell: (from: string, frame: Frame) => void, events: EventEmitter<LinkEvents>): void => {
   let pending: Buffer = Buffer.alloc(0);
   let signedUs = Number.NEGATIVE_INFINITY;
   socket.on('data', (chunk: Buffer) => {
@@ -43,7 +43,7 @@
       const frameBytes = pending.subarray(0, frameLength);
       pending = pending.subarray(frameLength);
       try {
-        checked(envelopeSchema, deserialize(frameBytes)).ifRight(({ from, frame }) => events.emit('frame', from, frame)).ifLeft(() => events.emit('badFrame'));
+        checked(envelopeSchema, deserialize(frameBytes)).ifRight(({ from, frame }) => tell(from, frame)).ifLeft(() => events.emit('badFrame'));
       } catch {
         events.emit('badFrame');
         socket.destroy();
@@ -59,12 +59,17 @@
   const outLinks = new Map<string, OutLink>();
   const redialAfter = new Map<string, number>();
   const inSockets = new Set<Socket>();
+  /** Who speaks is there: what it hears in return must not wait for the next dial, as after its restart. */
+  const heard = (from: string, frame: Frame): void => {
+    redialAfter.delete(from);
+    events.emit('frame', from, frame);
+  };
   const server: Server = createServer((socket) => {
     inSockets.add(socket);
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => inSockets.delete(socket));
-    readFrames(socket, events);
+    readFrames(socket, heard, events);
   });
   let isClosed = false;
 
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -355,4 +355,11 @@
     put: '',
     by: test('tests/decision/localities.test.js'),
   },
+  {
+    name: 'a partner that speaks again waits for the next dial',
+    file: 'src/spread/link/tcp-links.ts',
+    find: '    redialAfter.delete(from);\n',
+    put: '',
+    by: test('tests/spread/restarted-partner.test.js'),
+  },
 ];
--- /dev/null
+++ b/tests/spread/restarted-partner.test.ts
@@ -0,0 +1,45 @@
+import { createConnection } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { steadyClock } from '../../src/common/clock/steady-clock.js';
+import { within } from '../../src/common/clock/within.js';
+import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
+import type { Frame } from '../../src/spread/frame/frame.js';
+import type { PartnerLinks } from '../../src/spread/link/partner-links.js';
+import { openTcpLinks } from '../../src/spread/link/tcp-links.js';
+
+const asks: Frame = { type: 'ask', ask: 'a1', question: { type: 'read' } };
+const receipt: Frame = { type: 'receipt', ask: 'a1', receipt: { type: 'not-leader', leader: undefined } };
+const longestUs = 5_000_000;
+
+/** Ends when a dial to an address has been refused. */
+const refused = (port: number): Promise<void> =>
+  new Promise((resolve) => {
+    const socket = createConnection({ host: '127.0.0.1', port });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => resolve());
+  });
+
+const nextFrame = ({ events }: PartnerLinks): Promise<Frame | undefined> =>
+  within(steadyClock, new Promise<Frame>((resolve) => events.once('frame', (_from, frame) => resolve(frame))), longestUs);
+
+test('a partner that has just come back hears the receipt of its first word', async () => {
+  const [corePort = 0, routerPort = 0] = await freePorts(2);
+  const core = openTcpLinks(`127.0.0.1:${corePort}`);
+  const router = openTcpLinks(`127.0.0.1:${routerPort}`);
+  try {
+    await core.listen();
+    core.events.on('frame', (from) => core.send(from, receipt));
+    core.send(`127.0.0.1:${routerPort}`, receipt);
+    await refused(routerPort);
+    await router.listen();
+    const heard = nextFrame(router);
+    router.send(`127.0.0.1:${corePort}`, asks);
+    assert.equal((await heard)?.type, 'receipt');
+  } finally {
+    core.close();
+    router.close();
+  }
+});
+
+test.run();
