Measure what nodes spend among hollow nodes

Cause: the planned size could only be worked out on paper. Ruled out: a real process for each node (memory). Change: 'ledgehill scale' starts real core machines and routers among hollow nodes, some tens a process, over the real links; writes figures by size as JSON; a typed error when it would need more than half of the memory. Links that were idle for 10 s are closed. Real processes count their processor time and memory.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { addExplainCommand } from './explain-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { addRehearseCommand } from './rehearse-command.js';
+import { addScaleCommand } from './scale-command.js';
 import { addRunCommands } from './run-commands.js';
 
 const program = new Command('ledgehill').description('a router fleet that books new model servers onto a shared time line').version('0.1.0');
@@ -13,5 +14,6 @@
 addExplainCommand(program);
 addDecideCommand(program);
 addRehearseCommand(program);
+addScaleCommand(program);
 
 await program.parseAsync();
--- a/src/process/http/platform-paths.ts
+++ b/src/process/http/platform-paths.ts
@@ -14,6 +14,10 @@
 
 /** What the platform uses: probes, and the list of servers. */
 export const addPlatformPaths = ({ app }: HttpServer, spread: SpreadTask, counters: Counters, unready: Unready): void => {
+  counters.gauge('process.cpuUs', () => process.cpuUsage().user + process.cpuUsage().system);
+  counters.gauge('process.memoryBytes', () => process.memoryUsage.rss());
+  counters.gauge('partners', () => spread.view().partners.size);
+  counters.gauge('setup.revision', () => spread.view().record?.revision ?? 0);
   app.get('/live', (_message, response) => reply(response, 200, { live: true }));
   app.get('/ready', (_message, response) => {
     const cause = unready();
--- a/src/spread/link/tcp-links.ts
+++ b/src/spread/link/tcp-links.ts
@@ -14,13 +14,15 @@
 const mostFrameBytes = 64 << 20;
 const mostWaitingBytes = 64 << 20;
 const redialUs: Micros = 200_000;
+/** A link that nothing was sent over for so long is closed; nodes of a large fleet speak to others by turns. */
+const idleUs: Micros = 10_000_000;
 const dialBudgetUs: Micros = 700_000;
 /** What a receiver writes back now and then, so that its sender knows of a link that leads nowhere. */
 const sign = Uint8Array.of(1);
 
 const envelopeSchema = object({ from: string().required(), frame: mixed(isFrame).required() }).required();
 
-type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[]; patience: Patience };
+type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[]; patience: Patience; usedUs: Micros; isRetired: boolean };
 
 const readFrames = (socket: Socket, events: EventEmitter<LinkEvents>): void => {
   let pending: Buffer = Buffer.alloc(0);
@@ -85,9 +87,10 @@
     socket.on('close', () => {
       clearTimeout(dialTimer);
       if (outLinks.get(target)?.socket === socket) outLinks.delete(target);
-      redialAfter.set(target, steadyNow() + redialUs);
+      if (outLink.isRetired) redialAfter.delete(target);
+      else redialAfter.set(target, steadyNow() + redialUs);
     });
-    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting, patience: freshPatience };
+    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting, patience: freshPatience, usedUs: steadyNow(), isRetired: false };
     socket.on('data', () => {
       outLink.patience = freshPatience;
     });
@@ -95,10 +98,22 @@
     return outLink;
   };
 
+  const retireIdle = (nowUs: Micros): void => {
+    for (const [target, outLink] of outLinks) {
+      if (!outLink.isOpen() || nowUs < outLink.usedUs + idleUs) continue;
+      outLink.isRetired = true;
+      outLinks.delete(target);
+      outLink.socket.end();
+    }
+  };
+
   const send = (target: string, frame: Frame): void => {
     if (isClosed) return;
-    const outLink = outLinks.get(target) ?? dial(target);
+    const known = outLinks.get(target);
+    if (known === undefined) retireIdle(steadyNow());
+    const outLink = known ?? dial(target);
     if (outLink === undefined) return;
+    outLink.usedUs = steadyNow();
     const bytes = serialize({ from: address, frame });
     if (!outLink.isOpen()) {
       if (outLink.waiting.length < 256) outLink.waiting.push(bytes);
