--- /dev/null
+++ b/src/spread/frame/digest-guard.ts
@@ -0,0 +1,46 @@
+import type { Frame } from './frame.js';
+
+type Fields = ReadonlyMap<string, unknown>;
+type Check = (value: unknown) => boolean;
+
+const isWhole: Check = (value) => typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+const isName: Check = (value) => typeof value === 'string' && value !== '';
+const isFlag: Check = (value) => typeof value === 'boolean';
+const isOneOf = (...names: readonly unknown[]): Check => (value) => names.includes(value);
+const orNone = (check: Check): Check => (value) => value === undefined || check(value);
+const isListOf = (check: Check): Check => (value) => Array.isArray(value) && value.every(check);
+
+const fieldsOf = (value: unknown): Fields | undefined =>
+  typeof value === 'object' && value !== null && !Array.isArray(value) ? new Map<string, unknown>(Object.entries(value)) : undefined;
+
+const hasAll = (checks: Readonly<Record<string, Check>>): Check => {
+  const entries = Object.entries(checks);
+  return (value) => {
+    const fields = fieldsOf(value);
+    return fields !== undefined && entries.every(([name, check]) => check(fields.get(name)));
+  };
+};
+
+const isPartner = hasAll({ node: isName, role: isOneOf('router', 'control'), address: isName, http: isName, locality: isName });
+const isNews = hasAll({ partner: isPartner, incarnation: isWhole, state: isOneOf('alive', 'suspect', 'dead') });
+
+const hasDigestForm = hasAll({
+  type: isOneOf('digest'),
+  partner: orNone(isPartner),
+  incarnation: isWhole,
+  revision: isWhole,
+  version: isWhole,
+  listDigest: orNone((value) => typeof value === 'string'),
+  read: orNone(hasAll({ atUs: isWhole, by: isName })),
+  platformUs: orNone((value) => Number.isInteger(value)),
+  partners: isListOf(isNews),
+  crowd: isWhole,
+  whole: orNone(isFlag),
+  asks: orNone(isOneOf('digest', 'whole')),
+  crowds: orNone(isListOf(isWhole)),
+  unknown: orNone(isFlag),
+  inquiry: orNone((value) => Number.isInteger(value)),
+});
+
+/** The form of a digest, looked at by hand: it is the most frequent frame by far, and may hold a whole membership. */
+export const isDigest = (value: unknown): value is Extract<Frame, { readonly type: 'digest' }> => hasDigestForm(value);
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -1,4 +1,4 @@
-import { array, boolean, mixed, number, object, string } from 'yup';
+import { mixed, number, object, string } from 'yup';
 import { typed, unionGuard } from '../../common/union.js';
 import type { Receipt } from '../../control/machine/receipt.js';
 import { isCommand } from '../../control/wire/command-guard.js';
@@ -6,24 +6,11 @@
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
 import { isAnyList } from '../../servers/list/check-asked-list.js';
 import { isSetupRecord } from '../../setup/check/setup-guard.js';
+import { isDigest } from './digest-guard.js';
 import type { Frame, Question } from './frame.js';
 
 const whole = () => number().required().integer().min(0);
 
-const partnerFields = object({
-  node: string().required(),
-  role: string().required().oneOf(['router', 'control'] as const),
-  address: string().required(),
-  http: string().required(),
-  locality: string().required(),
-});
-
-const newsSchema = object({
-  partner: partnerFields.required(),
-  incarnation: whole(),
-  state: string().required().oneOf(['alive', 'suspect', 'dead'] as const),
-}).required();
-
 const isQuestion = unionGuard<Question>({
   propose: object({ type: typed('propose'), command: mixed(isCommand).required() }),
   read: object({ type: typed('read'), proposal: string().optional() }),
@@ -37,23 +24,7 @@
 });
 
 export const isFrame = unionGuard<Frame>({
-  digest: object({
-    type: typed('digest'),
-    partner: partnerFields.optional().default(undefined),
-    incarnation: whole(),
-    revision: whole(),
-    version: whole(),
-    listDigest: string(),
-    read: object({ atUs: whole(), by: string().required() }).optional().default(undefined),
-    platformUs: number().integer(),
-    partners: array(newsSchema).required(),
-    crowd: whole(),
-    whole: boolean(),
-    asks: string().oneOf(['digest', 'whole'] as const),
-    crowds: array(whole()).optional(),
-    unknown: boolean(),
-    inquiry: number().integer(),
-  }),
+  digest: mixed(isDigest).required(),
   inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole(), listDigest: string() }),
   setup: object({ type: typed('setup'), record: mixed(isSetupRecord).required() }),
   list: object({ type: typed('list'), list: mixed(isAnyList).required() }),
