--- a/src/cli/scale-command.ts
+++ b/src/cli/scale-command.ts
@@ -24,6 +24,7 @@
     if (sizes.some((size) => size < 25 || size > 1000)) misused('--sizes must be from 25 to 1000');
     if (!wholeForm.test(flags.servers)) misused('--servers must be a whole number');
     if (!wholeForm.test(flags.quiet) || Number(flags.quiet) < 1) misused('--quiet must be a whole number of seconds');
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(130));
     const { measureSize } = await import('../scale/scale.js');
     const figures: SizeFigures[] = [];
     for (const nodes of sizes) {
