Let openings that share a large first part stand at a third of the servers, none where they are few

Cause: three places for each first part put all exchanges of a fleet on three servers where one first part is shared by all; in the adapter's whole-path test, with three servers, one of them got nothing. Change: places are a third of the service's servers in whole powers of two; with fewer than six servers there are none.

--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -78,8 +78,8 @@
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
 
-const workFieldsOf = (service: string, { opening, readTokens, writeTokens }: OpaqueExchange) => {
-  const anchor = anchorOf(service, opening);
+const workFieldsOf = (service: string, servers: number, { opening, readTokens, writeTokens }: OpaqueExchange) => {
+  const anchor = anchorOf(service, opening, servers);
   return { work: workOf(service, opening, readTokens, writeTokens), ...(anchor === undefined ? {} : { anchor }) };
 };
 
@@ -430,7 +430,7 @@
         prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
         ...(rule.split === undefined ? {} : { service: rule.service }),
-        ...(opaque === undefined || !isModel ? {} : workFieldsOf(rule.service, opaque)),
+        ...(opaque === undefined || !isModel ? {} : workFieldsOf(rule.service, journal.view().stage.services.get(rule.service)?.localities.size ?? 0, opaque)),
       });
     },
     noteRefusal: (exchange, rule, { type }) => {
