End the whole-path test's traffic whatever happens, and give it forty openings

Cause: a failed wait left the traffic running, so that the process never ended: a red test hung. With five openings and a higher floor before a count spills, the joined server owned none of them on the ring and got nothing. Ruled out: a longer wait (nothing would have come). Change: the traffic ends in the finally block; forty openings instead of five. Before: not within 6 s, then no end.

--- a/tests/platform/whole-path.test.ts
+++ b/tests/platform/whole-path.test.ts
@@ -62,6 +62,7 @@
   });
   const operator = openOperator(fleet.controls.map(({ ctl }) => ctl));
   const ends: Promise<ClientEnd>[] = [];
+  let endTraffic = (): void => undefined;
   let asked = 0;
 
   const wantedOf = (route: keyof typeof places, kind: Wanted['kind']): Wanted => {
@@ -81,7 +82,7 @@
         ? {
             readTokens: 1_200,
             writeTokens: 7 * (3 + (asked % 30)),
-            opening: `aa:400,${(asked % 5).toString(16)}b:500,${asked.toString(16)}c:300`,
+            opening: `aa:400,${(asked % 40).toString(16)}b:500,${asked.toString(16)}c:300`,
           }
         : {}),
     };
@@ -95,7 +96,7 @@
     assert.is(first.status, 200, first.text);
     await until('all routers are ready', () => readiness.ready().length === 3, 8_000_000);
 
-    const endTraffic = every(steadyClock, 50_000, () => {
+    endTraffic = every(steadyClock, 50_000, () => {
       ends.push(
         clients.ask(wantedOf('resumed', 'resumed')),
         clients.ask(wantedOf('stream', 'stream')),
@@ -171,6 +172,7 @@
     console.error(fleet.logs());
     throw thrown;
   } finally {
+    endTraffic();
     readiness.close();
     await clients.close();
     await fleet.close();
