--- a/src/servers/source/source-machine.ts
+++ b/src/servers/source/source-machine.ts
@@ -28,9 +28,16 @@
 
 /** Core machines take over first, then routers, each at a moment of its own. */
 export const rankUsOf = (role: PartnerRole, node: string): Micros =>
-  role === 'control' ? Math.floor(partOf(node) * controlRankUs) : controlRankUs + Math.floor(partOf(node) * routerRankUs);
+  role === 'control'
+    ? Math.floor(partOf(node) * controlRankUs)
+    : controlRankUs + Math.floor(partOf(node) * routerRankUs);
 
-export const startSourceView = (role: PartnerRole, node: string, atUs: Micros, spanUs: Micros = askedSpanUs): SourceView => ({
+export const startSourceView = (
+  role: PartnerRole,
+  node: string,
+  atUs: Micros,
+  spanUs: Micros = askedSpanUs,
+): SourceView => ({
   key: readerKeyOf({ role, node }),
   rankUs: rankUsOf(role, node),
   spanUs: Math.max(askedSpanUs, spanUs),
@@ -54,7 +61,9 @@
 };
 
 const backoffUs = ({ errors, rankUs }: SourceView, error: string): Micros =>
-  error === 'over-rate' ? Math.min(mostBackoffUs, leastBackoffUs * 2 ** Math.min(errors, 8)) + rankUs : askedSpanUs + rankUs;
+  error === 'over-rate'
+    ? Math.min(mostBackoffUs, leastBackoffUs * 2 ** Math.min(errors, 8)) + rankUs
+    : askedSpanUs + rankUs;
 
 /** Who has not run for a while knows nothing fresh, and leaves the asking to others at first. */
 const woken = (view: SourceView): SourceView => ({ ...view, sinceUs: view.atUs, freshUs: undefined, isAsker: false });
--- a/src/servers/watch/passive-watch.ts
+++ b/src/servers/watch/passive-watch.ts
@@ -32,7 +32,10 @@
     if (!watched.has(key)) return;
     const isNew = !dark.has(key);
     dark.get(key)?.();
-    dark.set(key, clock.after(afterUs, () => void redial(key, Math.min(mostRedialUs, afterUs * 2))));
+    dark.set(
+      key,
+      clock.after(afterUs, () => void redial(key, Math.min(mostRedialUs, afterUs * 2))),
+    );
     if (isNew) tell(key, false);
   };
 
--- a/src/setup/check/check-setup.ts
+++ b/src/setup/check/check-setup.ts
@@ -8,9 +8,13 @@
   const knownServices = new Set(setup.services.map((service) => service.name));
   const knownTiers = new Set(setup.tiers.map((tier) => tier.name));
   const ruleFaults = setup.rules.flatMap((rule, index) => [
-    ...(knownServices.has(rule.service) ? [] : [{ path: `rules[${index}].service`, message: `no service is named ${rule.service}` }]),
+    ...(knownServices.has(rule.service)
+      ? []
+      : [{ path: `rules[${index}].service`, message: `no service is named ${rule.service}` }]),
     ...(rule.split ?? []).flatMap((share, place) =>
-      knownServices.has(share.service) ? [] : [{ path: `rules[${index}].split[${place}].service`, message: `no service is named ${share.service}` }],
+      knownServices.has(share.service)
+        ? []
+        : [{ path: `rules[${index}].split[${place}].service`, message: `no service is named ${share.service}` }],
     ),
     ...(rule.split !== undefined && rule.split.every((share) => share.weight === 0)
       ? [{ path: `rules[${index}].split`, message: 'the weights add up to 0' }]
@@ -26,14 +30,17 @@
       ? [{ path: `tiers[${index}].share`, message: 'a tier may not have a larger share than the tier above it' }]
       : [];
   });
-  const placeOf = (rule: Setup['rules'][number]): string | undefined => rule.match && `${rule.match.host}${rule.match.path}`;
+  const placeOf = (rule: Setup['rules'][number]): string | undefined =>
+    rule.match && `${rule.match.host}${rule.match.path}`;
   const firstPlaces = new Map<string, number>();
   const matchFaults = setup.rules.flatMap((rule, index) => {
     const place = placeOf(rule);
     if (place === undefined) return [];
     const first = firstPlaces.get(place);
     if (first === undefined) firstPlaces.set(place, index);
-    return first === undefined ? [] : [{ path: `rules[${index}].match`, message: `rules[${first}] is for the same host and path` }];
+    return first === undefined
+      ? []
+      : [{ path: `rules[${index}].match`, message: `rules[${first}] is for the same host and path` }];
   });
   return [...ruleFaults, ...shareFaults, ...matchFaults];
 };
--- a/src/setup/check/record-schema.ts
+++ b/src/setup/check/record-schema.ts
@@ -5,6 +5,8 @@
   revision: number().required().integer().min(1),
   takenAtUs: number().required().integer(),
   setup: setupSchema,
-  original: object({ version: number().required().integer().min(0), text: string().required() }).optional().default(undefined),
+  original: object({ version: number().required().integer().min(0), text: string().required() })
+    .optional()
+    .default(undefined),
   epochs: array(object({ sinceUs: number().required().integer(), warmup: warmupSchema }).required()).required(),
 }).required();
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -5,7 +5,9 @@
 type Fields = ReadonlyMap<string, unknown>;
 
 const fieldsOf = (value: unknown): Fields | undefined =>
-  typeof value === 'object' && value !== null && !Array.isArray(value) ? new Map<string, unknown>(Object.entries(value)) : undefined;
+  typeof value === 'object' && value !== null && !Array.isArray(value)
+    ? new Map<string, unknown>(Object.entries(value))
+    : undefined;
 
 const isFigure = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value);
 const isName = (value: unknown): boolean => typeof value === 'string';
@@ -25,7 +27,14 @@
   (value) =>
     Array.isArray(value) && value.every(check);
 
-const hasWarmupForm = hasAll({ vnodes: isFigure, prefixesPerRange: isFigure, paceUs: isFigure, boundUs: isFigure, settleUs: isFigure, staleUs: isFigure });
+const hasWarmupForm = hasAll({
+  vnodes: isFigure,
+  prefixesPerRange: isFigure,
+  paceUs: isFigure,
+  boundUs: isFigure,
+  settleUs: isFigure,
+  staleUs: isFigure,
+});
 
 const hasSetupForm = hasAll({
   name: isName,
--- a/src/setup/check/setup-schema.ts
+++ b/src/setup/check/setup-schema.ts
@@ -23,9 +23,14 @@
 
 const serviceSchema = object({
   name: nameOf(),
-  type: string().required().oneOf(['model', 'web'] as const),
+  type: string()
+    .required()
+    .oneOf(['model', 'web'] as const),
   mostLinks: number().integer().min(1),
-  engine: object({ slots: wholeFrom(1, 100_000), memoryTokens: wholeFrom(1, 1_000_000_000) }).noUnknown().optional().default(undefined),
+  engine: object({ slots: wholeFrom(1, 100_000), memoryTokens: wholeFrom(1, 1_000_000_000) })
+    .noUnknown()
+    .optional()
+    .default(undefined),
 }).noUnknown();
 
 const tierSchema = object({
@@ -37,8 +42,17 @@
 const ruleSchema = object({
   kind: nameOf(),
   service: nameOf(),
-  split: array(object({ service: nameOf(), weight: number().required().min(0).max(1_000_000) }).noUnknown().required()).optional().min(1),
-  match: object({ host: string().required().max(255), path: string().required().max(4096).matches(/^\//, '${path} must begin with a slash') })
+  split: array(
+    object({ service: nameOf(), weight: number().required().min(0).max(1_000_000) })
+      .noUnknown()
+      .required(),
+  )
+    .optional()
+    .min(1),
+  match: object({
+    host: string().required().max(255),
+    path: string().required().max(4096).matches(/^\//, '${path} must begin with a slash'),
+  })
     .noUnknown()
     .optional()
     .default(undefined),
@@ -47,7 +61,10 @@
   resumable: boolean().required(),
   streams: boolean().optional(),
   mostTries: number().integer().min(1).max(100),
-  targetUs: number().integer().min(0).max(60 * minute),
+  targetUs: number()
+    .integer()
+    .min(0)
+    .max(60 * minute),
   budgetUs: micros(1_000, 60 * minute),
   firstPieceUs: micros(1_000, 60 * minute),
   silenceUs: micros(1_000, 60 * minute),
@@ -55,12 +72,20 @@
 
 export const setupSchema = object({
   name: nameOf(),
-  fleet: object({ routers: wholeFrom(1, 1000) }).noUnknown().optional().default(undefined),
-  services: array(serviceSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
+  fleet: object({ routers: wholeFrom(1, 1000) })
+    .noUnknown()
+    .optional()
+    .default(undefined),
+  services: array(serviceSchema.required())
+    .required()
+    .min(1)
+    .test('unique', '${path} names must be unique', namesAreUnique),
   tiers: array(tierSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
   rules: array(ruleSchema.required()).required().min(1).test('unique', '${path} kinds must be unique', namesAreUnique),
   warmup: warmupSchema,
-  flight: object({ boundUs: micros(0, minute) }).required().noUnknown(),
+  flight: object({ boundUs: micros(0, minute) })
+    .required()
+    .noUnknown(),
   pressure: object({
     factor: number().required().min(1).max(100),
     floor: wholeFrom(1, 10_000),
@@ -68,7 +93,12 @@
   })
     .required()
     .noUnknown(),
-  retry: object({ fraction: number().required().min(0).max(mostRetryFraction), fleetExtra: wholeFrom(0, mostFleetExtra) }).required().noUnknown(),
+  retry: object({
+    fraction: number().required().min(0).max(mostRetryFraction),
+    fleetExtra: wholeFrom(0, mostFleetExtra),
+  })
+    .required()
+    .noUnknown(),
   callers: object({
     headBytes: wholeFrom(1, 1 << 24),
     bodyBytes: wholeFrom(0, 1 << 30),
@@ -78,7 +108,9 @@
     .noUnknown()
     .optional()
     .default(undefined),
-  leaving: object({ graceUs: micros(0, mostGraceUs) }).required().noUnknown(),
+  leaving: object({ graceUs: micros(0, mostGraceUs) })
+    .required()
+    .noUnknown(),
 })
   .required()
   .noUnknown();
--- a/src/setup/match/rule-index.ts
+++ b/src/setup/match/rule-index.ts
@@ -17,7 +17,8 @@
     const host = rule.match.host.toLowerCase();
     byHost.set(host, [...(byHost.get(host) ?? []), rule]);
   }
-  for (const hostRules of byHost.values()) hostRules.sort((left, right) => (right.match?.path.length ?? 0) - (left.match?.path.length ?? 0));
+  for (const hostRules of byHost.values())
+    hostRules.sort((left, right) => (right.match?.path.length ?? 0) - (left.match?.path.length ?? 0));
   return { byKind: new Map(rules.map((rule) => [rule.kind, rule])), byHost };
 };
 
--- a/src/setup/objects/convert-objects.ts
+++ b/src/setup/objects/convert-objects.ts
@@ -16,7 +16,14 @@
     const placed: Placed[] = [];
     for (const { place, value } of documents)
       checked(objectSchema, value)
-        .ifLeft((found) => faults.push(...found.map(({ path, message }) => ({ path: `document ${place}${path === '' ? '' : `: ${path}`}`, message }))))
+        .ifLeft((found) =>
+          faults.push(
+            ...found.map(({ path, message }) => ({
+              path: `document ${place}${path === '' ? '' : `: ${path}`}`,
+              message,
+            })),
+          ),
+        )
         .ifRight((made) => placed.push({ place, made }));
     return faults.length === 0 ? Right(placed) : Left(faults);
   });
@@ -24,11 +31,16 @@
 const fieldForm = /^(services|tiers|rules)\[(\d+)\]\.?(.*)$/;
 
 /** Says of a fault of the whole setup in which document and at which path it stands. */
-const placedFault = ({ path, message }: Fault, fleet: Placed, lists: Readonly<Record<string, readonly Placed[]>>): Fault => {
+const placedFault = (
+  { path, message }: Fault,
+  fleet: Placed,
+  lists: Readonly<Record<string, readonly Placed[]>>,
+): Fault => {
   const [, list = '', index = '', field = ''] = fieldForm.exec(path) ?? [];
   const own = lists[list]?.[Number(index)] ?? fleet;
   const ownPath = lists[list] === undefined ? path : field;
-  const named = ownPath === 'name' || ownPath === 'kind' ? 'metadata.name' : ownPath === '' ? 'spec' : `spec.${ownPath}`;
+  const named =
+    ownPath === 'name' || ownPath === 'kind' ? 'metadata.name' : ownPath === '' ? 'spec' : `spec.${ownPath}`;
   return { path: `${nameOf(own)}: ${named}`, message };
 };
 
@@ -38,12 +50,22 @@
     const of = (kind: SetupObject['kind']): readonly Placed[] => objects.filter(({ made }) => made.kind === kind);
     const [fleet, ...otherFleets] = of('Fleet');
     if (fleet === undefined) return Left([{ path: 'documents', message: 'one object must be of kind Fleet' }]);
-    if (otherFleets.length > 0) return Left(otherFleets.map((other) => ({ path: nameOf(other), message: `there is a Fleet already: ${nameOf(fleet)}` })));
+    if (otherFleets.length > 0)
+      return Left(
+        otherFleets.map((other) => ({ path: nameOf(other), message: `there is a Fleet already: ${nameOf(fleet)}` })),
+      );
     const lists = { services: of('Service'), tiers: of('Tier'), rules: of('Rule') };
     const reserved = objects.flatMap((placed) =>
-      ['name', ...(placed.made.kind === 'Rule' ? ['kind'] : []), ...(placed.made.kind === 'Fleet' ? Object.keys(lists) : [])]
+      [
+        'name',
+        ...(placed.made.kind === 'Rule' ? ['kind'] : []),
+        ...(placed.made.kind === 'Fleet' ? Object.keys(lists) : []),
+      ]
         .filter((field) => Object.hasOwn(placed.made.spec, field))
-        .map((field) => ({ path: `${nameOf(placed)}: spec.${field}`, message: 'this is told by metadata.name, or by objects of its own' })),
+        .map((field) => ({
+          path: `${nameOf(placed)}: spec.${field}`,
+          message: 'this is told by metadata.name, or by objects of its own',
+        })),
     );
     if (reserved.length > 0) return Left(reserved);
     return checkSetup({
--- a/src/setup/objects/object-schemas.ts
+++ b/src/setup/objects/object-schemas.ts
@@ -6,14 +6,17 @@
 
 const metadataSchema = object({ name: string().required() }).required().noUnknown();
 
-const specSchema = mixed((value): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value)).required(
-  '${path} must be an object',
-);
+const specSchema = mixed(
+  (value): value is Readonly<Record<string, unknown>> =>
+    typeof value === 'object' && value !== null && !Array.isArray(value),
+).required('${path} must be an object');
 
 /** The frame of every object; what a spec may hold is told by the setup's own schema. */
 export const objectSchema = object({
   apiVersion: string().required().oneOf([apiVersion], `\${path} must be ${apiVersion}`),
-  kind: string().required().oneOf(objectKinds, `\${path} must be one of ${objectKinds.join(', ')}`),
+  kind: string()
+    .required()
+    .oneOf(objectKinds, `\${path} must be one of ${objectKinds.join(', ')}`),
   metadata: metadataSchema,
   spec: specSchema,
 })
--- a/src/setup/objects/read-objects.ts
+++ b/src/setup/objects/read-objects.ts
@@ -10,7 +10,10 @@
   const parsed = parseAllDocuments(text);
   const documents = Array.isArray(parsed) ? parsed : [];
   const faults = documents.flatMap((document, index) =>
-    document.errors.map((error) => ({ path: `document ${index + 1}`, message: error.message.split('\n')[0] ?? 'not YAML' })),
+    document.errors.map((error) => ({
+      path: `document ${index + 1}`,
+      message: error.message.split('\n')[0] ?? 'not YAML',
+    })),
   );
   if (faults.length > 0) return Left(faults);
   return Right(
--- a/src/sim/core/claims-scenario.ts
+++ b/src/sim/core/claims-scenario.ts
@@ -23,16 +23,25 @@
     if (world.now() >= endUs) return;
     add('claims');
     const key = `label-copy-rewrite/${seed}-${counts['claims']}-${Math.floor(world.chance() * 1e12)}`;
-    void client.ask({ type: 'propose', command: { type: 'claim', key, exchange: `router-1-${key.length}.c${counts['claims']}`, atUs: world.now() } }, 5 * second).then((asked) =>
-      asked
-        .ifLeft(() => add('unheard'))
-        .ifRight((word) => {
-          if (word.type !== 'applied' || word.outcome.type === 'claims-full') {
-            add('full');
-            if (counts['full'] === 1) rules.breakRule('almost-no-refusals: a key was refused since the table is full');
-          } else add('won');
-        }),
-    );
+    void client
+      .ask(
+        {
+          type: 'propose',
+          command: { type: 'claim', key, exchange: `router-1-${key.length}.c${counts['claims']}`, atUs: world.now() },
+        },
+        5 * second,
+      )
+      .then((asked) =>
+        asked
+          .ifLeft(() => add('unheard'))
+          .ifRight((word) => {
+            if (word.type !== 'applied' || word.outcome.type === 'claims-full') {
+              add('full');
+              if (counts['full'] === 1)
+                rules.breakRule('almost-no-refusals: a key was refused since the table is full');
+            } else add('won');
+          }),
+      );
     world.after(-Math.log(1 - world.chance()) * (second / (usualPerSecond * crowdFactor)), claim);
   };
   const restartOne = (): void => {
@@ -51,13 +60,15 @@
     counts['claimsHeld'] = leader.view().state.claimCount;
     counts['imageBytes'] = encodeKept(imageRecordsOf(leader.view())).length;
   }
-  if ((counts['unheard'] ?? 0) > (counts['claims'] ?? 0) / 1000) rules.breakRule(`almost-no-refusals: ${counts['unheard']} claims were not decided in time`);
+  if ((counts['unheard'] ?? 0) > (counts['claims'] ?? 0) / 1000)
+    rules.breakRule(`almost-no-refusals: ${counts['unheard']} claims were not decided in time`);
   return { broken: rules.broken(), counts, faults };
 };
 
 /** The table of claims at its fullest: crowds of three times the rate, all of it keyed, for longer than claims are kept. */
 export const claimsScenario: SimScenario = {
   name: 'claims',
-  about: 'seventeen minutes of keyed exchanges at three times the full rate, while core machines are killed: no table is ever full',
+  about:
+    'seventeen minutes of keyed exchanges at three times the full rate, while core machines are killed: no table is ever full',
   play,
 };
--- a/src/sim/core/core-faults.ts
+++ b/src/sim/core/core-faults.ts
@@ -27,7 +27,12 @@
     view.image.members.length + view.entries.length > 0 &&
     fleet.machines.every((machine) => {
       const own = machine.view();
-      return machine.isUp() && own.term === view.term && own.commit >= view.commit && (own.role === 'leader' || own.role === 'follower');
+      return (
+        machine.isUp() &&
+        own.term === view.term &&
+        own.commit >= view.commit &&
+        (own.role === 'leader' || own.role === 'follower')
+      );
     })
   );
 };
@@ -132,12 +137,17 @@
   {
     name: 'power lost at all at once, just after a yes',
     bring: (fleet) => {
-      void fleet.client.ask({ type: 'propose', command: { type: 'claim', key: `yes-${fleet.world.now()}`, exchange: 'x', atUs: 0 } }, 2 * second).then(() => {
-        for (const machine of fleet.machines) {
-          machine.kill();
-          upAgain(fleet, machine);
-        }
-      });
+      void fleet.client
+        .ask(
+          { type: 'propose', command: { type: 'claim', key: `yes-${fleet.world.now()}`, exchange: 'x', atUs: 0 } },
+          2 * second,
+        )
+        .then(() => {
+          for (const machine of fleet.machines) {
+            machine.kill();
+            upAgain(fleet, machine);
+          }
+        });
     },
   },
   {
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -35,7 +35,13 @@
 
 export const openCoreFleet = (seed: number, ringFileBytes?: number, shape: CoreShape = {}): AskedCore => {
   const world = openWorld(seed);
-  const commons: SimCommons = { world, network: openNetwork(world), ports: new Map(), serverAt: () => undefined, note: () => undefined };
+  const commons: SimCommons = {
+    world,
+    network: openNetwork(world),
+    ports: new Map(),
+    serverAt: () => undefined,
+    note: () => undefined,
+  };
   const fleet = openCoreIn(commons, ringFileBytes, shape);
   const surroundings = simSurroundingsOf(commons, 'client', 'client:1', openSimNode(world).begin());
   const spread = openSpreadTask(
@@ -50,11 +56,15 @@
 };
 
 /** A core in a world that holds more than the core. */
-export const openCoreIn = (commons: SimCommons, ringFileBytes?: number, { machines: size = seedCount, voters, refounds, laterSeeds }: CoreShape = {}): CoreFleet => {
+export const openCoreIn = (
+  commons: SimCommons,
+  ringFileBytes?: number,
+  { machines: size = seedCount, voters, refounds, laterSeeds }: CoreShape = {},
+): CoreFleet => {
   const { world } = commons;
   const rules = openCoreRules(world);
   const bornAddresses = ['core-a:1', 'core-b:1', 'core-c:1', 'core-d:1', 'core-e:1'].slice(0, size);
-  const seeds = (): readonly string[] => 
+  const seeds = (): readonly string[] =>
     (machines.length === 0 ? bornAddresses : machines.map((machine) => machine.address())).slice(0, seedCount);
   const machines: SimControl[] = [];
   for (const [place, bornAddress] of bornAddresses.entries())
--- a/src/sim/core/core-rules.ts
+++ b/src/sim/core/core-rules.ts
@@ -28,8 +28,10 @@
     nameAt: (revision) => nameOfRevision.get(revision),
     logOf: (identity) => ({
       change: (what, facts) => {
-        if (what === 'role' && facts['role'] === 'leader') oneEach(leaderOfTerm, Number(facts['term']), identity(), 'term');
-        if (what === 'setup in force') oneEach(nameOfRevision, Number(facts['revision']), String(facts['name']), 'revision');
+        if (what === 'role' && facts['role'] === 'leader')
+          oneEach(leaderOfTerm, Number(facts['term']), identity(), 'term');
+        if (what === 'setup in force')
+          oneEach(nameOfRevision, Number(facts['revision']), String(facts['name']), 'revision');
       },
     }),
   };
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -34,7 +34,8 @@
       const { outcome } = word;
       if (outcome.type === 'taken') {
         counts.taken += 1;
-        if (outcome.revision !== expected + 1) rules.breakRule(`${name} was taken as ${outcome.revision} though it was for ${expected}`);
+        if (outcome.revision !== expected + 1)
+          rules.breakRule(`${name} was taken as ${outcome.revision} though it was for ${expected}`);
         const known = takenNames.get(outcome.revision);
         if (known !== undefined) rules.breakRule(`revision ${outcome.revision} was told to ${known} and ${name}`);
         takenNames.set(outcome.revision, name);
@@ -61,19 +62,22 @@
   const claim = (): void => {
     const key = `key-${wholeBelow(world.chance, 60)}`;
     const exchange = `x-${world.now()}-${wholeBelow(world.chance, 1_000_000)}`;
-    void fleet.client.ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: world.now() } }, 2 * second).then((asked) =>
-      asked.ifRight((word) => {
-        if (word.type !== 'applied' || word.outcome.type !== 'claimed') return;
-        if (!word.outcome.won) {
-          counts.claimsRepeated += 1;
-          return;
-        }
-        counts.claimsWon += 1;
-        const holder = claimHolders.get(key);
-        if (holder !== undefined && holder !== exchange) rules.breakRule(`${key} was won by ${holder} and ${exchange}`);
-        claimHolders.set(key, exchange);
-      }),
-    );
+    void fleet.client
+      .ask({ type: 'propose', command: { type: 'claim', key, exchange, atUs: world.now() } }, 2 * second)
+      .then((asked) =>
+        asked.ifRight((word) => {
+          if (word.type !== 'applied' || word.outcome.type !== 'claimed') return;
+          if (!word.outcome.won) {
+            counts.claimsRepeated += 1;
+            return;
+          }
+          counts.claimsWon += 1;
+          const holder = claimHolders.get(key);
+          if (holder !== undefined && holder !== exchange)
+            rules.breakRule(`${key} was won by ${holder} and ${exchange}`);
+          claimHolders.set(key, exchange);
+        }),
+      );
   };
 
   const operate = (): void => {
@@ -119,10 +123,12 @@
   const revisions = fleet.machines.map((machine) => machine.view().state.record?.revision ?? 0);
   if (new Set(revisions).size > 1) rules.breakRule(`the machines ended at revisions ${revisions.join(', ')}`);
   for (const [revision, name] of takenNames)
-    if (rules.nameAt(revision) !== name) rules.breakRule(`${name} was told taken as ${revision}, but ${rules.nameAt(revision) ?? 'nothing'} stands there`);
+    if (rules.nameAt(revision) !== name)
+      rules.breakRule(`${name} was told taken as ${revision}, but ${rules.nameAt(revision) ?? 'nothing'} stands there`);
   for (let revision = 1; revision <= Math.max(...revisions); revision += 1) {
     const name = rules.nameAt(revision);
-    if (name !== undefined && refusedNames.has(name)) rules.breakRule(`${name} lost its race and was in force as ${revision}`);
+    if (name !== undefined && refusedNames.has(name))
+      rules.breakRule(`${name} lost its race and was in force as ${revision}`);
   }
   return { broken: rules.broken(), counts, faults };
 };
--- a/src/sim/core/failover-scenario.ts
+++ b/src/sim/core/failover-scenario.ts
@@ -13,14 +13,26 @@
     }
 };
 
-type Loss = { readonly name: string; readonly bring: (fleet: AskedCore, leader: SimControl) => void; readonly end: (fleet: AskedCore, leader: SimControl) => void };
+type Loss = {
+  readonly name: string;
+  readonly bring: (fleet: AskedCore, leader: SimControl) => void;
+  readonly end: (fleet: AskedCore, leader: SimControl) => void;
+};
 
 const losses: readonly Loss[] = [
-  { name: 'resigned', bring: (_fleet, leader) => leader.terminate(() => undefined), end: (_fleet, leader) => leader.start() },
+  {
+    name: 'resigned',
+    bring: (_fleet, leader) => leader.terminate(() => undefined),
+    end: (_fleet, leader) => leader.start(),
+  },
   { name: 'killed', bring: (_fleet, leader) => leader.kill(), end: (_fleet, leader) => leader.start() },
   { name: 'frozen', bring: (_fleet, leader) => leader.node.freeze(), end: (_fleet, leader) => leader.node.wake() },
   { name: 'isolated', bring: isolated, end: (fleet) => fleet.network.heal() },
-  { name: 'diskStalled', bring: (_fleet, leader) => leader.slowDisk(5 * second), end: (_fleet, leader) => leader.slowDisk(usualDiskUs) },
+  {
+    name: 'diskStalled',
+    bring: (_fleet, leader) => leader.slowDisk(5 * second),
+    end: (_fleet, leader) => leader.slowDisk(usualDiskUs),
+  },
   {
     name: 'diskFull',
     bring: (_fleet, leader) => leader.fillDisk(true),
@@ -48,7 +60,9 @@
           gapUs = Math.max(gapUs, world.now() - decidedUs);
           decidedUs = world.now();
         })
-        .ifLeft((error) => rules.breakRule(`almost-no-refusals: a claim was not decided in its budget (${error.type})`)),
+        .ifLeft((error) =>
+          rules.breakRule(`almost-no-refusals: a claim was not decided in its budget (${error.type})`),
+        ),
     );
     world.after(20_000, claim);
   };
@@ -64,7 +78,10 @@
     loss.bring(fleet, leader);
     await fleet.playFor(6 * second);
     counts[`${loss.name}Millis`] = Math.round(gapUs / 1000);
-    if (gapUs > mostGapUs) rules.breakRule(`back-within-twelve-seconds: ${Math.round(gapUs / 1000)} ms without a claim when the leader was ${loss.name}`);
+    if (gapUs > mostGapUs)
+      rules.breakRule(
+        `back-within-twelve-seconds: ${Math.round(gapUs / 1000)} ms without a claim when the leader was ${loss.name}`,
+      );
     loss.end(fleet, leader);
     await fleet.playFor(9 * second);
   }
@@ -74,6 +91,7 @@
 /** How long the core is without a leader, by cause. */
 export const failoverScenario: SimScenario = {
   name: 'failover',
-  about: 'the leader of the core is lost in every way; counts are the milliseconds without a decided claim, summed over seeds',
+  about:
+    'the leader of the core is lost in every way; counts are the milliseconds without a decided claim, summed over seeds',
   play,
 };
--- a/src/sim/core/said.ts
+++ b/src/sim/core/said.ts
@@ -22,15 +22,26 @@
   };
   return {
     note: (to, message) => {
-      if (message.type === 'voteBack' || message.type === 'vote' || message.type === 'appendBack' || message.type === 'append') noteTerm(message.term);
+      if (
+        message.type === 'voteBack' ||
+        message.type === 'vote' ||
+        message.type === 'appendBack' ||
+        message.type === 'append'
+      )
+        noteTerm(message.term);
       if (message.type === 'voteBack' && message.granted && message.term === term) voteFor = to;
       if (message.type === 'appendBack' && message.matches && message.term >= kept.term)
-        kept = { term: message.term, index: message.term > kept.term ? message.index : Math.max(kept.index, message.index) };
+        kept = {
+          term: message.term,
+          index: message.term > kept.term ? message.index : Math.max(kept.index, message.index),
+        };
     },
     lostBy: (view) => {
       if (view.term < term) return `it spoke in term ${term} and came back in term ${view.term}`;
-      if (view.term === term && voteFor !== undefined && view.votedFor !== voteFor) return `it voted for ${voteFor} and came back with ${view.votedFor ?? 'no vote'}`;
-      if (view.term === kept.term && lastIndexOf(view) < kept.index) return `it said that it keeps ${kept.index} entries`;
+      if (view.term === term && voteFor !== undefined && view.votedFor !== voteFor)
+        return `it voted for ${voteFor} and came back with ${view.votedFor ?? 'no vote'}`;
+      if (view.term === kept.term && lastIndexOf(view) < kept.index)
+        return `it said that it keeps ${kept.index} entries`;
       return undefined;
     },
     forget: () => {
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -55,7 +55,19 @@
 const usualFileBytes = 1 << 20;
 export const usualDiskUs: Micros = 2_000;
 
-export const openSimControl = ({ name, locality, bornAddress, seeds, commons, ringFileBytes = usualFileBytes, voters, refounds = true, laterSeeds, logOf, hearUnkept }: SimControlPlan): SimControl => {
+export const openSimControl = ({
+  name,
+  locality,
+  bornAddress,
+  seeds,
+  commons,
+  ringFileBytes = usualFileBytes,
+  voters,
+  refounds = true,
+  laterSeeds,
+  logOf,
+  hearUnkept,
+}: SimControlPlan): SimControl => {
   const { world } = commons;
   const node = openSimNode(world, (type, what) => commons.note(type, name, what));
   const said = openSaid();
@@ -70,7 +82,8 @@
   const emptyFiles = () =>
     openMemoryFiles(ringFiles, ringFileBytes, undefined, () => ({
       fails: isFull,
-      untilSynced: () => new Promise((resolve) => world.after(syncUs * (0.5 + world.chance()), () => node.hear(resolve))),
+      untilSynced: () =>
+        new Promise((resolve) => world.after(syncUs * (0.5 + world.chance()), () => node.hear(resolve))),
     }));
   let files = emptyFiles();
 
--- a/src/sim/core/sim-desk.ts
+++ b/src/sim/core/sim-desk.ts
@@ -20,7 +20,9 @@
         });
         if (!isThere) back({ type: 'refused', error: typedError('unreachable', 'nobody listens') });
       });
-      world.after(patienceUs, () => resolve({ type: 'unknown', proposal, error: typedError('undecided', 'nothing was heard') }));
+      world.after(patienceUs, () =>
+        resolve({ type: 'unknown', proposal, error: typedError('undecided', 'nothing was heard') }),
+      );
     });
   return {
     read: () => told('', (desk) => desk.read()),
--- a/src/sim/disk/memory-files.ts
+++ b/src/sim/disk/memory-files.ts
@@ -22,34 +22,33 @@
 ): MemoryFiles => {
   const counts = { writes: 0, syncs: 0 };
   let failingWrite = Number.POSITIVE_INFINITY;
-  const synced: Buffer[] = Array.from({ length: count }, (_, index) => Buffer.from(start?.[index] ?? Buffer.alloc(size)));
+  const synced: Buffer[] = Array.from({ length: count }, (_, index) =>
+    Buffer.from(start?.[index] ?? Buffer.alloc(size)),
+  );
   const unsynced: Write[][] = Array.from({ length: count }, () => []);
   const seen = (index: number): Buffer => {
     const bytes = Buffer.from(synced[index] ?? Buffer.alloc(size));
     for (const write of unsynced[index] ?? []) write.bytes.copy(bytes, write.offset);
     return bytes;
   };
-  const files = Array.from(
-    { length: count },
-    (_, index): RingFile => ({
-      size,
-      read: () => Promise.resolve(seen(index)),
-      write: (offset, bytes) => {
-        counts.writes += 1;
-        if (counts.writes >= failingWrite || trouble().fails) return Promise.reject(new Error('no space is left'));
-        unsynced[index]?.push({ offset, bytes: Buffer.from(bytes) });
-        return Promise.resolve();
-      },
-      sync: async () => {
-        counts.syncs += 1;
-        const writes = unsynced[index] ?? [];
-        const toSync = writes.length;
-        await trouble().untilSynced();
-        for (const write of writes.splice(0, toSync)) write.bytes.copy(synced[index] ?? Buffer.alloc(0), write.offset);
-      },
-      close: () => Promise.resolve(),
-    }),
-  );
+  const files = Array.from({ length: count }, (_, index): RingFile => ({
+    size,
+    read: () => Promise.resolve(seen(index)),
+    write: (offset, bytes) => {
+      counts.writes += 1;
+      if (counts.writes >= failingWrite || trouble().fails) return Promise.reject(new Error('no space is left'));
+      unsynced[index]?.push({ offset, bytes: Buffer.from(bytes) });
+      return Promise.resolve();
+    },
+    sync: async () => {
+      counts.syncs += 1;
+      const writes = unsynced[index] ?? [];
+      const toSync = writes.length;
+      await trouble().untilSynced();
+      for (const write of writes.splice(0, toSync)) write.bytes.copy(synced[index] ?? Buffer.alloc(0), write.offset);
+    },
+    close: () => Promise.resolve(),
+  }));
   return {
     files,
     counts,
--- a/src/sim/fleet/fleet-faults.ts
+++ b/src/sim/fleet/fleet-faults.ts
@@ -51,7 +51,10 @@
 
 const crashServer = (fleet: SimFleet, server: SimServer, reusedBy?: string): void => {
   server.crash();
-  if (reusedBy !== undefined) fleet.world.after(within(fleet, 10_000, 50_000), () => fleet.openServer(reusedBy, undefined, server.listed.address));
+  if (reusedBy !== undefined)
+    fleet.world.after(within(fleet, 10_000, 50_000), () =>
+      fleet.openServer(reusedBy, undefined, server.listed.address),
+    );
   fleet.world.after(within(fleet, 200_000, second), () => {
     fleet.openServer(server.listed.service, server.listed.id);
     fleet.showServers();
@@ -102,8 +105,14 @@
     name: 'split a whole locality off',
     bring: (fleet) => {
       const { inside, machines, servers } = localityOf(fleet);
-      const own = [...inside.map((router) => router.address), ...machines.map((machine) => machine.address()), ...servers.map((server) => server.listed.address)];
-      const others = [...addressesOf(fleet), ...fleet.servers().map((server) => server.listed.address)].filter((address) => !own.includes(address));
+      const own = [
+        ...inside.map((router) => router.address),
+        ...machines.map((machine) => machine.address()),
+        ...servers.map((server) => server.listed.address),
+      ];
+      const others = [...addressesOf(fleet), ...fleet.servers().map((server) => server.listed.address)].filter(
+        (address) => !own.includes(address),
+      );
       cutApart(fleet, own, others, false);
       healLater(fleet);
     },
@@ -127,7 +136,10 @@
   {
     name: 'a clock jumps',
     bring: (fleet) => {
-      const nodes = [...fleet.routers.map((router) => router.node), ...fleet.core.machines.map((machine) => machine.node)];
+      const nodes = [
+        ...fleet.routers.map((router) => router.node),
+        ...fleet.core.machines.map((machine) => machine.node),
+      ];
       oneOf(fleet.world.chance, nodes)?.jump(within(fleet, second, 100 * second));
     },
   },
@@ -154,7 +166,11 @@
       });
     },
   },
-  { name: 'kill half of the routers', bring: (fleet) => fleet.routers.filter((_, place) => place % 2 === 0).forEach((router) => killRouter(fleet, router)) },
+  {
+    name: 'kill half of the routers',
+    bring: (fleet) =>
+      fleet.routers.filter((_, place) => place % 2 === 0).forEach((router) => killRouter(fleet, router)),
+  },
   {
     name: 'freeze a router',
     bring: (fleet) => {
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -73,7 +73,8 @@
 const countEnds = (history: History): Record<string, number> => {
   const counts: Record<string, number> = { calls: history.calls.length, runs: history.runs.length };
   for (const call of history.calls) counts[call.end] = (counts[call.end] ?? 0) + 1;
-  for (const [name, count] of Object.entries(countRefusals(history, termsOf(sampleSetup('terms'), false, 0).serviceOf))) counts[`refused ${name}`] = count;
+  for (const [name, count] of Object.entries(countRefusals(history, termsOf(sampleSetup('terms'), false, 0).serviceOf)))
+    counts[`refused ${name}`] = count;
   return counts;
 };
 
@@ -88,9 +89,7 @@
 
 const sumUp = (fleet: SimFleet, underWay: readonly string[], isPlanned: boolean): readonly string[] => [
   ...fleet.core.rules.broken(),
-  ...[
-    ...checkHistory(fleet.history, termsOf(sampleSetup('terms'), isPlanned, isPlanned ? endUs : troubleEndsUs)),
-  ]
+  ...[...checkHistory(fleet.history, termsOf(sampleSetup('terms'), isPlanned, isPlanned ? endUs : troubleEndsUs))]
     .slice(0, 9)
     .map((finding) => `${finding.rule}: ${finding.detail}`),
   ...underWay.map((running) => `every-call-ends: ${running} never ended`),
@@ -127,8 +126,13 @@
     await fleet.world.playUntil(endUs);
     callers.stop();
     await fleet.world.playUntil(lastLookUs + 2 * second);
-    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1) await fleet.world.playUntil(lastLookUs + (2 + waited) * second);
-    return { broken: sumUp(fleet, callers.underWay(), planned !== undefined), counts: countEnds(fleet.history), faults: faultsTold };
+    for (let waited = 1; waited <= 75 && callers.underWay().length > 0; waited += 1)
+      await fleet.world.playUntil(lastLookUs + (2 + waited) * second);
+    return {
+      broken: sumUp(fleet, callers.underWay(), planned !== undefined),
+      counts: countEnds(fleet.history),
+      faults: faultsTold,
+    };
   };
 
 const smallSizes: FleetSizes = { routers: 5, models: 7, webs: 2, callsPerSecond: 40 };
@@ -163,7 +167,9 @@
     });
   };
   replace(0);
-  restartEach(fleet.routers.map((router) => ({ ...router, isBack: () => fleet.platform.readyRouters().includes(router) })));
+  restartEach(
+    fleet.routers.map((router) => ({ ...router, isBack: () => fleet.platform.readyRouters().includes(router) })),
+  );
   fleet.world.after(5 * second, () =>
     restartEach(
       fleet.core.machines.map((machine) => ({
@@ -203,12 +209,14 @@
   },
   {
     name: 'rolling',
-    about: 'all model servers replaced, all routers and core machines restarted in order: nothing cut off, hardly anything refused',
+    about:
+      'all model servers replaced, all routers and core machines restarted in order: nothing cut off, hardly anything refused',
     play: playWith({ sizes: smallSizes, faults: [], planned: rollAll }),
   },
   {
     name: 'rolling-long',
-    about: 'the same with streams of four, seven and eleven seconds; only what was under way for eight may be broken off',
+    about:
+      'the same with streams of four, seven and eleven seconds; only what was under way for eight may be broken off',
     play: playWith({ sizes: { ...smallSizes, kinds: longKinds }, faults: [], planned: rollAll }),
   },
 ];
--- a/src/sim/fleet/sim-callers.ts
+++ b/src/sim/fleet/sim-callers.ts
@@ -24,7 +24,12 @@
 export type CallerWish = Omit<Call, 'isModel'>;
 
 /** One call to a router; its end is written down. `ended` hears of it. */
-export const openCaller = ({ world, history }: Pick<SimFleet, 'world' | 'history'>, wish: CallerWish, router: SimRouter, ended: () => void = () => undefined): void => {
+export const openCaller = (
+  { world, history }: Pick<SimFleet, 'world' | 'history'>,
+  wish: CallerWish,
+  router: SimRouter,
+  ended: () => void = () => undefined,
+): void => {
   const { work, call, kind, key, pieces: wanted } = wish;
   const startUs = world.now();
   const pieces: string[] = [];
@@ -63,7 +68,8 @@
       pieces.push(line.text);
       return Promise.resolve(true);
     },
-    end: (_exchange, count) => hearEnd(count === pieces.length && count === wanted ? 'complete' : 'malformed', undefined, undefined),
+    end: (_exchange, count) =>
+      hearEnd(count === pieces.length && count === wanted ? 'complete' : 'malformed', undefined, undefined),
     receipt: (_exchange, text) => hearEnd(text.includes(`"${work}"`) ? 'complete' : 'malformed', undefined, undefined),
     refuse: (error, _exchange, retryAfterUs) =>
       hearEnd('refused', error.type, retryAfterUs === undefined ? undefined : String(toRetrySeconds(retryAfterUs))),
@@ -75,7 +81,11 @@
   world.after(200 + world.chance() * 1_000, () => router.accept(body, key, caller));
 };
 
-export const openSimCallers = (fleet: SimFleet, callsPerSecond: number, kinds: readonly SimKind[] = usualKinds): SimCallers => {
+export const openSimCallers = (
+  fleet: SimFleet,
+  callsPerSecond: number,
+  kinds: readonly SimKind[] = usualKinds,
+): SimCallers => {
   const { world, platform } = fleet;
   let count = 0;
   let factor = 1;
@@ -88,7 +98,12 @@
     if (router === undefined) return;
     const running = `${name}@${router.name} since ${world.now()} us`;
     underWay.add(running);
-    openCaller(fleet, { work, call: name, kind: kind.kind, key: kind.once ? work : undefined, opening, pieces: kind.pieces }, router, () => underWay.delete(running));
+    openCaller(
+      fleet,
+      { work, call: name, kind: kind.kind, key: kind.once ? work : undefined, opening, pieces: kind.pieces },
+      router,
+      () => underWay.delete(running),
+    );
   };
 
   const one = (): void => {
--- a/src/sim/fleet/sim-fleet.ts
+++ b/src/sim/fleet/sim-fleet.ts
@@ -50,10 +50,25 @@
       log: core.rules.logOf(() => name),
     });
   });
-  const platform = openSimPlatform(world, network, history, routers, [
-    ...routers.map((router) => ({ address: () => router.address, spread: () => router.tasks()?.spread, node: router.node })),
-    ...core.machines.map((machine) => ({ address: machine.address, spread: () => machine.tasks()?.spread, node: machine.node })),
-  ], core.rules.breakRule);
+  const platform = openSimPlatform(
+    world,
+    network,
+    history,
+    routers,
+    [
+      ...routers.map((router) => ({
+        address: () => router.address,
+        spread: () => router.tasks()?.spread,
+        node: router.node,
+      })),
+      ...core.machines.map((machine) => ({
+        address: machine.address,
+        spread: () => machine.tasks()?.spread,
+        node: machine.node,
+      })),
+    ],
+    core.rules.breakRule,
+  );
 
   for (const router of routers) history.nodes.push({ node: router.name, role: 'router' });
   for (const machine of core.machines) history.nodes.push({ node: machine.name, role: 'control' });
@@ -74,7 +89,11 @@
       listedAt.set(server, listedAtUs);
       const leavingAtUs = leaving.get(id);
       if (!server.isUp() && leavingAtUs === undefined) continue;
-      shown.push({ ...server.listed, listedAtUs, ...(leavingAtUs === undefined ? {} : { state: 'leaving', leavingAtUs }) });
+      shown.push({
+        ...server.listed,
+        listedAtUs,
+        ...(leavingAtUs === undefined ? {} : { state: 'leaving', leavingAtUs }),
+      });
     }
     platform.show(shown);
   };
--- a/src/sim/fleet/sim-platform.ts
+++ b/src/sim/fleet/sim-platform.ts
@@ -20,7 +20,11 @@
   readonly start: () => void;
 };
 
-export type Reachable = { readonly address: () => string; readonly node: SimNode; readonly spread: () => SpreadTask | undefined };
+export type Reachable = {
+  readonly address: () => string;
+  readonly node: SimNode;
+  readonly spread: () => SpreadTask | undefined;
+};
 
 const probeUs = 200_000;
 const pushUs = 1_000_000;
@@ -56,8 +60,12 @@
     const tasks = router.tasks();
     const record = tasks?.spread.view().record;
     const decided = tasks?.router.view();
-    const reachedUs = Math.max(tasks?.spread.platformUs() ?? 0, decided?.platform === undefined ? 0 : platformUsOf(decided));
-    if (isReachable && reachedUs > now()) breakRule(`time-never-ahead: ${router.name} thinks ${reachedUs}, the platform has come to ${now()}`);
+    const reachedUs = Math.max(
+      tasks?.spread.platformUs() ?? 0,
+      decided?.platform === undefined ? 0 : platformUsOf(decided),
+    );
+    if (isReachable && reachedUs > now())
+      breakRule(`time-never-ahead: ${router.name} thinks ${reachedUs}, the platform has come to ${now()}`);
     if (isReachable)
       history.watches.push({
         node: router.name,
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -32,7 +32,8 @@
 const pieceUs = 40_000;
 
 export const openSimServer = (world: World, history: History, listed: ListedServer): SimServer => {
-  const note = (type: 'begins' | 'ends', what: OutageType): void => openTroubleNotes(history, world.now).hit(type, listed.id, what);
+  const note = (type: 'begins' | 'ends', what: OutageType): void =>
+    openTroubleNotes(history, world.now).hit(type, listed.id, what);
   const rememberedOpenings = new Set<string>();
   const links = new Set<() => void>();
   const isModel = listed.service !== 'status';
--- a/src/sim/process/chunk-queue.ts
+++ b/src/sim/process/chunk-queue.ts
@@ -6,7 +6,10 @@
   readonly chunks: AsyncIterator<string>;
 };
 
-type Waiter = { readonly resolve: (next: IteratorResult<string, undefined>) => void; readonly reject: (error: Error) => void };
+type Waiter = {
+  readonly resolve: (next: IteratorResult<string, undefined>) => void;
+  readonly reject: (error: Error) => void;
+};
 
 export const openChunkQueue = (): ChunkQueue => {
   const waitingChunks: string[] = [];
--- a/src/sim/process/sim-dial.ts
+++ b/src/sim/process/sim-dial.ts
@@ -13,7 +13,13 @@
 
 /** Dials servers of the virtual world; through a cut, or from a dark server, nothing at all comes back. */
 export const simDialOf =
-  (address: string, life: SimLife, world: World, network: Network, serverAt: (address: string) => SimServer | undefined): Dial =>
+  (
+    address: string,
+    life: SimLife,
+    world: World,
+    network: Network,
+    serverAt: (address: string) => SimServer | undefined,
+  ): Dial =>
   (server) =>
     new Promise<Either<TypedError, ServerLink>>((resolve) => {
       life.clock.after(dialUs, () => resolve(Left(typedError('link-error', 'no answer in time'))));
@@ -28,6 +34,10 @@
         if (reached.isDark()) return;
         const identity = JSON.stringify(reached.listed);
         const link = openSimServerLink(address, server, reached, life, world, network);
-        back(() => confirmIdentity(server, identity).chain(() => (link.isOpen() ? Right(link) : Left(typedError('link-error', 'the link closed')))));
+        back(() =>
+          confirmIdentity(server, identity).chain(() =>
+            link.isOpen() ? Right(link) : Left(typedError('link-error', 'the link closed')),
+          ),
+        );
       });
     });
--- a/src/sim/process/sim-node.ts
+++ b/src/sim/process/sim-node.ts
@@ -103,7 +103,10 @@
       backlog = [];
       const ownBoot = boot;
       const firstSource = oneOf(world.chance, ['timer', 'news'] as const);
-      const inOrder = [...held.filter(({ source }) => source === firstSource), ...held.filter(({ source }) => source !== firstSource)];
+      const inOrder = [
+        ...held.filter(({ source }) => source === firstSource),
+        ...held.filter(({ source }) => source !== firstSource),
+      ];
       for (const { act } of inOrder)
         world.after(0, () => {
           if (boot === ownBoot) act();
--- a/src/sim/process/sim-partner-links.ts
+++ b/src/sim/process/sim-partner-links.ts
@@ -6,7 +6,12 @@
 import type { SimPorts } from './sim-ports.js';
 
 /** Links between processes of the virtual world: frames may be late, out of order or lost. */
-export const openSimPartnerLinks = (address: string, life: SimLife, network: Network, ports: SimPorts): PartnerLinks => {
+export const openSimPartnerLinks = (
+  address: string,
+  life: SimLife,
+  network: Network,
+  ports: SimPorts,
+): PartnerLinks => {
   const events = new EventEmitter<LinkEvents>();
   let isClosed = false;
   return {
--- a/src/sim/process/sim-surroundings.ts
+++ b/src/sim/process/sim-surroundings.ts
@@ -43,7 +43,9 @@
     dial: simDialOf(address, life, world, network, serverAt),
     openRing: () =>
       EitherAsync.fromPromise(() =>
-        files === undefined ? Promise.resolve(Left(typedError('disk-error', 'this process has no disk'))) : openDiskRing(files),
+        files === undefined
+          ? Promise.resolve(Left(typedError('disk-error', 'this process has no disk')))
+          : openDiskRing(files),
       ),
   };
 };
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -13,7 +13,6 @@
   readonly watch: (ears: CutEars) => void;
 };
 
-
 const leastDelayUs = 200;
 const moreDelayUs = 1_500;
 
--- a/src/sim/world/world.ts
+++ b/src/sim/world/world.ts
@@ -38,7 +38,7 @@
   };
   const push = (due: Due): void => {
     heap.push(due);
-    for (let place = heap.length - 1; place > 0; ) {
+    for (let place = heap.length - 1; place > 0;) {
       const parent = (place - 1) >> 1;
       if (isOrdered(parent, place)) return;
       swap(parent, place);
@@ -50,7 +50,7 @@
     const last = heap.pop();
     if (first === undefined || last === undefined || heap.length === 0) return first;
     heap[0] = last;
-    for (let place = 0; ; ) {
+    for (let place = 0; ;) {
       const left = place * 2 + 1;
       const least = isOrdered(left, left + 1) ? left : left + 1;
       if (least >= heap.length || isOrdered(place, least)) return first;
--- a/src/spread/frame/digest-guard.ts
+++ b/src/spread/frame/digest-guard.ts
@@ -6,12 +6,23 @@
 const isWhole: Check = (value) => typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 const isName: Check = (value) => typeof value === 'string' && value !== '';
 const isFlag: Check = (value) => typeof value === 'boolean';
-const isOneOf = (...names: readonly unknown[]): Check => (value) => names.includes(value);
-const orNone = (check: Check): Check => (value) => value === undefined || check(value);
-const isListOf = (check: Check): Check => (value) => Array.isArray(value) && value.every(check);
+const isOneOf =
+  (...names: readonly unknown[]): Check =>
+  (value) =>
+    names.includes(value);
+const orNone =
+  (check: Check): Check =>
+  (value) =>
+    value === undefined || check(value);
+const isListOf =
+  (check: Check): Check =>
+  (value) =>
+    Array.isArray(value) && value.every(check);
 
 const fieldsOf = (value: unknown): Fields | undefined =>
-  typeof value === 'object' && value !== null && !Array.isArray(value) ? new Map<string, unknown>(Object.entries(value)) : undefined;
+  typeof value === 'object' && value !== null && !Array.isArray(value)
+    ? new Map<string, unknown>(Object.entries(value))
+    : undefined;
 
 const hasAll = (checks: Readonly<Record<string, Check>>): Check => {
   const entries = Object.entries(checks);
@@ -21,7 +32,13 @@
   };
 };
 
-const isPartner = hasAll({ node: isName, role: isOneOf('router', 'control'), address: isName, http: isName, locality: isName });
+const isPartner = hasAll({
+  node: isName,
+  role: isOneOf('router', 'control'),
+  address: isName,
+  http: isName,
+  locality: isName,
+});
 const isNews = hasAll({ partner: isPartner, incarnation: isWhole, state: isOneOf('alive', 'suspect', 'dead') });
 
 const hasDigestForm = hasAll({
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -18,17 +18,32 @@
 
 const isReceipt = unionGuard<Receipt>({
   applied: object({ type: typed('applied'), outcome: mixed(isOutcome).required() }),
-  record: object({ type: typed('record'), record: mixed(isSetupRecord).optional().default(undefined), outcome: mixed(isProposalOutcome).optional() }),
+  record: object({
+    type: typed('record'),
+    record: mixed(isSetupRecord).optional().default(undefined),
+    outcome: mixed(isProposalOutcome).optional(),
+  }),
   'not-leader': object({ type: typed('not-leader'), leader: string().optional() }),
   undecided: object({ type: typed('undecided') }),
 });
 
 export const isFrame = unionGuard<Frame>({
   digest: mixed(isDigest).required(),
-  inquire: object({ type: typed('inquire'), inquiry: whole(), revision: whole(), version: whole(), listDigest: string() }),
+  inquire: object({
+    type: typed('inquire'),
+    inquiry: whole(),
+    revision: whole(),
+    version: whole(),
+    listDigest: string(),
+  }),
   setup: object({ type: typed('setup'), record: mixed(isSetupRecord).required() }),
   list: object({ type: typed('list'), list: mixed(isAnyList).required() }),
-  control: object({ type: typed('control'), identity: string().required(), to: string().optional(), message: mixed(isPlainMessage).required() }),
+  control: object({
+    type: typed('control'),
+    identity: string().required(),
+    to: string().optional(),
+    message: mixed(isPlainMessage).required(),
+  }),
   work: object({ type: typed('work'), server: string().required(), service: string().required(), tokens: whole() }),
   ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
   receipt: object({ type: typed('receipt'), ask: string().required(), receipt: mixed(isReceipt).required() }),
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -38,7 +38,13 @@
       /** The number of the inquiry that this answers. */
       readonly inquiry?: number;
     }
-  | { readonly type: 'inquire'; readonly inquiry: number; readonly revision: number; readonly version: number; readonly listDigest?: string }
+  | {
+      readonly type: 'inquire';
+      readonly inquiry: number;
+      readonly revision: number;
+      readonly version: number;
+      readonly listDigest?: string;
+    }
   | { readonly type: 'setup'; readonly record: SetupRecord }
   | { readonly type: 'list'; readonly list: ServerList | AskedList }
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
@@ -49,4 +55,5 @@
   | { readonly type: 'receipt'; readonly ask: string; readonly receipt: Receipt };
 
 /** What any process may ask the core. */
-export type Question = { readonly type: 'propose'; readonly command: Command } | { readonly type: 'read'; readonly proposal?: string };
+export type Question =
+  { readonly type: 'propose'; readonly command: Command } | { readonly type: 'read'; readonly proposal?: string };
--- a/src/spread/link/patience.ts
+++ b/src/spread/link/patience.ts
@@ -21,4 +21,5 @@
   owedUs: owedUs === undefined || nowUs > sentUs + restUs ? nowUs : owedUs,
 });
 
-export const isOverdue = ({ owedUs }: Patience, nowUs: Micros): boolean => owedUs !== undefined && nowUs > owedUs + overdueUs;
+export const isOverdue = ({ owedUs }: Patience, nowUs: Micros): boolean =>
+  owedUs !== undefined && nowUs > owedUs + overdueUs;
--- a/src/spread/link/tcp-links.ts
+++ b/src/spread/link/tcp-links.ts
@@ -22,9 +22,20 @@
 
 const envelopeSchema = object({ from: string().required(), frame: mixed(isFrame).required() }).required();
 
-type OutLink = { readonly socket: Socket; readonly isOpen: () => boolean; readonly waiting: Uint8Array[]; patience: Patience; usedUs: Micros; isRetired: boolean };
+type OutLink = {
+  readonly socket: Socket;
+  readonly isOpen: () => boolean;
+  readonly waiting: Uint8Array[];
+  patience: Patience;
+  usedUs: Micros;
+  isRetired: boolean;
+};
 
-const readFrames = (socket: Socket, tell: (from: string, frame: Frame) => void, events: EventEmitter<LinkEvents>): void => {
+const readFrames = (
+  socket: Socket,
+  tell: (from: string, frame: Frame) => void,
+  events: EventEmitter<LinkEvents>,
+): void => {
   let pending: Buffer = Buffer.alloc(0);
   let signedUs = Number.NEGATIVE_INFINITY;
   socket.on('data', (chunk: Buffer) => {
@@ -45,7 +56,9 @@
       const frameBytes = pending.subarray(0, frameLength);
       pending = pending.subarray(frameLength);
       try {
-        checked(envelopeSchema, deserialize(frameBytes)).ifRight(({ from, frame }) => tell(from, frame)).ifLeft(() => events.emit('badFrame'));
+        checked(envelopeSchema, deserialize(frameBytes))
+          .ifRight(({ from, frame }) => tell(from, frame))
+          .ifLeft(() => events.emit('badFrame'));
       } catch {
         events.emit('badFrame');
         socket.destroy();
@@ -95,7 +108,14 @@
       if (outLink.isRetired) redialAfter.delete(target);
       else redialAfter.set(target, steadyNow() + redialUs);
     });
-    const outLink: OutLink = { socket, isOpen: () => isOpen, waiting, patience: freshPatience, usedUs: steadyNow(), isRetired: false };
+    const outLink: OutLink = {
+      socket,
+      isOpen: () => isOpen,
+      waiting,
+      patience: freshPatience,
+      usedUs: steadyNow(),
+      isRetired: false,
+    };
     socket.on('data', () => {
       outLink.patience = freshPatience;
     });
@@ -126,7 +146,8 @@
     }
     const nowUs = steadyNow();
     outLink.patience = patienceAfterSend(outLink.patience, nowUs);
-    if (outLink.socket.writableLength > mostWaitingBytes || isOverdue(outLink.patience, nowUs)) outLink.socket.destroy();
+    if (outLink.socket.writableLength > mostWaitingBytes || isOverdue(outLink.patience, nowUs))
+      outLink.socket.destroy();
     else outLink.socket.write(bytes);
   };
 
--- a/src/spread/machine/digest.ts
+++ b/src/spread/machine/digest.ts
@@ -36,7 +36,10 @@
 /** The changes that were told least often, and what is then left to tell. */
 const withChanges = (view: SpreadView): { readonly told: readonly string[]; readonly view: SpreadView } => {
   if (view.changed.size === 0) return { told: [], view };
-  const told = [...view.changed].sort(([, left], [, right]) => right - left).slice(0, mostChanges).map(([address]) => address);
+  const told = [...view.changed]
+    .sort(([, left], [, right]) => right - left)
+    .slice(0, mostChanges)
+    .map(([address]) => address);
   const changed = told.reduce((left, address) => {
     const count = (left.get(address) ?? 1) - 1;
     return count > 0 ? left.set(address, count) : left.delete(address);
@@ -48,7 +51,10 @@
 export const digestTo = (view: SpreadView, address: string, wish: DigestWish = {}): SpreadStep => {
   const changes = withChanges(view);
   const isIntroduced = view.introduced.has(address);
-  const told = new Set([...(wish.disputes === true || view.partners.get(address)?.suspectUs !== undefined ? [address] : []), ...changes.told]);
+  const told = new Set([
+    ...(wish.disputes === true || view.partners.get(address)?.suspectUs !== undefined ? [address] : []),
+    ...changes.told,
+  ]);
   const frame: SpreadFrame = {
     type: 'digest',
     ...(isIntroduced ? {} : { partner: view.self }),
@@ -58,7 +64,10 @@
     listDigest: listDigestOf(view),
     read: toldRead(view),
     platformUs: view.platform === undefined ? undefined : boundAt(view.platform, view.atUs),
-    partners: wish.whole === true ? [...newsBeside(view, wish.crowds), ...(wish.disputes === true ? newsOf(view, address) : [])] : [...told].flatMap((known) => newsOf(view, known)),
+    partners:
+      wish.whole === true
+        ? [...newsBeside(view, wish.crowds), ...(wish.disputes === true ? newsOf(view, address) : [])]
+        : [...told].flatMap((known) => newsOf(view, known)),
     crowd: view.crowd,
     ...(wish.whole === true ? { whole: true } : {}),
     ...(wish.asks === undefined ? {} : { asks: wish.asks }),
@@ -70,7 +79,11 @@
 };
 
 /** A digest for each of some partners. */
-export const digestsTo = (view: SpreadView, addresses: readonly string[], wishOf: (address: string) => DigestWish = () => ({})): SpreadStep => {
+export const digestsTo = (
+  view: SpreadView,
+  addresses: readonly string[],
+  wishOf: (address: string) => DigestWish = () => ({}),
+): SpreadStep => {
   const effects: SpreadEffect[] = [];
   let toldView = view;
   for (const address of addresses) {
--- a/src/spread/machine/draw.ts
+++ b/src/spread/machine/draw.ts
@@ -11,12 +11,17 @@
 /** Where the stream of a name begins; also a short hash of a text. */
 export const drawOf = (text: string): number => {
   let hash = 0x811c9dc5;
-  for (let place = 0; place < text.length; place += 1) hash = Math.imul(hash ^ text.charCodeAt(place), 0x01000193) >>> 0;
+  for (let place = 0; place < text.length; place += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(place), 0x01000193) >>> 0;
   return hash;
 };
 
 /** Some items by chance, each at most once. */
-export const someOf = <T>(state: number, items: readonly T[], count: number): { readonly some: readonly T[]; readonly draw: number } => {
+export const someOf = <T>(
+  state: number,
+  items: readonly T[],
+  count: number,
+): { readonly some: readonly T[]; readonly draw: number } => {
   const left = [...items];
   const some: T[] = [];
   let draw = state;
--- a/src/spread/machine/membership.ts
+++ b/src/spread/machine/membership.ts
@@ -21,9 +21,11 @@
   return known === undefined ? 0 : markOf(address, known.incarnation);
 };
 
-const isRouterIn = (view: SpreadView, address: string): number => (view.partners.get(address)?.partner.role === 'router' ? 1 : 0);
+const isRouterIn = (view: SpreadView, address: string): number =>
+  view.partners.get(address)?.partner.role === 'router' ? 1 : 0;
 
-const isLostRouterIn = (view: SpreadView, address: string): number => (view.lost.get(address)?.partner.role === 'router' ? 1 : 0);
+const isLostRouterIn = (view: SpreadView, address: string): number =>
+  view.lost.get(address)?.partner.role === 'router' ? 1 : 0;
 
 const bucketOf = (address: string): number => drawOf(address) % crowdBuckets;
 
@@ -45,7 +47,11 @@
     .flatMap((address) => newsOf(view, address));
 };
 
-const toldRouters = ({ routers, lostRouters }: SpreadView): SpreadEffect => ({ type: 'routers', routers, lost: lostRouters });
+const toldRouters = ({ routers, lostRouters }: SpreadView): SpreadEffect => ({
+  type: 'routers',
+  routers,
+  lost: lostRouters,
+});
 
 /** Takes a changed entry in, with all that follows from it. */
 const regrouped = (former: SpreadView, view: SpreadView, address: string, isNew: boolean): SpreadStep => {
@@ -85,7 +91,8 @@
 const isSuspect = (view: SpreadView, { partner, incarnation }: PartnerNews): SpreadStep => {
   const known = view.partners.get(partner.address);
   if (known === undefined) return isAlive(view, { partner, incarnation, state: 'alive' });
-  if (incarnation < known.incarnation || (incarnation === known.incarnation && known.suspectUs !== undefined)) return stepped(view);
+  if (incarnation < known.incarnation || (incarnation === known.incarnation && known.suspectUs !== undefined))
+    return stepped(view);
   const entry: KnownPartner = { ...known, incarnation, suspectUs: view.atUs };
   return regrouped(view, { ...view, partners: view.partners.set(partner.address, entry) }, partner.address, false);
 };
@@ -115,7 +122,9 @@
 /** What others wrongly say of this process is refuted with a higher incarnation. */
 const ofSelf = (view: SpreadView, { state, incarnation }: PartnerNews): SpreadStep => {
   const isRefuted = state === 'alive' ? incarnation > view.incarnation : incarnation >= view.incarnation;
-  return isRefuted ? regrouped(view, { ...view, incarnation: incarnation + 1 }, view.self.address, false) : stepped(view);
+  return isRefuted
+    ? regrouped(view, { ...view, incarnation: incarnation + 1 }, view.self.address, false)
+    : stepped(view);
 };
 
 /** Takes a change of membership, if it is news. */
@@ -134,15 +143,28 @@
 /** Takes what a partner says of itself. */
 export const withPartner = (view: SpreadView, partner: Partner, incarnation: number): SpreadStep => {
   const known = view.partners.get(partner.address);
-  if (known === undefined || incarnation > known.incarnation || isSame(known.partner, partner)) return withNews(view, { partner, incarnation, state: 'alive' });
-  return regrouped(view, { ...view, partners: view.partners.set(partner.address, { ...known, partner }) }, partner.address, true);
+  if (known === undefined || incarnation > known.incarnation || isSame(known.partner, partner))
+    return withNews(view, { partner, incarnation, state: 'alive' });
+  return regrouped(
+    view,
+    { ...view, partners: view.partners.set(partner.address, { ...known, partner }) },
+    partner.address,
+    true,
+  );
 };
 
 /** What is known of an address, as it is handed on. */
 export const newsOf = (view: SpreadView, address: string): readonly PartnerNews[] => {
   if (address === view.self.address) return [{ partner: view.self, incarnation: view.incarnation, state: 'alive' }];
   const known = view.partners.get(address);
-  if (known !== undefined) return [{ partner: known.partner, incarnation: known.incarnation, state: known.suspectUs === undefined ? 'alive' : 'suspect' }];
+  if (known !== undefined)
+    return [
+      {
+        partner: known.partner,
+        incarnation: known.incarnation,
+        state: known.suspectUs === undefined ? 'alive' : 'suspect',
+      },
+    ];
   const lost = view.lost.get(address);
   return lost === undefined ? [] : [{ partner: lost.partner, incarnation: lost.incarnation, state: 'dead' }];
 };
@@ -150,7 +172,8 @@
 /** Whether a partner that speaks of itself has to hear what is said of it. */
 export const isDisputed = (view: SpreadView, address: string, incarnation: number): boolean => {
   const known = view.partners.get(address);
-  if (known !== undefined) return known.incarnation > incarnation || (known.suspectUs !== undefined && known.incarnation >= incarnation);
+  if (known !== undefined)
+    return known.incarnation > incarnation || (known.suspectUs !== undefined && known.incarnation >= incarnation);
   const lost = view.lost.get(address);
   return lost !== undefined && lost.incarnation >= incarnation;
 };
@@ -158,14 +181,24 @@
 /** Gives up who did not refute a suspicion in time, and forgets who was given up long ago. */
 export const withoutOverdue = (view: SpreadView): SpreadStep => {
   if (view.atUs < view.lookedUs + lookSpanUs) return stepped(view);
-  const overdue = [...view.partners.values()].filter(({ suspectUs }) => suspectUs !== undefined && view.atUs > suspectUs + suspectSpanUs);
+  const overdue = [...view.partners.values()].filter(
+    ({ suspectUs }) => suspectUs !== undefined && view.atUs > suspectUs + suspectSpanUs,
+  );
   const lost = view.lost.filter(({ lostUs }) => view.atUs <= lostUs + lostSpanUs);
-  const keptView = { ...view, lookedUs: view.atUs, lost, lostRouters: lost.count(({ partner }) => partner.role === 'router') };
+  const keptView = {
+    ...view,
+    lookedUs: view.atUs,
+    lost,
+    lostRouters: lost.count(({ partner }) => partner.role === 'router'),
+  };
   const forgotten = keptView.lostRouters === view.lostRouters ? [] : [toldRouters(keptView)];
-  return overdue.reduce<SpreadStep>((step, { partner, incarnation }) => {
-    const next = withNews(step.view, { partner, incarnation, state: 'dead' });
-    return { view: next.view, effects: [...step.effects, ...next.effects] };
-  }, stepped(keptView, ...forgotten));
+  return overdue.reduce<SpreadStep>(
+    (step, { partner, incarnation }) => {
+      const next = withNews(step.view, { partner, incarnation, state: 'dead' });
+      return { view: next.view, effects: [...step.effects, ...next.effects] };
+    },
+    stepped(keptView, ...forgotten),
+  );
 };
 
 /** How many routers are thought to live, the own process among them if it is one. */
--- a/src/spread/machine/step.ts
+++ b/src/spread/machine/step.ts
@@ -18,7 +18,17 @@
 import type { SpreadView } from './spread-view.js';
 import { addressesOf, hasFew, newsTargets, somePartners } from './targets.js';
 import {
-  askSpanUs, beatUsOf, differingSpanUs, digestSpanUs, isolatedSpanUs, probeSpanUs, probeTries, pushedReadSpanUs, uneasyHeardUs, uneasyReadUs, wholeSpanUs,
+  askSpanUs,
+  beatUsOf,
+  differingSpanUs,
+  digestSpanUs,
+  isolatedSpanUs,
+  probeSpanUs,
+  probeTries,
+  pushedReadSpanUs,
+  uneasyHeardUs,
+  uneasyReadUs,
+  wholeSpanUs,
 } from './timing.js';
 
 const digestsPerRoll = 5;
@@ -52,12 +62,12 @@
   andThen(stepped(view, news), (toldView) => pushed(toldView, from));
 
 const withRecord = (view: SpreadView, record: SetupRecord, from?: string): SpreadStep =>
-  record.revision <= revisionOf(view)
-    ? stepped(view)
-    : told({ ...view, record }, { type: 'setup', record }, from);
+  record.revision <= revisionOf(view) ? stepped(view) : told({ ...view, record }, { type: 'setup', record }, from);
 
 const inForce = (view: SpreadView, list: ServerList | AskedList, from?: string): SpreadStep =>
-  andThen(withTime({ ...view, list }, list.atUs), (timedView) => told(timedView, { type: 'list', list: livingListOf(list) }, from));
+  andThen(withTime({ ...view, list }, list.atUs), (timedView) =>
+    told(timedView, { type: 'list', list: livingListOf(list) }, from),
+  );
 
 /** Decisions take lists by version; what differs in the digest alone is settled between partners. */
 const merging = (view: SpreadView, known: AskedList, list: AskedList, from?: string): SpreadStep => {
@@ -102,7 +112,10 @@
   const list = foldReading(view.list, reading, nowUs, begunUs);
   return andThen(
     view.platform === undefined ? stepped(readView, { type: 'time', platformUs: nowUs }) : stepped(readView),
-    (timedView) => andThen(withList(timedView, list), (listedView) => (reading.whole ? pushedRead(listedView) : stepped(listedView))),
+    (timedView) =>
+      andThen(withList(timedView, list), (listedView) =>
+        reading.whole ? pushedRead(listedView) : stepped(listedView),
+      ),
   );
 };
 
@@ -124,7 +137,11 @@
 };
 
 /** The list for a partner that has another one, or none. */
-const listFor = (view: SpreadView, version: number, listDigest: string | undefined): ServerList | AskedList | undefined => {
+const listFor = (
+  view: SpreadView,
+  version: number,
+  listDigest: string | undefined,
+): ServerList | AskedList | undefined => {
   const { list } = view;
   if (list === undefined) return undefined;
   if (!isAsked(list)) return listDigest !== undefined || version < list.version ? list : undefined;
@@ -135,7 +152,11 @@
 };
 
 /** Gives a partner what it is known to lack. */
-const caughtUp = (view: SpreadView, address: string, { revision, version, listDigest }: Known): readonly SpreadEffect[] => [
+const caughtUp = (
+  view: SpreadView,
+  address: string,
+  { revision, version, listDigest }: Known,
+): readonly SpreadEffect[] => [
   ...(view.record !== undefined && revision < view.record.revision
     ? [{ type: 'send' as const, address, frame: { type: 'setup' as const, record: view.record } }]
     : []),
@@ -149,14 +170,18 @@
   const isOwnAsked = listDigestOf(view) !== undefined;
   const isOthersAsked = digest.listDigest !== undefined;
   if (view.list === undefined || isOwnAsked === isOthersAsked)
-    return digest.version > hadVersion || (!isPending && digest.version === versionOf(view) && digest.listDigest !== listDigestOf(view));
+    return (
+      digest.version > hadVersion ||
+      (!isPending && digest.version === versionOf(view) && digest.listDigest !== listDigestOf(view))
+    );
   return isOwnAsked && digest.version > 0 && !isPending;
 };
 
 /** Whether a list has all that a digest speaks of. Of asked lists only equal ones are sure to: frames pass each other. */
 const hasListOf = (view: SpreadView, digest: Known): boolean => {
   const isOwnAsked = listDigestOf(view) !== undefined;
-  if (isOwnAsked && digest.listDigest !== undefined) return digest.version === versionOf(view) && digest.listDigest === listDigestOf(view);
+  if (isOwnAsked && digest.listDigest !== undefined)
+    return digest.version === versionOf(view) && digest.listDigest === listDigestOf(view);
   if (isOwnAsked) return digest.version === 0;
   return (view.list !== undefined && digest.listDigest !== undefined) || digest.version <= versionOf(view);
 };
@@ -171,7 +196,9 @@
   const notedView = isNoted ? view : { ...view, introduced };
   const known = view.partners.get(from);
   const partner = digest.partner ?? known?.partner ?? view.lost.get(from)?.partner;
-  return partner === undefined || partner.address !== from ? stepped(notedView) : withPartner(notedView, partner, digest.incarnation);
+  return partner === undefined || partner.address !== from
+    ? stepped(notedView)
+    : withPartner(notedView, partner, digest.incarnation);
 };
 
 /** When membership differs from a partner's for long, changes were missed, and the whole of it is asked for. */
@@ -187,11 +214,17 @@
     const drawn = nextDraw(step.view.draw);
     const drawnView = { ...step.view, draw: drawn.draw };
     if (drawn.chance >= 4 / Math.max(1, drawnView.partners.size)) return { view: drawnView, effects: step.effects };
-    return andThen({ view: drawnView, effects: step.effects }, (askingView) => digestTo(askingView, address, { asks: 'digest' }));
+    return andThen({ view: drawnView, effects: step.effects }, (askingView) =>
+      digestTo(askingView, address, { asks: 'digest' }),
+    );
   }, stepped(view));
 
 const withMembership = (view: SpreadView, from: string, digest: Digest): SpreadStep => {
-  const wasSuspect = new Set(digest.partners.flatMap(({ partner }) => (view.partners.get(partner.address)?.suspectUs === undefined ? [] : [partner.address])));
+  const wasSuspect = new Set(
+    digest.partners.flatMap(({ partner }) =>
+      view.partners.get(partner.address)?.suspectUs === undefined ? [] : [partner.address],
+    ),
+  );
   const { incarnation } = view;
   const folded = digest.partners.reduce<SpreadStep>(
     (step, news) => andThen(step, (foldedView) => withNews(foldedView, news)),
@@ -200,12 +233,22 @@
   const suspects = digest.partners.flatMap(({ partner: { address } }) =>
     folded.view.partners.get(address)?.suspectUs !== undefined && !wasSuspect.has(address) ? [address] : [],
   );
-  return andThen(andThen(folded, (foldedView) => lookedAt(foldedView, suspects)), (foldedView) => {
-    const comparedView = compared(foldedView, digest);
-    const disputes = isDisputed(comparedView, from, digest.incarnation);
-    const isDue = digest.asks !== undefined || digest.unknown === true || disputes || comparedView.incarnation !== incarnation;
-    return isDue ? digestTo(comparedView, from, { whole: digest.asks === 'whole', ...(digest.crowds === undefined ? {} : { crowds: digest.crowds }), disputes }) : stepped(comparedView);
-  });
+  return andThen(
+    andThen(folded, (foldedView) => lookedAt(foldedView, suspects)),
+    (foldedView) => {
+      const comparedView = compared(foldedView, digest);
+      const disputes = isDisputed(comparedView, from, digest.incarnation);
+      const isDue =
+        digest.asks !== undefined || digest.unknown === true || disputes || comparedView.incarnation !== incarnation;
+      return isDue
+        ? digestTo(comparedView, from, {
+            whole: digest.asks === 'whole',
+            ...(digest.crowds === undefined ? {} : { crowds: digest.crowds }),
+            disputes,
+          })
+        : stepped(comparedView);
+    },
+  );
 };
 
 const onDigest = (view: SpreadView, from: string, digest: Digest): SpreadStep =>
@@ -227,11 +270,17 @@
           ...timedView,
           refreshing: timedView.refreshing && !isFresh,
           asked: lacks
-            ? { atUs: timedView.atUs, revision: Math.max(digest.revision, hadRevision), version: Math.max(digest.version, hadVersion) }
+            ? {
+                atUs: timedView.atUs,
+                revision: Math.max(digest.revision, hadRevision),
+                version: Math.max(digest.version, hadVersion),
+              }
             : asked,
         },
         ...(isFresh ? [{ type: 'refreshed' as const }] : []),
-        ...(lacks ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView, hadRevision, hadVersion) }] : []),
+        ...(lacks
+          ? [{ type: 'send' as const, address: from, frame: inquiryOf(timedView, hadRevision, hadVersion) }]
+          : []),
       );
     },
   );
@@ -250,7 +299,9 @@
     case 'digest':
       return onDigest(view, from, frame);
     case 'inquire':
-      return andThen(stepped(view, ...caughtUp(view, from, frame)), (givenView) => digestTo(givenView, from, { inquiry: frame.inquiry }));
+      return andThen(stepped(view, ...caughtUp(view, from, frame)), (givenView) =>
+        digestTo(givenView, from, { inquiry: frame.inquiry }),
+      );
     case 'setup':
       return withRecord(view, frame.record, from);
     case 'list':
@@ -266,12 +317,20 @@
     awaited: view.awaited.delete(from),
     partners: known === undefined ? view.partners : view.partners.set(from, { ...known, heardUs: view.atUs }),
   };
-  return view.isolated ? stepped({ ...heardView, isolated: false }, { type: 'isolated', isolated: false }) : stepped(heardView);
+  return view.isolated
+    ? stepped({ ...heardView, isolated: false }, { type: 'isolated', isolated: false })
+    : stepped(heardView);
 };
 
 const awaiting = (view: SpreadView, addresses: readonly string[]): SpreadView => {
   const newlyAwaited = addresses.filter((address) => view.partners.has(address) && !view.awaited.has(address));
-  return { ...view, awaited: newlyAwaited.reduce((awaited, address) => awaited.set(address, { askedUs: view.atUs, tries: 1 }), view.awaited) };
+  return {
+    ...view,
+    awaited: newlyAwaited.reduce(
+      (awaited, address) => awaited.set(address, { askedUs: view.atUs, tries: 1 }),
+      view.awaited,
+    ),
+  };
 };
 
 /** Asks those again that owe a sign, and brings those under suspicion that went on owing it. */
@@ -281,10 +340,16 @@
     (step, [address, { tries }]) =>
       andThen(step, (dueView) => {
         if (tries < probeTries)
-          return digestTo({ ...dueView, awaited: dueView.awaited.set(address, { askedUs: dueView.atUs, tries: tries + 1 }) }, address, { asks: 'digest' });
+          return digestTo(
+            { ...dueView, awaited: dueView.awaited.set(address, { askedUs: dueView.atUs, tries: tries + 1 }) },
+            address,
+            { asks: 'digest' },
+          );
         const waitedView = { ...dueView, awaited: dueView.awaited.delete(address) };
         const [news] = newsOf(waitedView, address);
-        return news === undefined || news.state !== 'alive' ? stepped(waitedView) : withNews(waitedView, { ...news, state: 'suspect' });
+        return news === undefined || news.state !== 'alive'
+          ? stepped(waitedView)
+          : withNews(waitedView, { ...news, state: 'suspect' });
       }),
     stepped(view),
   );
@@ -293,7 +358,10 @@
 /** Who has not heard of anybody, or of a whole reading, for a while, asks some at once. */
 const withUnease = (view: SpreadView): SpreadStep => {
   if (hasFew(view) || view.atUs < view.uneasyUs) return stepped(view);
-  const isReadOld = view.read !== undefined && view.platform !== undefined && boundAt(view.platform, view.atUs) > view.read.atUs + uneasyReadUs;
+  const isReadOld =
+    view.read !== undefined &&
+    view.platform !== undefined &&
+    boundAt(view.platform, view.atUs) > view.read.atUs + uneasyReadUs;
   if (!isReadOld && view.atUs <= view.heardUs + uneasyHeardUs) return stepped(view);
   const { targets, view: drawnView } = somePartners({ ...view, uneasyUs: view.atUs + digestSpanUs }, 2);
   return digestsTo(drawnView, targets, () => ({ asks: 'digest' }));
@@ -309,12 +377,16 @@
 
 const asksWhole = (view: SpreadView): boolean =>
   view.wholeUs === Number.NEGATIVE_INFINITY ||
-  (view.differsUs !== undefined && view.atUs > view.differsUs + differingSpanUs && view.atUs > view.wholeUs + wholeSpanUs);
+  (view.differsUs !== undefined &&
+    view.atUs > view.differsUs + differingSpanUs &&
+    view.atUs > view.wholeUs + wholeSpanUs);
 
 /** A seed, or one that was given up, by turns: whoever was cut off for long is met again by it. */
 const farOne = (view: SpreadView): { readonly targets: readonly string[]; readonly view: SpreadView } => {
   if (view.digests % digestsPerRoll !== 0) return { targets: [], view };
-  const missing = [...new Set([...view.seeds, ...view.lost.keys()])].filter((address) => address !== view.self.address && !view.partners.has(address));
+  const missing = [...new Set([...view.seeds, ...view.lost.keys()])].filter(
+    (address) => address !== view.self.address && !view.partners.has(address),
+  );
   const drawn = someOf(view.draw, missing, 1);
   return { targets: drawn.some, view: { ...view, draw: drawn.draw } };
 };
@@ -324,7 +396,9 @@
   const isFull = view.digests % digestsPerWhole === 0;
   const addresses = addressesOf(view);
   const wholeFrom = asksWhole(view) ? addresses[view.digests % addresses.length] : undefined;
-  return digestsTo(awaiting(view, addresses), addresses, (address) => (address === wholeFrom ? { asks: 'whole' } : { whole: isFull }));
+  return digestsTo(awaiting(view, addresses), addresses, (address) =>
+    address === wholeFrom ? { asks: 'whole' } : { whole: isFull },
+  );
 };
 
 /** A beat of a larger one goes to the next of the round and to one by chance, and sometimes to one that was given up. */
@@ -332,22 +406,31 @@
   const round = nextOfRound(view);
   const near = somePartners(round.view, 1, round.target);
   const far = farOne(near.view);
-  const targets = [...new Set([...(round.target === undefined ? [] : [round.target]), ...near.targets, ...far.targets])];
+  const targets = [
+    ...new Set([...(round.target === undefined ? [] : [round.target]), ...near.targets, ...far.targets]),
+  ];
   const wholeFrom = asksWhole(far.view) ? targets[0] : undefined;
   const askingView = wholeFrom === undefined ? far.view : { ...far.view, wholeUs: view.atUs };
-  return digestsTo(awaiting(askingView, targets), targets, (address) => ({ asks: address === wholeFrom ? 'whole' : 'digest' }));
+  return digestsTo(awaiting(askingView, targets), targets, (address) => ({
+    asks: address === wholeFrom ? 'whole' : 'digest',
+  }));
 };
 
 const withInquiries = (view: SpreadView): SpreadStep => {
   const { targets, view: drawnView } = newsTargets(view, refreshTargets);
-  return stepped(drawnView, ...targets.map((address) => ({ type: 'send' as const, address, frame: inquiryOf(drawnView) })));
+  return stepped(
+    drawnView,
+    ...targets.map((address) => ({ type: 'send' as const, address, frame: inquiryOf(drawnView) })),
+  );
 };
 
 const withBeat = (view: SpreadView): SpreadStep => {
   if (view.atUs < view.digestUs) return stepped(view);
   const isFew = hasFew(view);
   const dueView = { ...view, digestUs: view.atUs + (isFew ? digestSpanUs : beatUsOf(view.partners.size)) };
-  return andThen(isFew ? beatToAll(dueView) : beatToSome(dueView), (toldView) => stepped({ ...toldView, digests: toldView.digests + 1 }));
+  return andThen(isFew ? beatToAll(dueView) : beatToSome(dueView), (toldView) =>
+    stepped({ ...toldView, digests: toldView.digests + 1 }),
+  );
 };
 
 const onTick = (view: SpreadView): SpreadStep => {
@@ -358,7 +441,9 @@
   const asksAgain = view.refreshing && view.atUs >= view.askedAgainUs;
   return [withoutOverdue, withProbes, withUnease, withBeat].reduce<SpreadStep>(
     andThen,
-    asksAgain ? andThen(checkedStep, (askingView) => withInquiries({ ...askingView, askedAgainUs: view.atUs + digestSpanUs })) : checkedStep,
+    asksAgain
+      ? andThen(checkedStep, (askingView) => withInquiries({ ...askingView, askedAgainUs: view.atUs + digestSpanUs }))
+      : checkedStep,
   );
 };
 
@@ -377,7 +462,12 @@
     case 'reading':
       return withReading(nowView, event.reading, event.begunAt);
     case 'refresh': {
-      return withInquiries({ ...nowView, inquiry: nowView.inquiry + 1, refreshing: true, askedAgainUs: nowView.atUs + digestSpanUs });
+      return withInquiries({
+        ...nowView,
+        inquiry: nowView.inquiry + 1,
+        refreshing: true,
+        askedAgainUs: nowView.atUs + digestSpanUs,
+      });
     }
   }
 };
@@ -386,7 +476,10 @@
 const lastOfEach = (effects: readonly SpreadEffect[]): readonly SpreadEffect[] => {
   const lastPartners = effects.findLastIndex(({ type }) => type === 'partners');
   const lastRouters = effects.findLastIndex(({ type }) => type === 'routers');
-  return effects.filter(({ type }, place) => (type !== 'partners' || place === lastPartners) && (type !== 'routers' || place === lastRouters));
+  return effects.filter(
+    ({ type }, place) =>
+      (type !== 'partners' || place === lastPartners) && (type !== 'routers' || place === lastRouters),
+  );
 };
 
 /** The spread machine: setup by revision and list by version, or by merging, go to everyone, and never backwards. */
--- a/src/spread/machine/targets.ts
+++ b/src/spread/machine/targets.ts
@@ -4,19 +4,29 @@
 
 /** Whom a fleet of few tells everything: also seeds, and who was given up a short while ago. */
 export const addressesOf = (view: SpreadView): readonly string[] => {
-  const justLost = [...view.lost].flatMap(([address, { lostUs }]) => (lostUs > view.atUs - forgottenSpanUs ? [address] : []));
-  return [...new Set([...view.seeds, ...view.partners.keys(), ...justLost])].filter((address) => address !== view.self.address);
+  const justLost = [...view.lost].flatMap(([address, { lostUs }]) =>
+    lostUs > view.atUs - forgottenSpanUs ? [address] : [],
+  );
+  return [...new Set([...view.seeds, ...view.partners.keys(), ...justLost])].filter(
+    (address) => address !== view.self.address,
+  );
 };
 
 /** Whether digests go to all. */
-export const hasFew = (view: SpreadView): boolean => view.partners.size <= fewAddresses && addressesOf(view).length <= fewAddresses;
+export const hasFew = (view: SpreadView): boolean =>
+  view.partners.size <= fewAddresses && addressesOf(view).length <= fewAddresses;
 
 /** Some partners by chance, two thirds of them in the own locality, as bytes between localities cost. */
-export const somePartners = (view: SpreadView, count: number, except?: string): { readonly targets: readonly string[]; readonly view: SpreadView } => {
+export const somePartners = (
+  view: SpreadView,
+  count: number,
+  except?: string,
+): { readonly targets: readonly string[]; readonly view: SpreadView } => {
   const near: string[] = [];
   const far: string[] = [];
   for (const [address, { partner, suspectUs }] of view.partners)
-    if (address !== except && suspectUs === undefined) (partner.locality === view.self.locality ? near : far).push(address);
+    if (address !== except && suspectUs === undefined)
+      (partner.locality === view.self.locality ? near : far).push(address);
   const farCount = Math.max(Math.ceil(count / 3), count - near.length);
   const nearDrawn = someOf(view.draw, near, count - Math.min(farCount, far.length));
   const farDrawn = someOf(nearDrawn.draw, far, farCount);
@@ -24,5 +34,11 @@
 };
 
 /** Who is told news at once: all of few, or some. */
-export const newsTargets = (view: SpreadView, count: number, except?: string): { readonly targets: readonly string[]; readonly view: SpreadView } =>
-  hasFew(view) ? { targets: addressesOf(view).filter((address) => address !== except), view } : somePartners(view, count, except);
+export const newsTargets = (
+  view: SpreadView,
+  count: number,
+  except?: string,
+): { readonly targets: readonly string[]; readonly view: SpreadView } =>
+  hasFew(view)
+    ? { targets: addressesOf(view).filter((address) => address !== except), view }
+    : somePartners(view, count, except);
--- a/src/spread/machine/timing.ts
+++ b/src/spread/machine/timing.ts
@@ -28,7 +28,9 @@
 
 /** A larger fleet beats more slowly, since news does not wait for the beat. */
 export const beatUsOf = (addresses: number): Micros =>
-  addresses <= fewAddresses ? digestSpanUs : Math.min(mostDigestSpanUs, Math.max(digestSpanUs, Math.round((digestSpanUs * addresses) / 32)));
+  addresses <= fewAddresses
+    ? digestSpanUs
+    : Math.min(mostDigestSpanUs, Math.max(digestSpanUs, Math.round((digestSpanUs * addresses) / 32)));
 
 /** Into so many parts membership is divided when two compare it. */
 export const crowdBuckets = 32;
--- a/tests/bench/figures.ts
+++ b/tests/bench/figures.ts
@@ -28,17 +28,33 @@
   events.reduce((reachedView, event) => stepDecision(reachedView, event).view, view);
 
 /** Plays exchanges one after another, each ending once so many others have begun, with one join under way and a tick for every ten. */
-const played = (start: DecisionView, first: number, count: number, { openings, inFlight }: BenchCase, atUs: Micros): DecisionView => {
+const played = (
+  start: DecisionView,
+  first: number,
+  count: number,
+  { openings, inFlight }: BenchCase,
+  atUs: Micros,
+): DecisionView => {
   let view = start;
   let draw = first + 1;
   for (let place = first; place < first + count; place += 1) {
     const at = atUs + place * 1000;
     draw = (draw * 48271) % 2147483647;
-    view = stepDecision(view, { type: 'exchange', at, exchange: `x${place}`, kind: 'ask', prefix: `opening ${place < openings ? place : draw % openings}` }).view;
+    view = stepDecision(view, {
+      type: 'exchange',
+      at,
+      exchange: `x${place}`,
+      kind: 'ask',
+      prefix: `opening ${place < openings ? place : draw % openings}`,
+    }).view;
     const ending = view.exchanges.get(`x${place - inFlight}`);
     if (ending !== undefined) {
       const named = { at, exchange: ending.exchange, attempt: ending.attempt };
-      view = run(view, [{ type: 'sent', ...named }, { type: 'firstPiece', ...named }, { type: 'done', ...named }]);
+      view = run(view, [
+        { type: 'sent', ...named },
+        { type: 'firstPiece', ...named },
+        { type: 'done', ...named },
+      ]);
     }
     if (place % 10 === 0) view = stepDecision(view, { type: 'tick', at }).view;
   }
@@ -67,7 +83,11 @@
   ]);
   const changes = Array.from({ length: 10 }, (_, place): DecisionEvent => {
     const atUs = (61 + place) * second;
-    return { type: 'list', at: (2 + place) * second, list: listOf(2 + place, atUs, benchServers(servers, 1 + (place % 2), 60 * second)) };
+    return {
+      type: 'list',
+      at: (2 + place) * second,
+      list: listOf(2 + place, atUs, benchServers(servers, 1 + (place % 2), 60 * second)),
+    };
   });
   run(view, changes);
   const beginUs = processorUs();
--- a/tests/checker/clean-history.ts
+++ b/tests/checker/clean-history.ts
@@ -62,7 +62,12 @@
   ...more,
 });
 
-export const watchOf = (node: string, atUs: number, revision: number, more: Partial<WatchRecord> = {}): WatchRecord => ({
+export const watchOf = (
+  node: string,
+  atUs: number,
+  revision: number,
+  more: Partial<WatchRecord> = {},
+): WatchRecord => ({
   node,
   boot: 1,
   atUs,
--- a/tests/cli/known-scenarios.test.ts
+++ b/tests/cli/known-scenarios.test.ts
@@ -5,7 +5,8 @@
 import { scenarios } from '../../src/rehearsal/run/scenarios.js';
 import { simScenarios } from '../../src/sim/sim-scenarios.js';
 
-const namesOf = (items: readonly { readonly name: string; readonly about: string }[]) => items.map(({ name, about }) => ({ name, about }));
+const namesOf = (items: readonly { readonly name: string; readonly about: string }[]) =>
+  items.map(({ name, about }) => ({ name, about }));
 
 test('the command names exactly the scenarios and deployments that there are', () => {
   assert.equal(knownScenarios, namesOf(scenarios));
--- a/tests/control/core-client.test.ts
+++ b/tests/control/core-client.test.ts
@@ -18,18 +18,32 @@
 const askedOf = async (receiptAfterUs: number, budgetUs: number, receipt: Receipt = won) => {
   const world = openWorld(1);
   const ports: SimPorts = new Map();
-  const surroundings = simSurroundingsOf({ world, network: openNetwork(world), ports, serverAt: () => undefined, note: () => undefined }, 'a', 'a:1', openSimNode(world).begin());
-  const spread = openSpreadTask({ node: 'a', role: 'router', address: 'a:1', http: 'a:1/http', locality: 'a' }, ['core:1'], { change: () => undefined }, openCounters(), surroundings);
+  const surroundings = simSurroundingsOf(
+    { world, network: openNetwork(world), ports, serverAt: () => undefined, note: () => undefined },
+    'a',
+    'a:1',
+    openSimNode(world).begin(),
+  );
+  const spread = openSpreadTask(
+    { node: 'a', role: 'router', address: 'a:1', http: 'a:1/http', locality: 'a' },
+    ['core:1'],
+    { change: () => undefined },
+    openCounters(),
+    surroundings,
+  );
   await spread.start();
   ports.set('core:1', (from, frame) => {
-    if (frame.type === 'ask') world.after(receiptAfterUs, () => ports.get(from)?.('core:1', { type: 'receipt', ask: frame.ask, receipt }));
+    if (frame.type === 'ask')
+      world.after(receiptAfterUs, () => ports.get(from)?.('core:1', { type: 'receipt', ask: frame.ask, receipt }));
   });
   const core = openCoreClient(spread, surroundings);
   const told: { word: Either<TypedError, Receipt> | undefined; atUs: number } = { word: undefined, atUs: 0 };
-  void core.ask({ type: 'propose', command: { type: 'claim', key: 'k', exchange: 'x', atUs: 0 } }, budgetUs).then((word) => {
-    told.word = word;
-    told.atUs = world.now();
-  });
+  void core
+    .ask({ type: 'propose', command: { type: 'claim', key: 'k', exchange: 'x', atUs: 0 } }, budgetUs)
+    .then((word) => {
+      told.word = word;
+      told.atUs = world.now();
+    });
   await world.playUntil(10_000_000);
   return told;
 };
--- a/tests/control/operator.test.ts
+++ b/tests/control/operator.test.ts
@@ -14,16 +14,29 @@
 
 type Told = { readonly status: number; readonly etag: unknown; readonly text: string };
 
-const withOperator = async (core: CoreClient, use: (call: (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown, headers?: Readonly<Record<string, string>>) => Promise<Told>) => Promise<void>): Promise<void> => {
+const withOperator = async (
+  core: CoreClient,
+  use: (
+    call: (
+      method: 'GET' | 'PUT' | 'DELETE',
+      path: string,
+      body?: unknown,
+      headers?: Readonly<Record<string, string>>,
+    ) => Promise<Told>,
+  ) => Promise<void>,
+): Promise<void> => {
   const [port] = await freePorts(1);
   const http: HttpServer = openHttpServer(`127.0.0.1:${port}`, openCounters());
-  addOperatorPaths(http, openOperatorDesk(core, () => 0));
+  addOperatorPaths(
+    http,
+    openOperatorDesk(core, () => 0),
+  );
   await http.listen();
   try {
     await use(async (method, path, body, headers = {}) => {
       const receipt = await request(`http://127.0.0.1:${port}${path}`, {
         method,
-        headers: { ...headers, 'connection': 'close' },
+        headers: { ...headers, connection: 'close' },
         body: body === undefined ? undefined : typeof body === 'string' ? body : JSON.stringify(body),
       });
       return { status: receipt.statusCode, etag: receipt.headers['etag'], text: await receipt.body.text() };
@@ -54,7 +67,11 @@
 operator('what does not hold is listed by path and never proposed', () =>
   withOperator(bareCore(), async (call) => {
     const whole = sampleSetup('bad');
-    const invalid = await call('PUT', '/operator/setup', { ...whole, tiers: undefined, warmup: { ...whole.warmup, vnodes: 0 } });
+    const invalid = await call('PUT', '/operator/setup', {
+      ...whole,
+      tiers: undefined,
+      warmup: { ...whole.warmup, vnodes: 0 },
+    });
     assert.is(invalid.status, 422);
     for (const path of ['"path":"tiers"', '"path":"warmup.vnodes"']) assert.match(invalid.text, path);
     assert.is((await call('PUT', '/operator/setup', '{')).status, 422);
@@ -70,10 +87,15 @@
   let isSilent = true;
   const silent: CoreClient = {
     ask: (question, budgetUs) =>
-      isSilent && question.type === 'propose' ? Promise.resolve(Left(typedError('undecided', 'silent'))) : core.ask(question, budgetUs),
+      isSilent && question.type === 'propose'
+        ? Promise.resolve(Left(typedError('undecided', 'silent')))
+        : core.ask(question, budgetUs),
   };
   await withOperator(silent, async (call) => {
-    const unknown = await call('PUT', '/operator/setup', sampleSetup('two'), { 'if-match': '"1"', 'proposal-id': 'p2' });
+    const unknown = await call('PUT', '/operator/setup', sampleSetup('two'), {
+      'if-match': '"1"',
+      'proposal-id': 'p2',
+    });
     assert.is(unknown.status, 202);
     assert.match(unknown.text, '"outcome":"unknown","proposal":"p2"');
     assert.is((await call('GET', '/operator/proposals/p2')).status, 202);
--- a/tests/control/original.test.ts
+++ b/tests/control/original.test.ts
@@ -25,28 +25,66 @@
       const applied = applyCommand(state, commandOf(put));
       return {
         state: applied.state,
-        outcomes: [...outcomes, applied.outcome.type === 'proposal' ? applied.outcome.outcome.type : applied.outcome.type],
+        outcomes: [
+          ...outcomes,
+          applied.outcome.type === 'proposal' ? applied.outcome.outcome.type : applied.outcome.type,
+        ],
       };
     },
     { state: startControlState, outcomes: [] },
   );
 
 test('the version decides: it builds on the one in force and rises', () => {
-  assert.equal(played([{ version: 3, expected: 0 }, { version: 7, expected: 3 }, { version: 9, expected: 3 }]).outcomes, ['taken', 'taken', 'lost-race']);
-  assert.equal(played([{ version: 3, expected: 1 }, { version: 3, expected: 0 }]).outcomes, ['lost-race', 'taken']);
-  assert.equal(played([{ version: 3, expected: 0 }, { version: 3, expected: 3, text: 'other' }]).outcomes, ['taken', 'lost-race']);
-  assert.equal(played([{ version: 3, expected: 0 }, { version: 2, expected: 3 }]).outcomes, ['taken', 'lost-race']);
+  assert.equal(
+    played([
+      { version: 3, expected: 0 },
+      { version: 7, expected: 3 },
+      { version: 9, expected: 3 },
+    ]).outcomes,
+    ['taken', 'taken', 'lost-race'],
+  );
+  assert.equal(
+    played([
+      { version: 3, expected: 1 },
+      { version: 3, expected: 0 },
+    ]).outcomes,
+    ['lost-race', 'taken'],
+  );
+  assert.equal(
+    played([
+      { version: 3, expected: 0 },
+      { version: 3, expected: 3, text: 'other' },
+    ]).outcomes,
+    ['taken', 'lost-race'],
+  );
+  assert.equal(
+    played([
+      { version: 3, expected: 0 },
+      { version: 2, expected: 3 },
+    ]).outcomes,
+    ['taken', 'lost-race'],
+  );
 });
 
 test('the same document is taken again, in force or before, and is no second revision', () => {
-  const { state, outcomes } = played([{ version: 3, expected: 0 }, { version: 3, expected: 99 }, { version: 7, expected: 3 }, { version: 3, expected: 0 }]);
+  const { state, outcomes } = played([
+    { version: 3, expected: 0 },
+    { version: 3, expected: 99 },
+    { version: 7, expected: 3 },
+    { version: 3, expected: 0 },
+  ]);
   assert.equal(outcomes, ['taken', 'taken', 'taken', 'taken']);
   assert.is(state.record?.revision, 2);
   assert.is(state.record?.original?.version, 7);
 });
 
 test('a lost race does not stand against the same document later', () => {
-  const { state, outcomes } = played([{ version: 3, expected: 0 }, { version: 9, expected: 0 }, { version: 7, expected: 3 }, { version: 9, expected: 7 }]);
+  const { state, outcomes } = played([
+    { version: 3, expected: 0 },
+    { version: 9, expected: 0 },
+    { version: 7, expected: 3 },
+    { version: 9, expected: 7 },
+  ]);
   assert.equal(outcomes, ['taken', 'lost-race', 'taken', 'taken']);
   assert.is(state.record?.original?.text, 'document 9');
 });
@@ -59,7 +97,10 @@
   assert.ok(isSetupRecord(state.record));
   const image = { index: 1, term: 1, members: [], state };
   const [record, entries] = decodeKept(
-    encodeKept([{ type: 'image', image }, { type: 'entries', entries: [{ index: 2, term: 1, command }] }]),
+    encodeKept([
+      { type: 'image', image },
+      { type: 'entries', entries: [{ index: 2, term: 1, command }] },
+    ]),
   ).unsafeCoerce();
   assert.is(record?.type === 'image' ? record.image.state.record?.original?.text : undefined, text);
   const kept = entries?.type === 'entries' ? entries.entries[0]?.command : undefined;
--- a/tests/decision/bookings.test.ts
+++ b/tests/decision/bookings.test.ts
@@ -7,7 +7,9 @@
 import { foundersAt, recordOf, second, serverOf, setup, warmup } from './figures.js';
 
 const entriesOf = (servers: readonly ListedServer[], record = recordOf()): Readonly<Record<string, number>> =>
-  Object.fromEntries(bookingsOf(record, servers, 'model', 'model').map((booking) => [booking.server.id, booking.entryUs]));
+  Object.fromEntries(
+    bookingsOf(record, servers, 'model', 'model').map((booking) => [booking.server.id, booking.entryUs]),
+  );
 
 test('servers that open a ring enter at once, a later one is booked', () => {
   const entries = entriesOf([...foundersAt(3, 5 * second), serverOf('new', 50 * second)]);
@@ -57,13 +59,18 @@
 });
 
 test('an entry that has passed never comes undone, whichever servers are taken off the list', () => {
-  const staggered = Array.from({ length: 9 }, (_, place) => serverOf(`s${place}`, (place < 6 ? place * 2 : place * 20) * second));
+  const staggered = Array.from({ length: 9 }, (_, place) =>
+    serverOf(`s${place}`, (place < 6 ? place * 2 : place * 20) * second),
+  );
   const entries = entriesOf(staggered);
   assert.ok((entries['s4'] ?? 0) <= 8 * second, 'a fleet that starts up enters as it is listed');
   for (let gone = 1; gone < 1 << 9; gone += 1) {
     const left = staggered.filter((_, place) => (gone & (1 << place)) === 0);
     for (const [id, entryUs] of Object.entries(entriesOf(left)))
-      assert.ok(entryUs <= (entries[id] ?? 0), `${id} would enter at ${entryUs}, not ${entries[id]}, without ${gone.toString(2)}`);
+      assert.ok(
+        entryUs <= (entries[id] ?? 0),
+        `${id} would enter at ${entryUs}, not ${entries[id]}, without ${gone.toString(2)}`,
+      );
   }
 });
 
@@ -72,7 +79,13 @@
   const longer = (place: number) => ({ ...warmup, boundUs: (60 + place) * second, paceUs: 5 * second });
   let state = applyCommand(startControlState, { type: 'setup', proposal: 'p0', expected: 0, setup, atUs: 0 }).state;
   for (let place = 1; place <= 20; place += 1)
-    state = applyCommand(state, { type: 'setup', proposal: `p${place}`, expected: place, setup: { ...setup, warmup: longer(place) }, atUs: (101 + place) * second }).state;
+    state = applyCommand(state, {
+      type: 'setup',
+      proposal: `p${place}`,
+      expected: place,
+      setup: { ...setup, warmup: longer(place) },
+      atUs: (101 + place) * second,
+    }).state;
   const { record } = state;
   assert.ok(record);
   assert.is(entriesOf(servers, record)['n1'], 110 * second);
--- a/tests/decision/deliveries.test.ts
+++ b/tests/decision/deliveries.test.ts
@@ -26,7 +26,15 @@
   void player.play({ type: 'sent', at, exchange: deliver.exchange, attempt: deliver.attempt });
 
 const failOf = (player: Player, at: number, deliver: Deliver, sent: boolean, pieces = 0) =>
-  player.play({ type: 'failed', at, exchange: deliver.exchange, attempt: deliver.attempt, sent, pieces, error: 'link-lost' });
+  player.play({
+    type: 'failed',
+    at,
+    exchange: deliver.exchange,
+    attempt: deliver.attempt,
+    sent,
+    pieces,
+    error: 'link-lost',
+  });
 
 const first = (delivers: readonly Deliver[]): Deliver => {
   const [deliver] = delivers;
@@ -37,15 +45,20 @@
 test('one prefill goes first, followers wait for its first piece and then all go', () => {
   const player = nodeUnder();
   const leader = first(send(player, 1, 'e1', 'ask', 'p'));
-  const held = [2, 3, 4].map((at) => player.play({ type: 'exchange', at, exchange: `e${at}`, kind: 'ask', prefix: 'p' }));
+  const held = [2, 3, 4].map((at) =>
+    player.play({ type: 'exchange', at, exchange: `e${at}`, kind: 'ask', prefix: 'p' }),
+  );
   assert.equal(held.map(typesOf), [['hold'], ['hold'], ['hold']]);
   sentOf(player, 5, leader);
   const released = player.play({ type: 'firstPiece', at: 6, exchange: 'e1', attempt: 1 });
-  assert.equal(deliversOf(released).map((deliver) => [deliver.exchange, deliver.server, deliver.reason.cold]), [
-    ['e2', leader.server, false],
-    ['e3', leader.server, false],
-    ['e4', leader.server, false],
-  ]);
+  assert.equal(
+    deliversOf(released).map((deliver) => [deliver.exchange, deliver.server, deliver.reason.cold]),
+    [
+      ['e2', leader.server, false],
+      ['e3', leader.server, false],
+      ['e4', leader.server, false],
+    ],
+  );
 });
 
 test('followers wait no longer than the bound, and an exchange never shares an answer', () => {
@@ -54,17 +67,26 @@
   player.play({ type: 'exchange', at: 2, exchange: 'e2', kind: 'ask', prefix: 'p' });
   assert.equal(typesOf(player.play({ type: 'tick', at: 2 * second + 1 })), []);
   const released = deliversOf(player.play({ type: 'tick', at: 2 * second + 2 }));
-  assert.equal(released.map((deliver) => deliver.exchange), ['e2']);
+  assert.equal(
+    released.map((deliver) => deliver.exchange),
+    ['e2'],
+  );
 });
 
 test('when the first prefill breaks, the next follower leads', () => {
   const player = nodeUnder();
   const leader = first(send(player, 1, 'e1', 'record', 'p'));
-  player.play({ type: 'exchange', at: 2, exchange: 'e2', kind: 'ask', prefix: 'p' }, { type: 'exchange', at: 3, exchange: 'e3', kind: 'ask', prefix: 'p' });
+  player.play(
+    { type: 'exchange', at: 2, exchange: 'e2', kind: 'ask', prefix: 'p' },
+    { type: 'exchange', at: 3, exchange: 'e3', kind: 'ask', prefix: 'p' },
+  );
   sentOf(player, 4, leader);
   const after = failOf(player, 5, leader, true);
   assert.equal(typesOf(after), ['unknown', 'deliver', 'hold']);
-  assert.equal(deliversOf(after).map((deliver) => deliver.exchange), ['e2']);
+  assert.equal(
+    deliversOf(after).map((deliver) => deliver.exchange),
+    ['e2'],
+  );
 });
 
 test('a hot opening spills to the next owners of the ring once its owner is pressed', () => {
@@ -84,7 +106,9 @@
   assert.is.not(two.server, one.server);
   assert.is(two.extra, false);
   sentOf(player, late + 2, two);
-  assert.equal(failOf(player, late + 3, two, true), [{ at: late + 3, type: 'unknown', exchange: 'e1', error: 'outcome-unknown' }]);
+  assert.equal(failOf(player, late + 3, two, true), [
+    { at: late + 3, type: 'unknown', exchange: 'e1', error: 'outcome-unknown' },
+  ]);
 
   const broken = first(send(player, late + 4, 'e2', 'record', 'q'));
   sentOf(player, late + 5, broken);
@@ -174,7 +198,13 @@
   sentOf(player, late, started);
   player.play({ type: 'firstPiece', at: late, exchange: 'e3', attempt: 1 });
   const ends = new Map(
-    player.play({ type: 'tick', at: late + 60 * second }).flatMap((decision) => (decision.type === 'cancel' || decision.type === 'deliver' ? [] : ['exchange' in decision ? [decision.exchange, decision.type] as const : ['', ''] as const])),
+    player
+      .play({ type: 'tick', at: late + 60 * second })
+      .flatMap((decision) =>
+        decision.type === 'cancel' || decision.type === 'deliver'
+          ? []
+          : ['exchange' in decision ? ([decision.exchange, decision.type] as const) : (['', ''] as const)],
+      ),
   );
   assert.equal([ends.get('e1'), ends.get('e2'), ends.get('e3')], ['refuse', 'unknown', 'breakOff']);
   assert.is(unsent.reason.service, 'status');
@@ -184,7 +214,11 @@
   const player = nodeUnder({ ...setup, pressure: { ...setup.pressure, slots: 10 } });
   const outcomes = Array.from({ length: 12 }, (_, place) => {
     const kind = place % 2 === 0 ? 'record' : 'ask';
-    return player.play({ type: 'exchange', at: place, exchange: `e${place}`, kind, prefix: `p${place}` }).some((decision) => decision.type === 'refuse') ? kind : 'taken';
+    return player
+      .play({ type: 'exchange', at: place, exchange: `e${place}`, kind, prefix: `p${place}` })
+      .some((decision) => decision.type === 'refuse')
+      ? kind
+      : 'taken';
   });
   assert.equal(outcomes.filter((outcome) => outcome === 'record').length, 3);
   assert.equal(outcomes.filter((outcome) => outcome === 'ask').length, 0);
@@ -198,7 +232,10 @@
   sentOf(player, late, one);
   const two = first(deliversOf(failOf(player, late + 1, one, true)));
   const before = player.view().exchanges.get('e1');
-  player.play({ type: 'firstPiece', at: late + 2, exchange: 'e1', attempt: 1 }, { type: 'done', at: late + 2, exchange: 'e1', attempt: 1 });
+  player.play(
+    { type: 'firstPiece', at: late + 2, exchange: 'e1', attempt: 1 },
+    { type: 'done', at: late + 2, exchange: 'e1', attempt: 1 },
+  );
   assert.equal(player.view().exchanges.get('e1'), before);
   endWell(player, late + 3, two);
   assert.is(player.view().exchanges.size, 0);
@@ -211,7 +248,8 @@
   const reused = serverOf('other', 95 * second, { service: 'status', address: servers[0]?.address ?? '' });
   player.play({ type: 'list', at: 5 * second, list: listOf(2, 95 * second, [...servers.slice(1), reused]) });
   const reusedKey = serverKeyOf(reused);
-  for (let place = 0; place < 100; place += 1) ranWell(player, { at: 5 * second + place, exchange: `e${place}`, prefix: `p${place}` });
+  for (let place = 0; place < 100; place += 1)
+    ranWell(player, { at: 5 * second + place, exchange: `e${place}`, prefix: `p${place}` });
   assert.is(deliversOf(player.all()).filter((deliver) => deliver.server === reusedKey).length, 0);
 });
 
--- a/tests/decision/example-trace.test.ts
+++ b/tests/decision/example-trace.test.ts
@@ -8,8 +8,11 @@
   const decisions = readFileSync('examples/decide/join.ndjson', 'utf8')
     .split('\n')
     .flatMap((line) => reader.read(line).unsafeCoerce());
-  const types: readonly string[] = decisions.map((decision) => (decision.type === 'deliver' ? decision.reason.type : decision.type));
-  for (const type of ['hold', 'unknown', 'booked', 'warm-up', 'entered']) assert.ok(types.includes(type), `${type} is missing`);
+  const types: readonly string[] = decisions.map((decision) =>
+    decision.type === 'deliver' ? decision.reason.type : decision.type,
+  );
+  for (const type of ['hold', 'unknown', 'booked', 'warm-up', 'entered'])
+    assert.ok(types.includes(type), `${type} is missing`);
   assert.ok(types.indexOf('booked') < types.indexOf('warm-up'));
   assert.ok(types.lastIndexOf('warm-up') < types.indexOf('entered'));
 });
--- a/tests/decision/figures.ts
+++ b/tests/decision/figures.ts
@@ -27,10 +27,46 @@
     { name: 'second', weight: 1, share: 0.5 },
   ],
   rules: [
-    { kind: 'ask', service: 'model', tier: 'first', repeatable: true, resumable: true, budgetUs: 20 * second, firstPieceUs: 5 * second, silenceUs: 3 * second },
-    { kind: 'draft', service: 'model', tier: 'second', repeatable: true, resumable: false, budgetUs: 60 * second, firstPieceUs: 5 * second, silenceUs: 3 * second },
-    { kind: 'record', service: 'model', tier: 'second', repeatable: false, resumable: false, budgetUs: 60 * second, firstPieceUs: 5 * second, silenceUs: 3 * second },
-    { kind: 'check', service: 'status', tier: 'first', repeatable: true, resumable: false, budgetUs: 5 * second, firstPieceUs: 2 * second, silenceUs: 3 * second },
+    {
+      kind: 'ask',
+      service: 'model',
+      tier: 'first',
+      repeatable: true,
+      resumable: true,
+      budgetUs: 20 * second,
+      firstPieceUs: 5 * second,
+      silenceUs: 3 * second,
+    },
+    {
+      kind: 'draft',
+      service: 'model',
+      tier: 'second',
+      repeatable: true,
+      resumable: false,
+      budgetUs: 60 * second,
+      firstPieceUs: 5 * second,
+      silenceUs: 3 * second,
+    },
+    {
+      kind: 'record',
+      service: 'model',
+      tier: 'second',
+      repeatable: false,
+      resumable: false,
+      budgetUs: 60 * second,
+      firstPieceUs: 5 * second,
+      silenceUs: 3 * second,
+    },
+    {
+      kind: 'check',
+      service: 'status',
+      tier: 'first',
+      repeatable: true,
+      resumable: false,
+      budgetUs: 5 * second,
+      firstPieceUs: 2 * second,
+      silenceUs: 3 * second,
+    },
   ],
   warmup,
   flight: { boundUs: 2 * second },
@@ -60,4 +96,8 @@
 export const foundersAt = (count: number, listedAtUs: number): readonly ListedServer[] =>
   Array.from({ length: count }, (_, index) => serverOf(`s${String.fromCodePoint(97 + index)}`, listedAtUs));
 
-export const listOf = (version: number, atUs: number, servers: readonly ListedServer[]): ServerList => ({ version, atUs, servers });
+export const listOf = (version: number, atUs: number, servers: readonly ListedServer[]): ServerList => ({
+  version,
+  atUs,
+  servers,
+});
--- a/tests/decision/flat.test.ts
+++ b/tests/decision/flat.test.ts
@@ -29,8 +29,11 @@
 
 test('owners stand in the same order as by looking at all of them, also in uneven localities', () => {
   for (let place = 0; place < 10; place += 1) {
-    const owners = members.map(({ key }) => key).sort((left, right) => positionOf(`${place}${left}`) - positionOf(`${place}${right}`));
-    const localityOf = (owner: string): string => String(Math.floor(Math.sqrt(owner.length * 7 + (owner.codePointAt(1) ?? 0) - 48)));
+    const owners = members
+      .map(({ key }) => key)
+      .sort((left, right) => positionOf(`${place}${left}`) - positionOf(`${place}${right}`));
+    const localityOf = (owner: string): string =>
+      String(Math.floor(Math.sqrt(owner.length * 7 + (owner.codePointAt(1) ?? 0) - 48)));
     assert.equal(acrossLocalities(owners, localityOf), ownersByLook(owners, localityOf));
   }
 });
@@ -52,9 +55,18 @@
 test('the range of a position is found among all that a rebalance has', () => {
   const ranges = previewRanges(ringOf(members, 8), ringOf(members, 16));
   assert.ok(ranges.length > 100);
-  const positions = [0, positionEnd - 1, ...ranges.flatMap(({ after, upTo }) => [after, upTo, upTo + 1]), ...members.map(({ id }) => positionOf(id))];
+  const positions = [
+    0,
+    positionEnd - 1,
+    ...ranges.flatMap(({ after, upTo }) => [after, upTo, upTo + 1]),
+    ...members.map(({ id }) => positionOf(id)),
+  ];
   for (const position of positions)
-    assert.is(rangeAt(ranges, position), ranges.find((range) => rangeHolds(range, position)), `${position}`);
+    assert.is(
+      rangeAt(ranges, position),
+      ranges.find((range) => rangeHolds(range, position)),
+      `${position}`,
+    );
   assert.is(rangeAt([], 1), undefined);
 });
 
@@ -85,12 +97,20 @@
   for (const range of ranges) {
     const sorted = [...hotness.prefixes]
       .filter(([, hot]) => hot.service === 'model' && rangeHolds(range, hot.position))
-      .sort(([leftName, left], [rightName, right]) => left.tierPlace - right.tierPlace || scoreAt(right, atUs) - scoreAt(left, atUs) || (leftName < rightName ? -1 : 1))
+      .sort(
+        ([leftName, left], [rightName, right]) =>
+          left.tierPlace - right.tierPlace ||
+          scoreAt(right, atUs) - scoreAt(left, atUs) ||
+          (leftName < rightName ? -1 : 1),
+      )
       .map(([name]) => name);
     for (const prefix of hotness.prefixes.keys()) {
       const place = sorted.indexOf(prefix);
       for (const most of [1, 25, 5000])
-        assert.is(rankIn(hotness, { prefix, service: 'model' }, range, atUs, most), place >= 0 && place < most ? place : undefined);
+        assert.is(
+          rankIn(hotness, { prefix, service: 'model' }, range, atUs, most),
+          place >= 0 && place < most ? place : undefined,
+        );
     }
   }
 });
@@ -106,7 +126,10 @@
 
 test('what a server is known to have read is bounded, and the newest stays', () => {
   const named = stepDecision(startDecisionView, { type: 'setup', at: 0, record: recordOf() }).view;
-  const view = Array.from({ length: 10_000 }, (_, place) => place).reduce((reached, place) => warmed({ ...reached, atUs: place }, 's', `p${place}`), named);
+  const view = Array.from({ length: 10_000 }, (_, place) => place).reduce(
+    (reached, place) => warmed({ ...reached, atUs: place }, 's', `p${place}`),
+    named,
+  );
   assert.ok((view.warmth.get('s')?.size ?? 0) <= 8192);
   assert.not(isCold(view, 's', 'p9999'));
   assert.not(isCold(view, 's', 'p4000'));
@@ -123,11 +146,20 @@
 });
 
 test('older views stay as they were: the same events give the same decisions from them again', () => {
-  const begun = stepDecision(stepDecision(startDecisionView, { type: 'setup', at: 0, record: recordOf(setup) }).view, { type: 'list', at: 0, list: listOf(1, 0, foundersAt(5, 0)) }).view;
+  const begun = stepDecision(stepDecision(startDecisionView, { type: 'setup', at: 0, record: recordOf(setup) }).view, {
+    type: 'list',
+    at: 0,
+    list: listOf(1, 0, foundersAt(5, 0)),
+  }).view;
   const playFrom = () => {
     let view = begun;
     return Array.from({ length: 60 }, (_, place) => {
-      const step = stepDecision(view, place % 7 === 6 ? { type: 'tick', at: place * second } : { type: 'exchange', at: place * second, exchange: `x${place}`, kind: 'ask', prefix: `p${place % 9}` });
+      const step = stepDecision(
+        view,
+        place % 7 === 6
+          ? { type: 'tick', at: place * second }
+          : { type: 'exchange', at: place * second, exchange: `x${place}`, kind: 'ask', prefix: `p${place % 9}` },
+      );
       view = step.view;
       return step.effects;
     });
@@ -138,17 +170,36 @@
 });
 
 test('the sums of pressure are those of adding it up, whatever happens', () => {
-  let view = stepDecision(stepDecision(startDecisionView, { type: 'setup', at: 0, record: recordOf(setup) }).view, { type: 'list', at: 0, list: listOf(1, 0, foundersAt(5, 0)) }).view;
+  let view = stepDecision(stepDecision(startDecisionView, { type: 'setup', at: 0, record: recordOf(setup) }).view, {
+    type: 'list',
+    at: 0,
+    list: listOf(1, 0, foundersAt(5, 0)),
+  }).view;
   for (let place = 1; place < 400; place += 1) {
     const at = place * 200_000;
     const known = [...view.exchanges.values()][place % Math.max(1, view.exchanges.size)];
     const named = { at, exchange: known?.exchange ?? '', attempt: known?.attempt ?? 0 };
-    view = stepDecision(view, { type: 'exchange', at, exchange: `x${place}`, kind: place % 5 === 0 ? 'check' : 'ask', prefix: `p${place % 20}` }).view;
+    view = stepDecision(view, {
+      type: 'exchange',
+      at,
+      exchange: `x${place}`,
+      kind: place % 5 === 0 ? 'check' : 'ask',
+      prefix: `p${place % 20}`,
+    }).view;
     if (place % 3 === 0) view = stepDecision(view, { type: 'done', ...named }).view;
-    if (place % 4 === 0) view = stepDecision(view, { type: 'failed', ...named, sent: false, pieces: 0, error: 'no-link' }).view;
+    if (place % 4 === 0)
+      view = stepDecision(view, { type: 'failed', ...named, sent: false, pieces: 0, error: 'no-link' }).view;
     if (place % 10 === 0) view = stepDecision(view, { type: 'tick', at }).view;
-    if (place % 100 === 0) view = stepDecision(view, { type: 'list', at, list: listOf(1 + place, at, foundersAt(5 + ((place / 100) % 2), 0)) }).view;
-    const pressure = [...(view.stage.services.get('model')?.localities.keys() ?? [])].reduce((sum, server) => sum + (view.pressure.get(server) ?? 0), 0);
+    if (place % 100 === 0)
+      view = stepDecision(view, {
+        type: 'list',
+        at,
+        list: listOf(1 + place, at, foundersAt(5 + ((place / 100) % 2), 0)),
+      }).view;
+    const pressure = [...(view.stage.services.get('model')?.localities.keys() ?? [])].reduce(
+      (sum, server) => sum + (view.pressure.get(server) ?? 0),
+      0,
+    );
     assert.is(view.ringPressure.get('model'), pressure);
   }
 });
--- a/tests/decision/localities.test.ts
+++ b/tests/decision/localities.test.ts
@@ -22,17 +22,33 @@
 
 test('where all stand in one locality the order is that of the ring', () => {
   const walked = ownersFrom(ringOf(members, 16), positionOf('o'));
-  assert.equal(acrossLocalities(walked, () => 'a'), walked);
+  assert.equal(
+    acrossLocalities(walked, () => 'a'),
+    walked,
+  );
 });
 
 test('work that its owner can not take goes to another locality', () => {
   const servers = foundersAt(9, 0).map((server, place) => ({ ...server, locality: ['a', 'b', 'c'][place % 3] ?? 'a' }));
-  const localityAt = (key: string): string | undefined => servers.find((server) => key.startsWith(`${server.id}/`))?.locality;
+  const localityAt = (key: string): string | undefined =>
+    servers.find((server) => key.startsWith(`${server.id}/`))?.locality;
   const player = openPlayer();
   player.play({ type: 'setup', at: 0, record: recordOf() }, { type: 'list', at: 0, list: listOf(1, second, servers) });
   for (let place = 0; place < 40; place += 1) {
-    const [first] = deliversOf(player.play({ type: 'exchange', at: second, exchange: `x${place}`, kind: 'ask', prefix: `p${place}` }));
-    const [next] = deliversOf(player.play({ type: 'failed', at: second, exchange: `x${place}`, attempt: 1, sent: false, pieces: 0, error: 'no-link' }));
+    const [first] = deliversOf(
+      player.play({ type: 'exchange', at: second, exchange: `x${place}`, kind: 'ask', prefix: `p${place}` }),
+    );
+    const [next] = deliversOf(
+      player.play({
+        type: 'failed',
+        at: second,
+        exchange: `x${place}`,
+        attempt: 1,
+        sent: false,
+        pieces: 0,
+        error: 'no-link',
+      }),
+    );
     assert.ok(first && next);
     assert.is.not(localityAt(next?.server ?? ''), localityAt(first?.server ?? ''));
     player.play({ type: 'abandoned', at: second, exchange: `x${place}` });
--- a/tests/decision/player.ts
+++ b/tests/decision/player.ts
@@ -20,7 +20,9 @@
   const withTime = (event: DecisionEvent): readonly DecisionEvent[] => {
     const heardUs = event.type === 'list' ? event.list.atUs : event.type === 'time' ? event.platformUs : undefined;
     if (heardUs !== undefined) offsetUs = Math.max(offsetUs ?? Number.NEGATIVE_INFINITY, heardUs - event.at);
-    return offsetUs === undefined || event.type === 'node' ? [event] : [{ type: 'time', at: event.at, platformUs: event.at + offsetUs }, event];
+    return offsetUs === undefined || event.type === 'node'
+      ? [event]
+      : [{ type: 'time', at: event.at, platformUs: event.at + offsetUs }, event];
   };
   return {
     play: (...events) => {
@@ -45,4 +47,5 @@
 export const deliversOf = (decisions: readonly TimedDecision[]): readonly Deliver[] =>
   decisions.flatMap((decision) => (decision.type === 'deliver' ? [decision] : []));
 
-export const typesOf = (decisions: readonly TimedDecision[]): readonly string[] => decisions.map((decision) => decision.type);
+export const typesOf = (decisions: readonly TimedDecision[]): readonly string[] =>
+  decisions.map((decision) => decision.type);
--- a/tests/decision/router-counts.test.ts
+++ b/tests/decision/router-counts.test.ts
@@ -23,20 +23,28 @@
     const chance = seededChance(seed);
     type Node = { counts: RouterCounts; tries: Tries; endsUs: number; beginsUs: number };
     const nodes: Node[] = Array.from({ length: 40 }, (_, place) => ({
-      counts: [], tries: [], beginsUs: place < 30 ? -windowUs : 40 * second, endsUs: place < 15 ? 20 * second : 90 * second,
+      counts: [],
+      tries: [],
+      beginsUs: place < 30 ? -windowUs : 40 * second,
+      endsUs: place < 15 ? 20 * second : 90 * second,
     }));
-    const livingAt = (atUs: number): number => nodes.filter(({ beginsUs, endsUs }) => atUs >= beginsUs && atUs < endsUs).length;
+    const livingAt = (atUs: number): number =>
+      nodes.filter(({ beginsUs, endsUs }) => atUs >= beginsUs && atUs < endsUs).length;
     const told: { atUs: number; isExtra: boolean }[] = [];
     for (let atUs = 0; atUs < 90 * second; atUs += 100_000)
       for (const node of nodes) {
         if (atUs < node.beginsUs || atUs >= node.endsUs) continue;
         /** Each learns of a change by up to eight seconds later than it is, and begins with nothing of the constant. */
-        if (chance() < 0.1) node.counts = countsAfter(node.counts, Math.max(1, livingAt(atUs - chance() * 8 * second)), atUs);
+        if (chance() < 0.1)
+          node.counts = countsAfter(node.counts, Math.max(1, livingAt(atUs - chance() * 8 * second)), atUs);
         if (chance() < 0.2) {
           node.tries = triesAfter(node.tries, atUs, false);
           told.push({ atUs, isExtra: false });
         }
-        const constant = atUs < node.beginsUs + windowUs ? 0 : fleetExtra / (mostCounted(node.counts, atUs) ?? Number.POSITIVE_INFINITY);
+        const constant =
+          atUs < node.beginsUs + windowUs
+            ? 0
+            : fleetExtra / (mostCounted(node.counts, atUs) ?? Number.POSITIVE_INFINITY);
         if (!mayTryAgain(node.tries, atUs, { fraction, constant })) continue;
         node.tries = triesAfter(node.tries, atUs, true);
         told.push({ atUs, isExtra: true });
@@ -45,7 +53,10 @@
       const within = told.filter(({ atUs }) => atUs >= fromUs && atUs < fromUs + windowUs);
       const extras = within.filter(({ isExtra }) => isExtra).length;
       const firsts = within.length - extras;
-      assert.ok(extras <= firsts * fraction + fleetExtra, `seed ${seed}, from ${fromUs}: ${extras} extra, ${firsts} first`);
+      assert.ok(
+        extras <= firsts * fraction + fleetExtra,
+        `seed ${seed}, from ${fromUs}: ${extras} extra, ${firsts} first`,
+      );
     }
   }
 });
--- a/tests/decision/time-line.test.ts
+++ b/tests/decision/time-line.test.ts
@@ -16,24 +16,35 @@
 /** A node at steady time 0 when the platform's time is 90 s. */
 const bornNode = (): Player => {
   const player = openPlayer();
-  player.play({ type: 'setup', at: 0, record: recordOf() }, { type: 'list', at: 0, list: listOf(1, 90 * second, founders) });
+  player.play(
+    { type: 'setup', at: 0, record: recordOf() },
+    { type: 'list', at: 0, list: listOf(1, 90 * second, founders) },
+  );
   return player;
 };
 
 const entryOf = (player: Player): number | undefined =>
-  player.all().flatMap((decision) => (decision.type === 'entered' && decision.server === newKey ? [decision.entryUs] : []))[0];
+  player
+    .all()
+    .flatMap((decision) => (decision.type === 'entered' && decision.server === newKey ? [decision.entryUs] : []))[0];
 
 test('nodes with other traffic, other clocks and another order of messages come to one entry moment', () => {
   const quietNode = bornNode();
   quietNode.play({ type: 'list', at: 10 * second, list: joinList }, { type: 'tick', at: 30 * second });
 
   const busyNode = openPlayer();
-  busyNode.play({ type: 'list', at: 5_000 * second, list: joinList }, { type: 'setup', at: 5_001 * second, record: recordOf() });
+  busyNode.play(
+    { type: 'list', at: 5_000 * second, list: joinList },
+    { type: 'setup', at: 5_001 * second, record: recordOf() },
+  );
   for (let place = 0; place < 300; place += 1)
     ranWell(busyNode, { at: 5_001 * second + place * 50_000, exchange: `e${place}`, prefix: `p${place % 40}` });
 
   const lateNode = openPlayer();
-  lateNode.play({ type: 'setup', at: 7 * second, record: recordOf() }, { type: 'list', at: 8 * second, list: joinList });
+  lateNode.play(
+    { type: 'setup', at: 7 * second, record: recordOf() },
+    { type: 'list', at: 8 * second, list: joinList },
+  );
   const early = lateNode.view().stage.services.get('model')?.joining;
   lateNode.play({ type: 'time', at: 9 * second, platformUs: 110 * second });
 
@@ -81,7 +92,8 @@
       assert.is(inRange.length > 0, isUsed, `seed ${seed}: range up to ${range.upTo}`);
       inRange.forEach((deliver, place) => {
         const formerDeliver = inRange[place - 1];
-        if (formerDeliver !== undefined) assert.ok(deliver.at - formerDeliver.at >= warmup.paceUs, `seed ${seed}: two prefills within a pace`);
+        if (formerDeliver !== undefined)
+          assert.ok(deliver.at - formerDeliver.at >= warmup.paceUs, `seed ${seed}: two prefills within a pace`);
       });
     }
     for (const deliver of warmups) {
@@ -100,7 +112,9 @@
     return probe.view().stage.services.get('model')?.pending[0]?.ranges[0];
   })();
   if (range === undefined) throw new Error('no range was previewed');
-  const inside = Array.from({ length: 20_000 }, (_, place) => `p${place}`).filter((prefix) => rangeHolds(range, positionOf(prefix)));
+  const inside = Array.from({ length: 20_000 }, (_, place) => `p${place}`).filter((prefix) =>
+    rangeHolds(range, positionOf(prefix)),
+  );
   const [coolFirst = '', hotSecond = '', hotFirst = ''] = inside;
   let count = 0;
   const send = (at: number, kind: string, prefix: string) => {
@@ -131,7 +145,9 @@
     );
     const range = player.view().stage.services.get('model')?.pending[0]?.ranges[0];
     if (range === undefined) throw new Error('no range was previewed');
-    const prefix = Array.from({ length: 5_000 }, (_, place) => `p${place}`).find((name) => rangeHolds(range, positionOf(name))) ?? '';
+    const prefix =
+      Array.from({ length: 5_000 }, (_, place) => `p${place}`).find((name) => rangeHolds(range, positionOf(name))) ??
+      '';
     for (let at = 10 * second; at < 20 * second; at += 50_000)
       if (ranWell(player, { at, exchange: `e${at}`, prefix })[0]?.server === newKey) {
         player.play({ type: 'tick', at: 21 * second });
@@ -149,14 +165,20 @@
   const leaving = { ...newcomer, state: 'leaving' as const, leavingAtUs: 104 * second };
   const player = bornNode();
   player.play({ type: 'list', at: 10 * second, list: joinList });
-  const withdrawn = player.play({ type: 'list', at: 14 * second, list: listOf(3, 104 * second, [...founders, leaving]) });
+  const withdrawn = player.play({
+    type: 'list',
+    at: 14 * second,
+    list: listOf(3, 104 * second, [...founders, leaving]),
+  });
   assert.equal(typesOf(withdrawn), ['withdrawn']);
-  for (let place = 0; place < 400; place += 1) ranWell(player, { at: 14 * second + place * 50_000, exchange: `e${place}`, prefix: `p${place}` });
+  for (let place = 0; place < 400; place += 1)
+    ranWell(player, { at: 14 * second + place * 50_000, exchange: `e${place}`, prefix: `p${place}` });
   assert.is(deliversOf(player.all()).filter((deliver) => deliver.server === newKey).length, 0);
 
   const crashed = bornNode();
   crashed.play({ type: 'list', at: 10 * second, list: joinList }, { type: 'dark', at: 11 * second, server: newKey });
-  for (let place = 0; place < 400; place += 1) ranWell(crashed, { at: 11 * second + place * 10_000, exchange: `e${place}`, prefix: `p${place}` });
+  for (let place = 0; place < 400; place += 1)
+    ranWell(crashed, { at: 11 * second + place * 10_000, exchange: `e${place}`, prefix: `p${place}` });
   assert.is(deliversOf(crashed.all()).filter((deliver) => deliver.server === newKey).length, 0);
 });
 
@@ -164,7 +186,13 @@
   const player = bornNode();
   player.play({ type: 'list', at: 10 * second, list: joinList });
   const slower = { ...setup, warmup: { ...warmup, paceUs: 3 * second, boundUs: 60 * second } };
-  const record = { ...recordOf(slower, 2, 105 * second), epochs: [{ sinceUs: 0, warmup }, { sinceUs: 105 * second, warmup: slower.warmup }] };
+  const record = {
+    ...recordOf(slower, 2, 105 * second),
+    epochs: [
+      { sinceUs: 0, warmup },
+      { sinceUs: 105 * second, warmup: slower.warmup },
+    ],
+  };
   assert.equal(player.play({ type: 'setup', at: 15 * second, record }), []);
   player.play({ type: 'tick', at: 20 * second });
   assert.is(entryOf(player), 110 * second);
@@ -180,7 +208,8 @@
   );
   const range = player.view().stage.services.get('model')?.pending[0]?.ranges[0];
   if (range === undefined) throw new Error('no range was previewed');
-  const prefix = Array.from({ length: 5_000 }, (_, place) => `p${place}`).find((name) => rangeHolds(range, positionOf(name))) ?? '';
+  const prefix =
+    Array.from({ length: 5_000 }, (_, place) => `p${place}`).find((name) => rangeHolds(range, positionOf(name))) ?? '';
   const servers = [10.1, 11.5, 13.5].map(
     (at, place) => ranWell(player, { at: at * second, exchange: `e${place}`, prefix })[0]?.server === newKey,
   );
@@ -188,13 +217,19 @@
 });
 
 test('new weights book a server anew, clear what it was thought to remember, and keep its links', () => {
-  const renewedFounder = founders.map((server) => (server.id === 'sa' ? { ...server, weights: 'w2', weightsAtUs: 100 * second } : server));
+  const renewedFounder = founders.map((server) =>
+    server.id === 'sa' ? { ...server, weights: 'w2', weightsAtUs: 100 * second } : server,
+  );
   const player = bornNode();
-  for (let place = 0; place < 100; place += 1) ranWell(player, { at: place, exchange: `e${place}`, prefix: `p${place}` });
+  for (let place = 0; place < 100; place += 1)
+    ranWell(player, { at: place, exchange: `e${place}`, prefix: `p${place}` });
   const keyOfFirst = serverKeyOf(founders[0] ?? newcomer);
   assert.ok((player.view().warmth.get(keyOfFirst)?.size ?? 0) > 0);
   const decisions = player.play({ type: 'list', at: 10 * second, list: listOf(2, 100 * second, renewedFounder) });
-  assert.equal(decisions.flatMap((decision) => (decision.type === 'booked' ? [[decision.server, decision.entryUs]] : [])), [[keyOfFirst, 110 * second]]);
+  assert.equal(
+    decisions.flatMap((decision) => (decision.type === 'booked' ? [[decision.server, decision.entryUs]] : [])),
+    [[keyOfFirst, 110 * second]],
+  );
   assert.is(player.view().warmth.get(keyOfFirst), undefined);
 });
 
@@ -203,8 +238,14 @@
   player.play({ type: 'list', at: 10 * second, list: joinList }, { type: 'tick', at: 20 * second });
   const range = player.view().stage.services.get('model')?.settling[0]?.ranges[0];
   if (range === undefined) throw new Error('no range was previewed');
-  const prefixes = Array.from({ length: 20_000 }, (_, place) => `p${place}`).filter((name) => rangeHolds(range, positionOf(name)));
-  const reasons = prefixes.slice(0, 3).map((prefix, place) => ranWell(player, { at: 20 * second + place, exchange: `e${place}`, prefix })[0]?.reason.type);
+  const prefixes = Array.from({ length: 20_000 }, (_, place) => `p${place}`).filter((name) =>
+    rangeHolds(range, positionOf(name)),
+  );
+  const reasons = prefixes
+    .slice(0, 3)
+    .map(
+      (prefix, place) => ranWell(player, { at: 20 * second + place, exchange: `e${place}`, prefix })[0]?.reason.type,
+    );
   assert.equal(reasons, ['settling', 'paced-back', 'paced-back']);
   const again = ranWell(player, { at: 20 * second + 9, exchange: 'again', prefix: prefixes[0] ?? '' })[0];
   assert.is(again?.server, newKey);
@@ -235,14 +276,21 @@
     { type: 'list', at: 10 * second, list: listOf(2, 100 * second, [leaving(100 * second), ...others]) },
     { type: 'list', at: 13 * second, list: listOf(3, 103 * second, [leaving(103 * second), ...others]) },
   );
-  for (let place = 0; place < 100; place += 1) ranWell(player, { at: 13 * second + place, exchange: `e${place}`, prefix: `p${place}` });
+  for (let place = 0; place < 100; place += 1)
+    ranWell(player, { at: 13 * second + place, exchange: `e${place}`, prefix: `p${place}` });
   assert.is(deliversOf(player.all()).filter((deliver) => deliver.server === serverKeyOf(first)).length, 0);
 });
 
 test('a new count of vnodes is a migration too: openings move at a pace, then the new ring holds', () => {
   const player = bornNode();
   const denser = { ...setup, warmup: { ...warmup, vnodes: 16 } };
-  const record = { ...recordOf(denser, 2, 100 * second), epochs: [{ sinceUs: 0, warmup }, { sinceUs: 100 * second, warmup: denser.warmup }] };
+  const record = {
+    ...recordOf(denser, 2, 100 * second),
+    epochs: [
+      { sinceUs: 0, warmup },
+      { sinceUs: 100 * second, warmup: denser.warmup },
+    ],
+  };
   player.play({ type: 'setup', at: 10 * second, record });
   const stage = player.view().stage.services.get('model');
   assert.is(stage?.pending[0]?.type, 'rebalance');
@@ -255,7 +303,9 @@
   const player = bornNode();
   player.play({ type: 'list', at: 10 * second, list: joinList });
   for (const founder of founders) player.play({ type: 'dark', at: 11 * second, server: serverKeyOf(founder) });
-  const [deliver] = deliversOf(player.play({ type: 'exchange', at: 12 * second, exchange: 'e1', kind: 'ask', prefix: 'p1' }));
+  const [deliver] = deliversOf(
+    player.play({ type: 'exchange', at: 12 * second, exchange: 'e1', kind: 'ask', prefix: 'p1' }),
+  );
   assert.is(deliver?.server, newKey);
   assert.is(deliver?.reason.type, 'emergency');
   if (deliver !== undefined) endWell(player, 12 * second, deliver);
--- a/tests/decision/trace-errors.test.ts
+++ b/tests/decision/trace-errors.test.ts
@@ -3,7 +3,9 @@
 import { openTraceReader } from '../../src/decision/trace/trace-reader.js';
 import { foundersAt, listOf, recordOf } from './figures.js';
 
-const errorAfter = (...lines: readonly string[]): { readonly type: string; readonly message: string; readonly path: string | undefined } | undefined => {
+const errorAfter = (
+  ...lines: readonly string[]
+): { readonly type: string; readonly message: string; readonly path: string | undefined } | undefined => {
   const reader = openTraceReader();
   for (const line of lines) {
     const read = reader.read(line);
@@ -15,7 +17,8 @@
 
 const tick = (at: number): string => JSON.stringify({ type: 'tick', at });
 const setupLine = JSON.stringify({ type: 'setup', at: 1, record: recordOf() });
-const listLine = (version: number): string => JSON.stringify({ type: 'list', at: 1, list: listOf(version, 1, foundersAt(2, 0)) });
+const listLine = (version: number): string =>
+  JSON.stringify({ type: 'list', at: 1, list: listOf(version, 1, foundersAt(2, 0)) });
 const exchangeLine = JSON.stringify({ type: 'exchange', at: 1, exchange: 'e', kind: 'ask', prefix: 'p' });
 
 test('every malformed or misplaced line is an error that names line and field', () => {
@@ -30,7 +33,12 @@
     [[setupLine, setupLine], 'out-of-order', 'record.revision', 2],
     [[listLine(3), listLine(2)], 'out-of-order', 'list.version', 2],
     [['{"type":"sent","at":1,"exchange":"e","attempt":1}'], 'out-of-order', 'exchange', 1],
-    [[setupLine, listLine(1), exchangeLine, '{"type":"sent","at":1,"exchange":"e","attempt":2}'], 'out-of-order', 'attempt', 4],
+    [
+      [setupLine, listLine(1), exchangeLine, '{"type":"sent","at":1,"exchange":"e","attempt":2}'],
+      'out-of-order',
+      'attempt',
+      4,
+    ],
     [[setupLine, listLine(1), exchangeLine, exchangeLine], 'out-of-order', 'exchange', 4],
     [['{"type":"dark","at":1,"server":"s","more":1}'], 'bad-event', '', 1],
   ];
--- a/tests/decision/work.test.ts
+++ b/tests/decision/work.test.ts
@@ -35,7 +35,10 @@
 
 test('a work holds each shared part with all before it; the last part is its own', () => {
   const work = workOf('model', opening, 0, 400);
-  assert.equal(work.levels.map((level) => level.tokens), [500, 5_000]);
+  assert.equal(
+    work.levels.map((level) => level.tokens),
+    [500, 5_000],
+  );
   assert.is(work.readTokens, 12_000);
   assert.is(work.levels[1]?.prefix, prefixOf('model', 'a1,b2'));
   assert.is(openingNameOf(opening), 'a1,b2');
@@ -52,7 +55,11 @@
     { type: 'firstPiece', at: 300_000, exchange: 'e1', attempt: 1 },
   );
   assert.is(toReadAt(player.view(), deliver.server, work), 7_000);
-  const sibling: readonly OpeningPart[] = [{ part: 'a1', tokens: 500 }, { part: 'other', tokens: 100 }, { part: 'mine', tokens: 10 }];
+  const sibling: readonly OpeningPart[] = [
+    { part: 'a1', tokens: 500 },
+    { part: 'other', tokens: 100 },
+    { part: 'mine', tokens: 10 },
+  ];
   assert.is(toReadAt(player.view(), deliver.server, workOf('model', sibling, 0, 1)), 110);
 });
 
@@ -60,7 +67,10 @@
   const player = opened();
   const deliver = send(player, 1, 'e1', opening);
   assert.ok(waitUsOf(player.view(), deliver.server) > 200_000);
-  player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 }, { type: 'firstPiece', at: 140_001, exchange: 'e1', attempt: 1 });
+  player.play(
+    { type: 'sent', at: 2, exchange: 'e1', attempt: 1 },
+    { type: 'firstPiece', at: 140_001, exchange: 'e1', attempt: 1 },
+  );
   assert.is(Math.round(rateOf(player.view(), 'model')), 100_000);
 });
 
@@ -76,22 +86,46 @@
 test('one that still meets its target stays with the owner of its opening', () => {
   const player = opened();
   const { server } = send(player, 1, 'e1', opening);
-  player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 }, { type: 'firstPiece', at: 240_000, exchange: 'e1', attempt: 1 });
+  player.play(
+    { type: 'sent', at: 2, exchange: 'e1', attempt: 1 },
+    { type: 'firstPiece', at: 240_000, exchange: 'e1', attempt: 1 },
+  );
   player.play({ type: 'work', at: 400_000, server, service: 'model', tokens: 10_000 });
   assert.is(send(player, 400_001, 'e2', opening).server, server);
 });
 
 test('what is soon read is more urgent than what takes long', () => {
   const player = opened();
-  const small = send(player, 1, 'e1', [{ part: 's', tokens: 100 }, { part: 'own', tokens: 300 }]);
-  const large = send(player, 2, 'e2', [{ part: 'l', tokens: 100 }, { part: 'own', tokens: 40_000 }]);
+  const small = send(player, 1, 'e1', [
+    { part: 's', tokens: 100 },
+    { part: 'own', tokens: 300 },
+  ]);
+  const large = send(player, 2, 'e2', [
+    { part: 'l', tokens: 100 },
+    { part: 'own', tokens: 40_000 },
+  ]);
   assert.ok((small.urgency ?? 9) < (large.urgency ?? 0));
 });
 
 test('openings whose first part makes up much of them stand at a third of the servers; others each at their own', () => {
   const placesAmong = (servers: number): ReadonlySet<string | undefined> =>
-    new Set(Array.from({ length: 200 }, (_, place) => anchorOf('model', [{ part: 'f', tokens: 300 }, { part: `s${place}`, tokens: 200 }, { part: 'own', tokens: 9 }], servers)));
-  assert.equal([6, 13, 42, 98].map((servers) => placesAmong(servers).size), [2, 4, 8, 32]);
+    new Set(
+      Array.from({ length: 200 }, (_, place) =>
+        anchorOf(
+          'model',
+          [
+            { part: 'f', tokens: 300 },
+            { part: `s${place}`, tokens: 200 },
+            { part: 'own', tokens: 9 },
+          ],
+          servers,
+        ),
+      ),
+    );
+  assert.equal(
+    [6, 13, 42, 98].map((servers) => placesAmong(servers).size),
+    [2, 4, 8, 32],
+  );
   assert.equal([...placesAmong(5)], [undefined]);
   assert.is(anchorOf('model', opening, 13), undefined);
   assert.is(anchorOf('model', [{ part: 'only', tokens: 5 }], 13), undefined);
@@ -101,7 +135,18 @@
   const player = opened();
   const deliver = send(player, 1, 'e1', opening, 'record');
   player.play({ type: 'sent', at: 2, exchange: 'e1', attempt: 1 });
-  const next = deliversOf(player.play({ type: 'failed', at: 3, exchange: 'e1', attempt: 1, sent: true, pieces: 0, error: 'turned-away', notRun: true }));
+  const next = deliversOf(
+    player.play({
+      type: 'failed',
+      at: 3,
+      exchange: 'e1',
+      attempt: 1,
+      sent: true,
+      pieces: 0,
+      error: 'turned-away',
+      notRun: true,
+    }),
+  );
   assert.is(next.length, 0, 'a node that has just started has nothing to pay an extra try with');
   assert.equal(typesOf(player.all()).slice(-1), ['refuse']);
   assert.is(player.view().exchanges.size, 0);
@@ -113,15 +158,28 @@
   for (let place = 0; place < 40; place += 1) {
     const at = 11 * second + place * 1_000;
     const deliver = send(player, at, `f${place}`, [{ part: `p${place}`, tokens: 10 }]);
-    player.play({ type: 'sent', at, exchange: deliver.exchange, attempt: 1 }, { type: 'done', at: at + 500, exchange: deliver.exchange, attempt: 1 });
+    player.play(
+      { type: 'sent', at, exchange: deliver.exchange, attempt: 1 },
+      { type: 'done', at: at + 500, exchange: deliver.exchange, attempt: 1 },
+    );
   }
   const at = 13 * second;
   send(player, at, 'e1', opening);
   player.play({ type: 'sent', at, exchange: 'e1', attempt: 1 });
-  const secondTry = deliversOf(player.play({ type: 'failed', at: at + 1, exchange: 'e1', attempt: 1, sent: true, pieces: 0, error: 'link-lost' }));
+  const secondTry = deliversOf(
+    player.play({ type: 'failed', at: at + 1, exchange: 'e1', attempt: 1, sent: true, pieces: 0, error: 'link-lost' }),
+  );
   assert.is(secondTry.length, 1);
   player.play({ type: 'sent', at: at + 2, exchange: 'e1', attempt: 2 });
-  const third = player.play({ type: 'failed', at: at + 3, exchange: 'e1', attempt: 2, sent: true, pieces: 0, error: 'link-lost' });
+  const third = player.play({
+    type: 'failed',
+    at: at + 3,
+    exchange: 'e1',
+    attempt: 2,
+    sent: true,
+    pieces: 0,
+    error: 'link-lost',
+  });
   assert.equal(typesOf(third), ['unknown']);
 });
 
--- a/tests/disk/disk-ring.test.ts
+++ b/tests/disk/disk-ring.test.ts
@@ -15,7 +15,8 @@
 };
 
 /** Everything that a ring gave back, as one text: the image and the records after it, each a letter list. */
-const textOf = (ring: DiskRing): string => [ring.recovered.image, ...ring.recovered.records].map((bytes) => bytes?.toString() ?? '').join('');
+const textOf = (ring: DiskRing): string =>
+  [ring.recovered.image, ...ring.recovered.records].map((bytes) => bytes?.toString() ?? '').join('');
 
 const appendLetters = async (ring: DiskRing, kept: string, letters: string): Promise<string> => {
   let text = kept;
@@ -66,7 +67,8 @@
       asked += letter;
       const image = asked;
       const append = () => ring.append(Buffer.from(letter), () => Buffer.from(image));
-      for (let refusal = 0; refusal < 2; refusal += 1) if ((await append()).isRight()) break;
+      for (let refusal = 0; refusal < 2; refusal += 1)
+        if ((await append()).isRight()) break;
         else if (refusal === 1) {
           memory.failFrom(Number.POSITIVE_INFINITY);
           assert.ok((await append()).isRight());
--- a/tests/emulator/engine.test.ts
+++ b/tests/emulator/engine.test.ts
@@ -16,14 +16,28 @@
     view = stepped.view;
     effects.push(...stepped.effects);
   }
-  return { view, effects, of: (name: string, type: EngineEffect['type']) => effects.filter((effect) => effect.name === name && effect.type === type) };
+  return {
+    view,
+    effects,
+    of: (name: string, type: EngineEffect['type']) =>
+      effects.filter((effect) => effect.name === name && effect.type === type),
+  };
 };
 
-const isNear = (value: number, wanted: number, within: number): void => assert.ok(Math.abs(value - wanted) <= within, `${value} is not ${wanted}`);
+const isNear = (value: number, wanted: number, within: number): void =>
+  assert.ok(Math.abs(value - wanted) <= within, `${value} is not ${wanted}`);
 const atOf = (effects: readonly EngineEffect[]): number => effects[0]?.at ?? Number.NaN;
-const gapsOf = (effects: readonly EngineEffect[]): readonly number[] => effects.slice(1).map((effect, place) => effect.at - (effects[place]?.at ?? 0));
+const gapsOf = (effects: readonly EngineEffect[]): readonly number[] =>
+  effects.slice(1).map((effect, place) => effect.at - (effects[place]?.at ?? 0));
 
-const longPrompt = { opening: [{ part: 'a', tokens: 500 }, { part: 'b', tokens: 5_000 }, { part: 'c', tokens: 6_500 }], readTokens: 12_000 };
+const longPrompt = {
+  opening: [
+    { part: 'a', tokens: 500 },
+    { part: 'b', tokens: 5_000 },
+    { part: 'c', tokens: 6_500 },
+  ],
+  readTokens: 12_000,
+};
 
 test('a cold prompt of 12,000 tokens alone is read at 55 tokens a ms in six pieces', () => {
   const { of } = play(archiveEngine, [{ type: 'order', at: 0, order: orderOf('x', longPrompt) }]);
@@ -48,7 +62,17 @@
 test('a part is of use only while all before it are kept too', () => {
   const { view } = play(archiveEngine, [
     { type: 'order', at: 0, order: orderOf('x', { opening: [{ part: 'b', tokens: 400 }], readTokens: 400 }) },
-    { type: 'order', at: 1_000_000, order: orderOf('y', { opening: [{ part: 'a', tokens: 100 }, { part: 'b', tokens: 400 }], readTokens: 500 }) },
+    {
+      type: 'order',
+      at: 1_000_000,
+      order: orderOf('y', {
+        opening: [
+          { part: 'a', tokens: 100 },
+          { part: 'b', tokens: 400 },
+        ],
+        readTokens: 500,
+      }),
+    },
   ]);
   assert.is(view.readTokens, 900);
 });
@@ -57,7 +81,11 @@
   const alone = play(archiveEngine, [{ type: 'order', at: 0, order: orderOf('x') }]).of('x', 'piece');
   assert.is(alone.length, 10);
   for (const gapUs of gapsOf(alone)) isNear(gapUs, 7 * (2_890 + 101), 10);
-  const crowd = Array.from({ length: 64 }, (_, place): EngineEvent => ({ type: 'order', at: 0, order: orderOf(`x${place}`) }));
+  const crowd = Array.from({ length: 64 }, (_, place): EngineEvent => ({
+    type: 'order',
+    at: 0,
+    order: orderOf(`x${place}`),
+  }));
   const among = play(archiveEngine, crowd).of('x0', 'piece');
   for (const gapUs of gapsOf(among).slice(1, -1)) isNear(gapUs, 7 * (2_890 + 64 * 101 + 64 * 0.13), 40);
 });
@@ -75,7 +103,11 @@
 });
 
 test('the queue has a bound, and who is turned away has not begun', () => {
-  const crowd = Array.from({ length: 300 }, (_, place): EngineEvent => ({ type: 'order', at: 0, order: orderOf(`x${place}`) }));
+  const crowd = Array.from({ length: 300 }, (_, place): EngineEvent => ({
+    type: 'order',
+    at: 0,
+    order: orderOf(`x${place}`),
+  }));
   const { effects, view } = play(archiveEngine, crowd);
   const turnedAway = effects.filter((effect) => effect.type === 'turnedAway');
   assert.is(turnedAway.length, 300 - 64 - 192);
@@ -92,8 +124,14 @@
     { type: 'order', at: 0, order: orderOf('y', { readTokens: 40_000, dueUs: 100_000 }) },
   ]);
   assert.equal(
-    effects.filter((effect) => effect.type === 'turnedAway' || effect.type === 'overdue').map((effect) => [effect.name, effect.type]),
-    [['x', 'turnedAway'], ['z', 'overdue'], ['y', 'turnedAway']],
+    effects
+      .filter((effect) => effect.type === 'turnedAway' || effect.type === 'overdue')
+      .map((effect) => [effect.name, effect.type]),
+    [
+      ['x', 'turnedAway'],
+      ['z', 'overdue'],
+      ['y', 'turnedAway'],
+    ],
   );
 });
 
@@ -103,10 +141,19 @@
     { type: 'order', at: 50_000, order: orderOf('usual') },
     { type: 'order', at: 50_000, order: orderOf('high', { urgency: 0 }) },
   ]);
-  assert.equal(effects.filter((effect) => effect.type === 'done').map(({ name }) => name), ['high', 'usual', 'low']);
-  assert.equal(effects.filter((effect) => effect.type === 'began').map(({ name }) => name), ['low', 'high', 'usual']);
+  assert.equal(
+    effects.filter((effect) => effect.type === 'done').map(({ name }) => name),
+    ['high', 'usual', 'low'],
+  );
+  assert.equal(
+    effects.filter((effect) => effect.type === 'began').map(({ name }) => name),
+    ['low', 'high', 'usual'],
+  );
   assert.ok(of('low', 'putBack').length >= 1);
-  assert.equal(of('low', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)), Array.from({ length: 100 }, (_, place) => place));
+  assert.equal(
+    of('low', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)),
+    Array.from({ length: 100 }, (_, place) => place),
+  );
 });
 
 test('when memory runs out the newest of the least urgent is put back, and its stream goes on whole', () => {
@@ -117,7 +164,10 @@
   ]);
   assert.equal([...new Set(effects.filter((effect) => effect.type === 'putBack').map(({ name }) => name))], ['y']);
   assert.is(of('y', 'began').length, 1);
-  assert.equal(of('y', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)), Array.from({ length: 50 }, (_, place) => place));
+  assert.equal(
+    of('y', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)),
+    Array.from({ length: 50 }, (_, place) => place),
+  );
   assert.ok(view.readTokens > 600 && usedTokens(view) <= 1_000);
 });
 
@@ -139,7 +189,10 @@
     { type: 'order', at: 0, order: orderOf('y', { writeTokens: 7_000 }) },
     { type: 'cancel', at: 200_000, name: 'y' },
   ]);
-  assert.equal(of('x', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)), [7, 8, 9]);
+  assert.equal(
+    of('x', 'piece').map((effect) => (effect.type === 'piece' ? effect.piece : -1)),
+    [7, 8, 9],
+  );
   assert.ok(effects.every((effect) => effect.name !== 'y' || effect.at <= 200_000) && of('y', 'done').length === 0);
 });
 
--- a/tests/explain/explain.test.ts
+++ b/tests/explain/explain.test.ts
@@ -5,7 +5,8 @@
 import { journalTextOf, readJournal } from '../../src/router/explain/saved-journal.js';
 import { readyFleet, second, type SmallFleet } from '../sim/small-fleet.js';
 
-const storiesOf = (fleet: SmallFleet): readonly ExchangeStory[] => fleet.routers.flatMap((router) => router.tasks()?.router.stories.all() ?? []);
+const storiesOf = (fleet: SmallFleet): readonly ExchangeStory[] =>
+  fleet.routers.flatMap((router) => router.tasks()?.router.stories.all() ?? []);
 
 /** The story of the exchange that ran a work, after it was saved and read back. */
 const savedStoryOf = (fleet: SmallFleet, work: string): string => {
@@ -49,7 +50,15 @@
 });
 
 test('a damaged journal is an error that names the line', () => {
-  const story: ExchangeStory = { exchange: 'x', kind: 'k', tier: 't', service: 's', setupRevision: 1, listVersion: 1, steps: [{ at: 1, what: 'deliver', facts: {} }] };
+  const story: ExchangeStory = {
+    exchange: 'x',
+    kind: 'k',
+    tier: 't',
+    service: 's',
+    setupRevision: 1,
+    listVersion: 1,
+    steps: [{ at: 1, what: 'deliver', facts: {} }],
+  };
   const text = journalTextOf('r1', [story, { ...story, exchange: 'y' }]);
   assert.is(readJournal(text).unsafeCoerce().length, 2);
   const [head = '', first = '', second_ = '', end = ''] = text.split('\n');
--- a/tests/mutants/main.ts
+++ b/tests/mutants/main.ts
@@ -5,6 +5,7 @@
 import ts from 'typescript';
 import { run as runTests } from 'uvu/run';
 import type { SimScenario } from '../../src/sim/sim-run.js';
+import { applyMutant } from './apply-mutant.js';
 import type { Mutant } from './mutant.js';
 import { mutants } from './mutants.js';
 
@@ -23,9 +24,10 @@
 /** A copy of the compiled project with the one change; nothing where the change does not apply. */
 const changedCopy = (mutant: Mutant, place: number): string | undefined => {
   const source = readFileSync(join(root, mutant.file), 'utf8');
-  if (source.split(mutant.find).length !== 2) return undefined;
+  const changed = applyMutant(source, mutant);
+  if (changed === undefined) return undefined;
   const folder = copied(String(place));
-  const compiled = ts.transpileModule(source.replace(mutant.find, () => mutant.put), {
+  const compiled = ts.transpileModule(changed, {
     compilerOptions: { target: ts.ScriptTarget.ES2022, module: ts.ModuleKind.ES2022 },
   });
   writeFileSync(join(folder, mutant.file.replace(/\.ts$/, '.js')), compiled.outputText);
@@ -36,9 +38,14 @@
   typeof value === 'object' && value !== null && 'name' in value && 'play' in value && typeof value.play === 'function';
 
 const scenariosIn = (loaded: unknown): readonly SimScenario[] =>
-  typeof loaded === 'object' && loaded !== null && 'simScenarios' in loaded && Array.isArray(loaded.simScenarios) ? loaded.simScenarios.filter(isScenario) : [];
+  typeof loaded === 'object' && loaded !== null && 'simScenarios' in loaded && Array.isArray(loaded.simScenarios)
+    ? loaded.simScenarios.filter(isScenario)
+    : [];
 
-const judgedBySeeds = async (folder: string, { scenario, first, last, rule }: Extract<Mutant['by'], { readonly type: 'seeds' }>): Promise<Verdict> => {
+const judgedBySeeds = async (
+  folder: string,
+  { scenario, first, last, rule }: Extract<Mutant['by'], { readonly type: 'seeds' }>,
+): Promise<Verdict> => {
   const loaded: unknown = await import(pathToFileURL(join(folder, 'src/sim/sim-scenarios.js')).href);
   const found = scenariosIn(loaded).find((known) => known.name === scenario);
   if (found === undefined) return { isFound: false, how: `no scenario is named ${scenario}` };
@@ -66,14 +73,19 @@
   const unchangedFolder = copied(`${place}-unchanged`);
   const isPassed = await passes(unchangedFolder, file);
   rmSync(unchangedFolder, { recursive: true, force: true });
-  return isPassed ? { isFound: true, how: `${file} fails` } : { isFound: false, how: `${file} fails without the change, too` };
+  return isPassed
+    ? { isFound: true, how: `${file} fails` }
+    : { isFound: false, how: `${file} fails without the change, too` };
 };
 
 const judged = async (mutant: Mutant, place: number): Promise<Verdict> => {
   const folder = changedCopy(mutant, place);
-  if (folder === undefined) return { isFound: false, how: `the change does not apply: ${mutant.file} does not hold the text exactly once` };
+  if (folder === undefined)
+    return { isFound: false, how: `the change does not apply: ${mutant.file} does not hold the text exactly once` };
   try {
-    return mutant.by.type === 'seeds' ? await judgedBySeeds(folder, mutant.by) : await judgedByTest(folder, mutant.by.file, place);
+    return mutant.by.type === 'seeds'
+      ? await judgedBySeeds(folder, mutant.by)
+      : await judgedByTest(folder, mutant.by.file, place);
   } catch (thrown) {
     return { isFound: true, how: `it throws: ${thrown instanceof Error ? thrown.message : String(thrown)}` };
   } finally {
@@ -88,13 +100,15 @@
   .option('--only <name>', 'only the fault with this name')
   .option('--part <n/of>', 'only every so-manieth fault, for several runs side by side', '1/1');
 
-const misused = (message: string): never => command.error(`error: ${message}\n\n${command.helpInformation()}`, { exitCode: 2 });
+const misused = (message: string): never =>
+  command.error(`error: ${message}\n\n${command.helpInformation()}`, { exitCode: 2 });
 
 command.action(async ({ only, part }: { readonly only?: string; readonly part: string }) => {
   const [, partText, ofText] = partForm.exec(part) ?? misused(`--part must be like 1/4, not ${part}`);
   const of = Number(ofText);
   if (Number(partText) < 1 || Number(partText) > of) misused(`--part must be from 1/${of} to ${of}/${of}, not ${part}`);
-  if (only !== undefined && !mutants.some((mutant) => mutant.name === only)) misused(`no deliberate fault is named ${only}`);
+  if (only !== undefined && !mutants.some((mutant) => mutant.name === only))
+    misused(`no deliberate fault is named ${only}`);
   let foundCount = 0;
   let missedCount = 0;
   for (const [place, mutant] of mutants.entries()) {
--- a/tests/mutants/mutant.ts
+++ b/tests/mutants/mutant.ts
@@ -10,5 +10,11 @@
 
 /** Seeds of a virtual scenario of which one must break the rule, or a test file that must fail. */
 export type MutantFinder =
-  | { readonly type: 'seeds'; readonly scenario: string; readonly first: number; readonly last: number; readonly rule: string }
+  | {
+      readonly type: 'seeds';
+      readonly scenario: string;
+      readonly first: number;
+      readonly last: number;
+      readonly rule: string;
+    }
   | { readonly type: 'test'; readonly file: string };
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -1,6 +1,12 @@
 import type { Mutant, MutantFinder } from './mutant.js';
 
-const seeds = (scenario: string, rule: string, last = 10, first = 1): MutantFinder => ({ type: 'seeds', scenario, first, last, rule });
+const seeds = (scenario: string, rule: string, last = 10, first = 1): MutantFinder => ({
+  type: 'seeds',
+  scenario,
+  first,
+  last,
+  rule,
+});
 const test = (file: string): MutantFinder => ({ type: 'test', file });
 
 /** Every deliberate fault that the checks must find. */
@@ -225,7 +231,7 @@
   {
     name: 'a ticket of a former generation still opens its place',
     file: 'src/router/slab/slab.ts',
-    find: "      return place?.generation === ticket.generation ? place.value : undefined;",
+    find: '      return place?.generation === ticket.generation ? place.value : undefined;',
     put: '      return place?.value;',
     by: test('tests/router/slab.test.js'),
   },
@@ -265,7 +271,7 @@
     by: seeds('rolling', 'planned-changes-cut-nothing', 2),
   },
   {
-    name: "a client forgets an answer that comes in its last pause",
+    name: 'a client forgets an answer that comes in its last pause',
     file: 'src/process/core-client.ts',
     find: '          if (lateReceipt !== undefined) return Right(lateReceipt);\n',
     put: '',
--- a/tests/platform/caller.test.ts
+++ b/tests/platform/caller.test.ts
@@ -12,18 +12,47 @@
 const idIn = (request: string): string => /ledgehill-attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
 
 const answerTo = (request: string, body: string, more: readonly string[] = [], status = '200 OK'): string =>
-  [`HTTP/1.1 ${status}`, `Ledgehill-Attempt-Id: ${idIn(request)}`, 'Ledgehill-Server-Seal: s.1', ...more, `Content-Length: ${body.length}`, '', body].join('\r\n');
+  [
+    `HTTP/1.1 ${status}`,
+    `Ledgehill-Attempt-Id: ${idIn(request)}`,
+    'Ledgehill-Server-Seal: s.1',
+    ...more,
+    `Content-Length: ${body.length}`,
+    '',
+    body,
+  ].join('\r\n');
 
 const streamHead = (request: string): string =>
-  ['HTTP/1.1 200 OK', `Ledgehill-Attempt-Id: ${idIn(request)}`, 'Ledgehill-Server-Seal: s.1', 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked', '', ''].join('\r\n');
+  [
+    'HTTP/1.1 200 OK',
+    `Ledgehill-Attempt-Id: ${idIn(request)}`,
+    'Ledgehill-Server-Seal: s.1',
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+    '',
+    '',
+  ].join('\r\n');
 
 const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
 const post = (target: string, body = '', more: readonly string[] = [], id = 'a1'): string =>
-  [`POST ${target} HTTP/1.1`, 'Host: a.example', `Ledgehill-Attempt-Id: ${id}`, 'Ledgehill-Budget-Ms: 3000', ...more, `Content-Length: ${body.length}`, '', body].join('\r\n');
+  [
+    `POST ${target} HTTP/1.1`,
+    'Host: a.example',
+    `Ledgehill-Attempt-Id: ${id}`,
+    'Ledgehill-Budget-Ms: 3000',
+    ...more,
+    `Content-Length: ${body.length}`,
+    '',
+    body,
+  ].join('\r\n');
 
-const withEdge = async (serve: Serve, use: (edge: Edge, server: RawServer, second: RawServer) => Promise<void>, count = 1): Promise<void> => {
+const withEdge = async (
+  serve: Serve,
+  use: (edge: Edge, server: RawServer, second: RawServer) => Promise<void>,
+  count = 1,
+): Promise<void> => {
   const servers = [await openRawServer(serve), await openRawServer(serve)] as const;
   const edge = await openEdge();
   edge.show(servers.slice(0, count).map(({ address }, place) => ({ ...listedAt(`i-${place}`, 'web', 1), address })));
@@ -45,14 +74,40 @@
 test('method, target, host, headers and body reach the server as they came, less those of the connection', () =>
   withEdge(ok, async (edge, server) => {
     const client = await edge.connect();
-    for (const target of ['/idem/', '/idem/x?', '/idem/x?a=1&a=2#&b=%20+//', '/idem/%E0%A4%A', '/idem/%2f../a//b/./c', '/idem/x;y=1?http://other/']) {
+    for (const target of [
+      '/idem/',
+      '/idem/x?',
+      '/idem/x?a=1&a=2#&b=%20+//',
+      '/idem/%E0%A4%A',
+      '/idem/%2f../a//b/./c',
+      '/idem/x;y=1?http://other/',
+    ]) {
       const before = server.received().length;
-      client.socket.write(post(target, '\x00\xff\r\n\r\n', ['Connection: X-Drop, keep-alive', 'Keep-Alive: timeout=9', 'X-Drop: 1', 'TE: trailers', 'Proxy-Connection: x', 'X-Keep: 1', 'x-keep: 2', 'Cookie: a=b', 'Date: then']));
+      client.socket.write(
+        post(target, '\x00\xff\r\n\r\n', [
+          'Connection: X-Drop, keep-alive',
+          'Keep-Alive: timeout=9',
+          'X-Drop: 1',
+          'TE: trailers',
+          'Proxy-Connection: x',
+          'X-Keep: 1',
+          'x-keep: 2',
+          'Cookie: a=b',
+          'Date: then',
+        ]),
+      );
       await seen(() => server.received().slice(before).endsWith('\x00\xff\r\n\r\n'));
       const [head = ''] = server.received().slice(before).split('\r\n\r\n');
       const lines = head.split('\r\n');
       assert.is(lines[0], `POST ${target} HTTP/1.1`);
-      for (const line of ['Host: a.example', 'X-Keep: 1', 'x-keep: 2', 'Cookie: a=b', 'Date: then', 'Ledgehill-Attempt-Id: a1'])
+      for (const line of [
+        'Host: a.example',
+        'X-Keep: 1',
+        'x-keep: 2',
+        'Cookie: a=b',
+        'Date: then',
+        'Ledgehill-Attempt-Id: a1',
+      ])
         assert.is(lines.filter((given) => given.toLowerCase() === line.toLowerCase()).length, 1, line);
       assert.not.match(head, /x-drop|\nte:|proxy-connection|timeout=9/i);
       await paused(steadyClock, 20_000);
@@ -74,13 +129,28 @@
 
 test('an answer comes back with its status, headers and bytes as the server gave them', () =>
   withEdge(
-    (socket, request) => socket.write(answerTo(request, '\x00\xff\r\n0\r\n\r\n', ['X-Two: 1', 'X-Two: 2', 'Date: then', 'Keep-Alive: timeout=1'], '418 Teapot')),
+    (socket, request) =>
+      socket.write(
+        answerTo(
+          request,
+          '\x00\xff\r\n0\r\n\r\n',
+          ['X-Two: 1', 'X-Two: 2', 'Date: then', 'Keep-Alive: timeout=1'],
+          '418 Teapot',
+        ),
+      ),
     async (edge) => {
       const client = await edge.connect();
       client.socket.write(post('/once/x'));
       const text = await client.until('0\r\n\r\n');
       assert.match(text, /^HTTP\/1.1 418 /);
-      for (const line of ['Ledgehill-Attempt-Id: a1', 'Ledgehill-Server-Seal: s.1', 'X-Two: 1', 'X-Two: 2', 'Date: then']) assert.ok(text.includes(`\r\n${line}\r\n`), line);
+      for (const line of [
+        'Ledgehill-Attempt-Id: a1',
+        'Ledgehill-Server-Seal: s.1',
+        'X-Two: 1',
+        'X-Two: 2',
+        'Date: then',
+      ])
+        assert.ok(text.includes(`\r\n${line}\r\n`), line);
       assert.not.match(text, 'timeout=1\r\n');
       assert.ok(text.endsWith('\r\n\r\n\x00\xff\r\n0\r\n\r\n'));
     },
@@ -92,7 +162,9 @@
     client.socket.write(post('/idem/x', 'y'.repeat(1_000)));
     assert.match(await client.until('ok'), /^HTTP\/1.1 200 /);
     const chunked = await edge.connect();
-    chunked.socket.write(`POST /idem/x HTTP/1.1\r\nHost: a.example\r\nLedgehill-Attempt-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('he')}${chunk('llo')}0\r\n\r\n`);
+    chunked.socket.write(
+      `POST /idem/x HTTP/1.1\r\nHost: a.example\r\nLedgehill-Attempt-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('he')}${chunk('llo')}0\r\n\r\n`,
+    );
     assert.match(await chunked.until('ok'), /^HTTP\/1.1 200 /);
     assert.match(server.received(), /content-length: 5\r\n/i);
     assert.ok(server.received().endsWith('\r\n\r\nhello'));
@@ -104,7 +176,9 @@
     stated.socket.write(post('/idem/x', 'y'.repeat(1_001)));
     assert.match(await stated.ended(), /^HTTP\/1.1 413 [^]*connection: close/i);
     const chunked = await edge.connect();
-    chunked.socket.write(`POST /once/x HTTP/1.1\r\nHost: a.example\r\nLedgehill-Attempt-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('y'.repeat(1_200))}`);
+    chunked.socket.write(
+      `POST /once/x HTTP/1.1\r\nHost: a.example\r\nLedgehill-Attempt-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n${chunk('y'.repeat(1_200))}`,
+    );
     assert.match(await chunked.until('\r\n\r\n'), /^HTTP\/1.1 413 /);
     assert.is(server.received(), '');
   }));
@@ -174,7 +248,9 @@
 test('a stream that the server cuts off looks cut off', () =>
   withEdge(
     (socket, request) => {
-      socket.write(`${streamHead(request)}${chunk(event(1))}${chunk(event(2))}`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+      socket.write(`${streamHead(request)}${chunk(event(1))}${chunk(event(2))}`, () =>
+        setTimeout(() => socket.resetAndDestroy(), 30),
+      );
     },
     async (edge, server) => {
       const client = await edge.connect();
@@ -188,14 +264,18 @@
 test('a long body that the server cuts off looks cut off', () =>
   withEdge(
     (socket, request) => {
-      socket.write(answerTo(request, 'y'.repeat(600_000)).slice(0, 500_000), () => setTimeout(() => socket.resetAndDestroy(), 100));
+      socket.write(answerTo(request, 'y'.repeat(600_000)).slice(0, 500_000), () =>
+        setTimeout(() => socket.resetAndDestroy(), 100),
+      );
     },
     async (edge, server) => {
       const client = await edge.connect();
       client.socket.write(post('/once/x'));
       const text = await client.ended();
       assert.ok(text === '' || /^HTTP\/1.1 (502|200) /.test(text), text.slice(0, 100));
-      assert.ok(!text.startsWith('HTTP/1.1 200') || (/content-length: 600000\r\n/i.test(text) && text.length < 600_000));
+      assert.ok(
+        !text.startsWith('HTTP/1.1 200') || (/content-length: 600000\r\n/i.test(text) && text.length < 600_000),
+      );
       assert.is(server.received().match(/POST/g)?.length, 1);
     },
   ));
@@ -208,7 +288,10 @@
       return;
     }
     arrivals += 1;
-    if (arrivals === 1) socket.write(`${streamHead(request)}${chunk(event(1))}${chunk(event(2))}${chunk('id: 3\nda')}`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+    if (arrivals === 1)
+      socket.write(`${streamHead(request)}${chunk(event(1))}${chunk(event(2))}${chunk('id: 3\nda')}`, () =>
+        setTimeout(() => socket.resetAndDestroy(), 30),
+      );
     else socket.write(`${streamHead(request).replace('s.1', 's.2')}${chunk(event(3))}0\r\n\r\n`);
   };
   const use = async (edge: Edge, first: RawServer, second: RawServer): Promise<void> => {
@@ -218,7 +301,13 @@
     const client = await edge.connect();
     client.socket.write(post('/resumed/x'));
     const text = await client.until('0\r\n\r\n');
-    assert.is(text.slice(text.indexOf('\r\n\r\n') + 4).replace(/(^|\r\n)[0-9a-f]+\r\n/g, '').replace(/\r\n/g, ''), `${event(1)}${event(2)}${event(3)}`);
+    assert.is(
+      text
+        .slice(text.indexOf('\r\n\r\n') + 4)
+        .replace(/(^|\r\n)[0-9a-f]+\r\n/g, '')
+        .replace(/\r\n/g, ''),
+      `${event(1)}${event(2)}${event(3)}`,
+    );
     assert.ok(text.includes('s.1') && !text.includes('s.2'));
     assert.match(`${first.received()}${second.received()}`, /last-event-id: 2\r\n/i);
   };
@@ -247,7 +336,8 @@
 
 test('what a server turned away is told as a promise, and its own errors as they are', () =>
   withEdge(
-    (socket, request, place) => socket.write(answerTo(request, 'busy', place === 0 ? ['Ledgehill-Not-Run: 1'] : [], '503 Busy')),
+    (socket, request, place) =>
+      socket.write(answerTo(request, 'busy', place === 0 ? ['Ledgehill-Not-Run: 1'] : [], '503 Busy')),
     async (edge, server) => {
       const away = await edge.connect();
       away.socket.write(post('/brief/x'));
@@ -268,14 +358,16 @@
       client.socket.write(post('/once/x'));
       await seen(() => server.received() !== '');
       client.socket.destroy();
-      for (let look = 0; look < 200 && server.sockets[0]?.destroyed !== true; look += 1) await paused(steadyClock, 10_000);
+      for (let look = 0; look < 200 && server.sockets[0]?.destroyed !== true; look += 1)
+        await paused(steadyClock, 10_000);
       assert.is(server.sockets[0]?.destroyed, true);
     },
   ));
 
 test('requests one behind the other get their answers in order', () =>
   withEdge(
-    (socket, request) => setTimeout(() => socket.write(answerTo(request, `[${idIn(request)}]`)), idIn(request) === 'a1' ? 60 : 1),
+    (socket, request) =>
+      setTimeout(() => socket.write(answerTo(request, `[${idIn(request)}]`)), idIn(request) === 'a1' ? 60 : 1),
     async (edge) => {
       const client = await edge.connect();
       client.socket.write(`${post('/idem/x')}${post('/idem/y', '', [], 'a2')}`);
--- a/tests/platform/document.test.ts
+++ b/tests/platform/document.test.ts
@@ -9,7 +9,7 @@
 const faultPaths = (value: unknown): readonly string[] =>
   setupOfDocument(value, retryLimits).caseOf({ Left: (faults) => faults.map((fault) => fault.path), Right: () => [] });
 
-test('the page\'s document becomes a setup that the product takes', () => {
+test("the page's document becomes a setup that the product takes", () => {
   const { version, setup } = made(pageDocument);
   assert.is(version, 7);
   assert.ok(checkSetup(setup).isRight());
@@ -17,7 +17,10 @@
   assert.equal(first, {
     kind: 'r-73d3zji',
     service: 'huvo11a',
-    split: [{ service: 'huvo11a', weight: 90 }, { service: 'wuno96b', weight: 10 }],
+    split: [
+      { service: 'huvo11a', weight: 90 },
+      { service: 'wuno96b', weight: 10 },
+    ],
     match: { host: 'ficu95.example', path: '/lohu930/' },
     tier: 'p0',
     repeatable: true,
@@ -30,7 +33,10 @@
     silenceUs: 4_800_000,
   });
   assert.ok(second !== undefined && !second.repeatable && !second.resumable && second.split === undefined);
-  assert.equal(setup.tiers.map((tier) => tier.name), ['p0', 'p1']);
+  assert.equal(
+    setup.tiers.map((tier) => tier.name),
+    ['p0', 'p1'],
+  );
   assert.equal(setup.services, [
     { name: 'huvo11a', type: 'model', mostLinks: 370, engine: { slots: 64, memoryTokens: 423541 } },
     { name: 'wuno96b', type: 'model', mostLinks: 110 },
@@ -57,7 +63,9 @@
   assert.equal(faultPaths(withSecondRoute({ svc: 'none' })), ['routes[1].svc']);
   assert.equal(faultPaths(withSecondRoute({ svc: undefined })), ['routes[1].svc']);
   assert.equal(faultPaths(withSecondRoute({ svc: undefined, split: [{ svc: 'none', wt: 1 }] })), ['routes[1].split']);
-  assert.equal(faultPaths(withSecondRoute({ svc: undefined, split: [{ svc: 'huvo11a', wt: 0 }] })), ['routes[1].split']);
+  assert.equal(faultPaths(withSecondRoute({ svc: undefined, split: [{ svc: 'huvo11a', wt: 0 }] })), [
+    'routes[1].split',
+  ]);
   assert.equal(faultPaths(withSecondRoute({ prefix: '/lohu930/' })), ['routes[1].prefix']);
   assert.equal(faultPaths(withSecondRoute({ prefix: '/lohu930/', host: 'FICU95.EXAMPLE' })), ['routes[1].prefix']);
   assert.equal(faultPaths(withSecondRoute({ prefix: 'lohu' })), ['routes[1].prefix']);
--- a/tests/platform/event-splitter.test.ts
+++ b/tests/platform/event-splitter.test.ts
@@ -6,7 +6,9 @@
 
 const split = (chunks: readonly string[]): { readonly told: Told; readonly hasRest: boolean } => {
   const told: (readonly [string, number | undefined])[] = [];
-  const splitter = openEventSplitter((event, number) => void told.push([Buffer.from(event).toString('latin1'), number]));
+  const splitter = openEventSplitter(
+    (event, number) => void told.push([Buffer.from(event).toString('latin1'), number]),
+  );
   for (const chunk of chunks) splitter.put(Buffer.from(chunk, 'latin1'));
   return { told, hasRest: splitter.hasRest() };
 };
@@ -17,7 +19,11 @@
   assert.equal(split([...text]), { told: events, hasRest: false });
   for (let first = 0; first <= text.length; first += 1)
     for (let second = first; second <= text.length; second += 3)
-      assert.equal(split([text.slice(0, first), text.slice(first, second), text.slice(second)]).told, events, `${first} ${second}`);
+      assert.equal(
+        split([text.slice(0, first), text.slice(first, second), text.slice(second)]).told,
+        events,
+        `${first} ${second}`,
+      );
 };
 
 test('events are cut out wherever their bytes are cut', () =>
--- a/tests/platform/judge.test.ts
+++ b/tests/platform/judge.test.ts
@@ -40,13 +40,20 @@
 });
 
 const stream: Partial<ClientTry> = { kind: 'stream', events: 3, bytes: streamText('b', 0, 3) };
-const rulesIn = (seen: Seen): readonly string[] => judge(seen, () => ['gallery']).map((finding) => finding.split(' ')[0] ?? '');
+const rulesIn = (seen: Seen): readonly string[] =>
+  judge(seen, () => ['gallery']).map((finding) => finding.split(' ')[0] ?? '');
 
 test('a clean history has no findings', () => {
   assert.equal(rulesIn({ arrivals: [arrivalOf(), arrivalOf({ ran: false })], tries: [tryOf()] }), []);
   assert.equal(rulesIn({ arrivals: [arrivalOf()], tries: [tryOf(stream)] }), []);
-  assert.equal(rulesIn({ arrivals: [arrivalOf()], tries: [tryOf({ ...stream, lastEventId: 2, bytes: streamText('b', 2, 3) })] }), []);
-  assert.equal(rulesIn({ arrivals: [arrivalOf()], tries: [tryOf({ ...stream, whole: false, bytes: streamText('b', 0, 2) })] }), []);
+  assert.equal(
+    rulesIn({ arrivals: [arrivalOf()], tries: [tryOf({ ...stream, lastEventId: 2, bytes: streamText('b', 2, 3) })] }),
+    [],
+  );
+  assert.equal(
+    rulesIn({ arrivals: [arrivalOf()], tries: [tryOf({ ...stream, whole: false, bytes: streamText('b', 0, 2) })] }),
+    [],
+  );
   assert.equal(rulesIn({ arrivals: [], tries: [tryOf({ status: 503, seal: undefined })] }), []);
 });
 
--- a/tests/platform/paths.test.ts
+++ b/tests/platform/paths.test.ts
@@ -18,7 +18,11 @@
 const withPaths = async (core: CoreClient, use: (call: Call) => Promise<void>): Promise<void> => {
   const [port] = await freePorts(1);
   const http = openHttpServer(`127.0.0.1:${port}`, openCounters());
-  addDocumentPaths(http, openOperatorDesk(core, () => 0), retryLimits);
+  addDocumentPaths(
+    http,
+    openOperatorDesk(core, () => 0),
+    retryLimits,
+  );
   await http.listen();
   try {
     await use(async (method, body, expected) => {
--- a/tests/platform/raw/carried.ts
+++ b/tests/platform/raw/carried.ts
@@ -37,7 +37,11 @@
 });
 
 /** Carries one exchange to its last word; `begun` gets the carriage. */
-export const carried = (link: ServerLink, order: OpaqueOrder, begun: (carriage: Carriage) => void = () => undefined): Promise<Carried> =>
+export const carried = (
+  link: ServerLink,
+  order: OpaqueOrder,
+  begun: (carriage: Carriage) => void = () => undefined,
+): Promise<Carried> =>
   new Promise((resolve, reject) => {
     if (link.carry === undefined) {
       reject(new Error('the link carries nothing'));
@@ -48,7 +52,9 @@
     const words: string[] = [];
     const end = (ending: string): void => {
       words.push(ending);
-      setImmediate(() => resolve({ head, pieces, text: pieces.map(([text]) => text).join(''), ending: words.join(' then ') }));
+      setImmediate(() =>
+        resolve({ head, pieces, text: pieces.map(([text]) => text).join(''), ending: words.join(' then ') }),
+      );
     };
     begun(
       link.carry(order, {
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -37,11 +37,65 @@
 export const edgeDocument = {
   ver: 1,
   routes: [
-    { name: 'idem', host: 'a.example', prefix: '/idem/', kind: 'idem', timeout_ms: 3_000, target_ms: 300, prio: 0, svc: 'web', tries: 2 },
-    { name: 'once', host: 'a.example', prefix: '/once/', kind: 'once', timeout_ms: 3_000, target_ms: 300, prio: 0, svc: 'web', tries: 1 },
-    { name: 'brief', host: 'a.example', prefix: '/brief/', kind: 'once', timeout_ms: 300, target_ms: 100, prio: 0, svc: 'web', tries: 1 },
-    { name: 'stream', host: 'a.example', prefix: '/stream/', kind: 'stream', timeout_ms: 3_000, target_ms: 300, prio: 0, svc: 'web', tries: 1, resume: false, gap_target_ms: 500 },
-    { name: 'resumed', host: 'a.example', prefix: '/resumed/', kind: 'stream', timeout_ms: 3_000, target_ms: 300, prio: 0, svc: 'web', tries: 2, resume: true, gap_target_ms: 500 },
+    {
+      name: 'idem',
+      host: 'a.example',
+      prefix: '/idem/',
+      kind: 'idem',
+      timeout_ms: 3_000,
+      target_ms: 300,
+      prio: 0,
+      svc: 'web',
+      tries: 2,
+    },
+    {
+      name: 'once',
+      host: 'a.example',
+      prefix: '/once/',
+      kind: 'once',
+      timeout_ms: 3_000,
+      target_ms: 300,
+      prio: 0,
+      svc: 'web',
+      tries: 1,
+    },
+    {
+      name: 'brief',
+      host: 'a.example',
+      prefix: '/brief/',
+      kind: 'once',
+      timeout_ms: 300,
+      target_ms: 100,
+      prio: 0,
+      svc: 'web',
+      tries: 1,
+    },
+    {
+      name: 'stream',
+      host: 'a.example',
+      prefix: '/stream/',
+      kind: 'stream',
+      timeout_ms: 3_000,
+      target_ms: 300,
+      prio: 0,
+      svc: 'web',
+      tries: 1,
+      resume: false,
+      gap_target_ms: 500,
+    },
+    {
+      name: 'resumed',
+      host: 'a.example',
+      prefix: '/resumed/',
+      kind: 'stream',
+      timeout_ms: 3_000,
+      target_ms: 300,
+      prio: 0,
+      svc: 'web',
+      tries: 2,
+      resume: true,
+      gap_target_ms: 500,
+    },
   ],
   svcs: [{ name: 'web', health_path: '/healthz', max_conns: 96 }],
   limits: { hdr_bytes: 16_384, body_max_bytes: 1_000, hdr_ms: 3_000, idle_ms: 15_000 },
@@ -74,7 +128,12 @@
     }
     return received;
   };
-  return { socket, received: () => received, until: (text) => wait(() => isEnded || received.includes(text)), ended: () => wait(() => isEnded) };
+  return {
+    socket,
+    received: () => received,
+    until: (text) => wait(() => isEnded || received.includes(text)),
+    ended: () => wait(() => isEnded),
+  };
 };
 
 export const openEdge = async (): Promise<Edge> => {
--- a/tests/platform/raw/raw-server.ts
+++ b/tests/platform/raw/raw-server.ts
@@ -11,7 +11,9 @@
 };
 
 /** `serve` is called for each whole request, told how many came before it on all connections. */
-export const openRawServer = async (serve: (socket: Socket, request: string, place: number) => void): Promise<RawServer> => {
+export const openRawServer = async (
+  serve: (socket: Socket, request: string, place: number) => void,
+): Promise<RawServer> => {
   const [port] = await freePorts(1);
   const sockets: Socket[] = [];
   let received = '';
--- a/tests/platform/server-link.test.ts
+++ b/tests/platform/server-link.test.ts
@@ -16,7 +16,8 @@
 const headOf = (name: string, more: readonly string[] = [], status = '200 OK'): string =>
   [`HTTP/1.1 ${status}`, `Ledgehill-Attempt-Id: ${name}`, 'Ledgehill-Server-Seal: s.1', ...more, '', ''].join('\r\n');
 
-const whole = (name: string, text: string, more: readonly string[] = []): string => `${headOf(name, [`Content-Length: ${text.length}`, ...more])}${text}`;
+const whole = (name: string, text: string, more: readonly string[] = []): string =>
+  `${headOf(name, [`Content-Length: ${text.length}`, ...more])}${text}`;
 
 const dial = async (address: string): Promise<ServerLink> =>
   (await dialServer({ ...listedAt('i-1', 'readers', 1), address })).unsafeCoerce();
@@ -48,11 +49,23 @@
     (socket) => socket.write(whole('a', 'ok')),
     async (link, server) => {
       const made = await bounded(carried(link, orderOf('a', { afterPiece: 12, urgency: 3 })));
-      assert.equal([made.ending, made.text, made.head?.status, made.head?.ran, made.head?.sealed], ['end', 'ok', 200, true, true]);
+      assert.equal(
+        [made.ending, made.text, made.head?.status, made.head?.ran, made.head?.sealed],
+        ['end', 'ok', 200, true, true],
+      );
       const [head = '', body] = server.received().split('\r\n\r\n');
       const lines = head.split('\r\n');
       assert.is(lines[0], 'POST /p/x?a=%20b&&c=// HTTP/1.1');
-      for (const line of ['Host: a.example', 'Ledgehill-Attempt-Id: a', 'X-Own: One', 'x-own: two', 'Ledgehill-Budget-Ms: 1234', 'Ledgehill-Want-Server: i-1', 'Last-Event-Id: 12', 'Ledgehill-Urgency: 3'])
+      for (const line of [
+        'Host: a.example',
+        'Ledgehill-Attempt-Id: a',
+        'X-Own: One',
+        'x-own: two',
+        'Ledgehill-Budget-Ms: 1234',
+        'Ledgehill-Want-Server: i-1',
+        'Last-Event-Id: 12',
+        'Ledgehill-Urgency: 3',
+      ])
         assert.is(lines.filter((given) => given.toLowerCase() === line.toLowerCase()).length, 1, line);
       assert.is(lines.filter((given) => /^(host|content-length):/i.test(given)).length, 2);
       assert.is(body, '\x00\xff\r\n');
@@ -63,7 +76,8 @@
   withLink(
     (socket, _request, place) => socket.write(whole(`n${place}`, `text ${place}`)),
     async (link, server) => {
-      for (const place of [0, 1, 2]) assert.is((await bounded(carried(link, orderOf(`n${place}`)))).text, `text ${place}`);
+      for (const place of [0, 1, 2])
+        assert.is((await bounded(carried(link, orderOf(`n${place}`)))).text, `text ${place}`);
       assert.is(server.sockets.length, 1);
     },
   ));
@@ -83,23 +97,52 @@
     async (link) => {
       const made = await bounded(carried(link, orderOf('a')));
       assert.equal([made.ending, made.text, link.isOpen()], ['end', 'helloyou', true]);
-      assert.equal(made.head?.headers, ['Ledgehill-Attempt-Id', 'a', 'Ledgehill-Server-Seal', 's.1', 'X-Two', '1', 'X-Two', '2']);
+      assert.equal(made.head?.headers, [
+        'Ledgehill-Attempt-Id',
+        'a',
+        'Ledgehill-Server-Seal',
+        's.1',
+        'X-Two',
+        '1',
+        'X-Two',
+        '2',
+      ]);
     },
   );
 });
 
 const lostCases: readonly (readonly [string, Serve, string])[] = [
-  ['a reset within the body', (socket) => socket.write(`${headOf('a', ['Content-Length: 10'])}hello`, () => setTimeout(() => socket.resetAndDestroy(), 20)), 'hello'],
+  [
+    'a reset within the body',
+    (socket) =>
+      socket.write(`${headOf('a', ['Content-Length: 10'])}hello`, () => setTimeout(() => socket.resetAndDestroy(), 20)),
+    'hello',
+  ],
   ['a close within the body', (socket) => void socket.end(`${headOf('a', ['Content-Length: 10'])}hello`), 'hello'],
-  ['a close within a chunked body', (socket) => void socket.end(`${headOf('a', ['Transfer-Encoding: chunked'])}5\r\nhello\r\n`), 'hello'],
+  [
+    'a close within a chunked body',
+    (socket) => void socket.end(`${headOf('a', ['Transfer-Encoding: chunked'])}5\r\nhello\r\n`),
+    'hello',
+  ],
   ['a close before the receipt', (socket) => void socket.end(), ''],
   ['a receipt to something else', (socket) => socket.write(whole('b', 'other')), ''],
-  ['a receipt without an id', (socket) => socket.write('HTTP/1.1 200 OK\r\nLedgehill-Server-Seal: s\r\nContent-Length: 5\r\n\r\nother'), ''],
+  [
+    'a receipt without an id',
+    (socket) => socket.write('HTTP/1.1 200 OK\r\nLedgehill-Server-Seal: s\r\nContent-Length: 5\r\n\r\nother'),
+    '',
+  ],
   ['a 503 that does not vouch', (socket) => socket.write(headOf('a', ['Content-Length: 0'], '503 Broken')), ''],
   ['a 429 that does not vouch', (socket) => socket.write(headOf('a', ['Content-Length: 0'], '429 Broken')), ''],
   ['a 408 that does not vouch', (socket) => socket.write(headOf('a', ['Content-Length: 0'], '408 Broken')), ''],
   ['bytes that are no receipt', (socket) => socket.write('\x00\x01garbled\r\n\r\n'), ''],
-  ['a stream that ends within an event', (socket) => void socket.end(`${headOf('a', ['Content-Type: text/event-stream', 'Content-Length: 22'])}id: 1\ndata: x\n\nid: 2\n`), 'id: 1\ndata: x\n\n'],
+  [
+    'a stream that ends within an event',
+    (socket) =>
+      void socket.end(
+        `${headOf('a', ['Content-Type: text/event-stream', 'Content-Length: 22'])}id: 1\ndata: x\n\nid: 2\n`,
+      ),
+    'id: 1\ndata: x\n\n',
+  ],
 ];
 
 for (const [name, serve, text] of lostCases)
@@ -111,9 +154,10 @@
       assert.is((await bounded(carried(link, orderOf('c')))).ending, 'lost');
     }));
 
-test('a surplus receipt closes the link, or is told by its id where it comes in the next one\'s place', () =>
+test("a surplus receipt closes the link, or is told by its id where it comes in the next one's place", () =>
   withLink(
-    (socket, _request, place) => socket.write(place === 0 ? `${whole('n0', 'own')}${whole('n0', 'surplus')}` : whole('n1', 'second')),
+    (socket, _request, place) =>
+      socket.write(place === 0 ? `${whole('n0', 'own')}${whole('n0', 'surplus')}` : whole('n1', 'second')),
     async (link) => {
       assert.equal((await bounded(carried(link, orderOf('n0')))).text, 'own');
       const next = await bounded(carried(link, orderOf('n1')));
@@ -122,7 +166,7 @@
     },
   ));
 
-test('a late surplus receipt is nobody\'s', () =>
+test("a late surplus receipt is nobody's", () =>
   withLink(
     (socket, _request, place) => {
       if (place === 0) socket.write(whole('n0', 'own'));
@@ -136,7 +180,10 @@
   ));
 
 test('a success without its seal, or encoded, is not sealed', async () => {
-  for (const head of ['HTTP/1.1 200 OK\r\nLedgehill-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nok', whole('a', 'ok', ['Content-Encoding: gzip'])])
+  for (const head of [
+    'HTTP/1.1 200 OK\r\nLedgehill-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nok',
+    whole('a', 'ok', ['Content-Encoding: gzip']),
+  ])
     await withLink(
       (socket) => socket.write(head),
       async (link) => assert.is((await bounded(carried(link, orderOf('a')))).head?.sealed, false),
@@ -184,8 +231,14 @@
     () => undefined,
     async (link, server) => {
       let words = 0;
-      const carriage = link.carry?.(orderOf('a'), { head: () => (words += 1), piece: () => (words += 1), end: () => (words += 1), lost: () => (words += 1) });
-      for (let look = 0; look < 100 && !server.received().endsWith('\x00\xff\r\n'); look += 1) await paused(steadyClock, 10_000);
+      const carriage = link.carry?.(orderOf('a'), {
+        head: () => (words += 1),
+        piece: () => (words += 1),
+        end: () => (words += 1),
+        lost: () => (words += 1),
+      });
+      for (let look = 0; look < 100 && !server.received().endsWith('\x00\xff\r\n'); look += 1)
+        await paused(steadyClock, 10_000);
       carriage?.cancel();
       assert.not.ok(link.isOpen());
       await new Promise<void>((resolve) => {
@@ -202,12 +255,17 @@
   return withLink(
     (socket) => {
       const text = events.join('');
-      socket.write(`${headOf('a', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'])}7\r\n${text.slice(0, 7)}\r\n`);
+      socket.write(
+        `${headOf('a', ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'])}7\r\n${text.slice(0, 7)}\r\n`,
+      );
       setTimeout(() => socket.write(`${(text.length - 7).toString(16)}\r\n${text.slice(7)}\r\n0\r\n\r\n`), 20);
     },
     async (link) => {
       const made = await bounded(carried(link, orderOf('a')));
-      assert.equal(made.pieces, events.map((event, place) => [event, place + 1]));
+      assert.equal(
+        made.pieces,
+        events.map((event, place) => [event, place + 1]),
+      );
     },
   );
 });
@@ -232,7 +290,11 @@
   withLink(
     (socket) => socket.write(whole('a', 'ok')),
     async (link, server) => {
-      const exchange = exchangeOf('a', { method: 'GET', body: new Uint8Array(0), headers: ['Host', 'a.example', 'Ledgehill-Attempt-Id', 'a'] });
+      const exchange = exchangeOf('a', {
+        method: 'GET',
+        body: new Uint8Array(0),
+        headers: ['Host', 'a.example', 'Ledgehill-Attempt-Id', 'a'],
+      });
       assert.is((await bounded(carried(link, orderOf('a', { exchange })))).text, 'ok');
       assert.ok(!/content-length|transfer-encoding/i.test(server.received()));
     },
--- a/tests/platform/stand-in/drive.ts
+++ b/tests/platform/stand-in/drive.ts
@@ -14,7 +14,8 @@
     const { effects, dueUs } = step(make(steadyNow() - bornUs));
     effects.forEach(tell);
     clearTimeout(timer);
-    if (dueUs !== undefined) timer = setTimeout(() => take(timeAt), toMillis(Math.max(0, dueUs - (steadyNow() - bornUs))));
+    if (dueUs !== undefined)
+      timer = setTimeout(() => take(timeAt), toMillis(Math.max(0, dueUs - (steadyNow() - bornUs))));
   };
   return {
     take,
--- a/tests/platform/stand-in/judge.ts
+++ b/tests/platform/stand-in/judge.ts
@@ -16,8 +16,12 @@
     const asked = byAttempt.get(arrival.attempt);
     if (asked === undefined) return [`UNASKED ${arrival.attempt} at ${arrival.server}`];
     return [
-      ...(arrival.method === asked.method && arrival.target === asked.target && arrival.body === asked.body ? [] : [`UNASKED ${arrival.attempt} was changed`]),
-      ...(arrival.ran && !allowed(asked.route).includes(arrival.service) ? [`ROUTE ${arrival.attempt} ran at ${arrival.server} of ${arrival.service}`] : []),
+      ...(arrival.method === asked.method && arrival.target === asked.target && arrival.body === asked.body
+        ? []
+        : [`UNASKED ${arrival.attempt} was changed`]),
+      ...(arrival.ran && !allowed(asked.route).includes(arrival.service)
+        ? [`ROUTE ${arrival.attempt} ran at ${arrival.server} of ${arrival.service}`]
+        : []),
       ...(arrival.headers['x-client'] === 'kept' ? [] : [`HEADERS ${arrival.attempt} lost one`]),
     ];
   });
@@ -34,10 +38,16 @@
           : wantedBytes.startsWith(bytes);
     return [
       ...(!mayRepeat(made) && runs.length > 1 ? [`TWICE ${made.attempt} ran ${runs.length} times`] : []),
-      ...(!mayRepeat(made) && promises.has(made.status) && runs.length > 0 ? [`REFUSED ${made.attempt} got ${made.status} and ran`] : []),
+      ...(!mayRepeat(made) && promises.has(made.status) && runs.length > 0
+        ? [`REFUSED ${made.attempt} got ${made.status} and ran`]
+        : []),
       ...(isSuccess(made) && seal === undefined ? [`MIXED ${made.attempt} has no seal`] : []),
-      ...(isSuccess(made) && seal !== undefined && !runs.some(({ server }) => server === seal) ? [`MIXED ${made.attempt} has the seal of ${seal}`] : []),
-      ...(isSuccess(made) && (made.whole || made.events > 0) && !isOwn ? [`${made.events > 0 ? 'ORDER' : 'MIXED'} ${made.attempt} has other bytes`] : []),
+      ...(isSuccess(made) && seal !== undefined && !runs.some(({ server }) => server === seal)
+        ? [`MIXED ${made.attempt} has the seal of ${seal}`]
+        : []),
+      ...(isSuccess(made) && (made.whole || made.events > 0) && !isOwn
+        ? [`${made.events > 0 ? 'ORDER' : 'MIXED'} ${made.attempt} has other bytes`]
+        : []),
     ];
   });
   return [...ofRuns, ...ofTries];
--- a/tests/platform/stand-in/launch-fleet.ts
+++ b/tests/platform/stand-in/launch-fleet.ts
@@ -51,7 +51,12 @@
       'area=sofia-central',
       ...zones.map((name) => `zones.${name}=sofia-central`),
       ...(role === 'control'
-        ? [`binds.ctl=${addresses.ctl}`, `datadir=${join(folder, `${node}-data`)}`, 'limits.disk_cap_mb=128', 'quorum=true']
+        ? [
+            `binds.ctl=${addresses.ctl}`,
+            `datadir=${join(folder, `${node}-data`)}`,
+            'limits.disk_cap_mb=128',
+            'quorum=true',
+          ]
         : [`binds.edge=${addresses.edge}`, `binds.readyz=${addresses.readyz}`, 'limits.disk_cap_mb=0', 'quorum=false']),
       `port_range=${partnerPort},${partnerPort}`,
       `peers=${[11, 12, 13].map((last) => `${network}.${last}:${ctlPort}`).join(',')}`,
--- a/tests/platform/stand-in/open-clients.ts
+++ b/tests/platform/stand-in/open-clients.ts
@@ -42,19 +42,50 @@
 
 /** Clients that try again as the platform's page says; `pick` gives the node for a new connection. */
 export const openClients = (seen: Seen, pick: (tried: readonly string[]) => string | undefined) => {
-  const agent = new Agent({ pipelining: 1, connections: 16, headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
+  const agent = new Agent({
+    pipelining: 1,
+    connections: 16,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: 1_000 },
+  });
 
-  const tryOnce = async (wanted: Wanted, node: string, dispatcher: Dispatcher, lastEventId: number, dueUs: number): Promise<readonly [ClientTry, number]> => {
+  const tryOnce = async (
+    wanted: Wanted,
+    node: string,
+    dispatcher: Dispatcher,
+    lastEventId: number,
+    dueUs: number,
+  ): Promise<readonly [ClientTry, number]> => {
     const { route, kind, target, body, readTokens = 0, writeTokens = 0 } = wanted;
     const attempt = randomBytes(8).toString('hex');
     const isStream = kind === 'stream' || kind === 'resumed';
-    const base = { attempt, route, kind, node, method: 'POST', target, body, lastEventId, events: isStream ? Math.ceil(writeTokens / stride) : 0, sentUs: steadyNow() };
+    const base = {
+      attempt,
+      route,
+      kind,
+      node,
+      method: 'POST',
+      target,
+      body,
+      lastEventId,
+      events: isStream ? Math.ceil(writeTokens / stride) : 0,
+      sentUs: steadyNow(),
+    };
     let status = 0;
     let seal: string | undefined;
     let retryUs = 0;
     const chunks: Buffer[] = [];
     const ended = (whole: boolean, error?: string): readonly [ClientTry, number] => {
-      const made: ClientTry = { ...base, endUs: steadyNow(), status, seal, bytes: Buffer.concat(chunks).toString('latin1'), whole, error };
+      const made: ClientTry = {
+        ...base,
+        endUs: steadyNow(),
+        status,
+        seal,
+        bytes: Buffer.concat(chunks).toString('latin1'),
+        whole,
+        error,
+      };
       seen.tries.push(made);
       return [made, retryUs];
     };
@@ -69,7 +100,13 @@
           'Ledgehill-Attempt-Id': attempt,
           'Ledgehill-Budget-Ms': String(Math.floor(leftUs / 1_000)),
           'X-Client': 'kept',
-          ...(isStream ? { 'Ledgehill-Model': 'm', 'Ledgehill-Token-Count': `${readTokens},${writeTokens}`, 'Ledgehill-Prompt-Prefix': wanted.opening ?? '' } : {}),
+          ...(isStream
+            ? {
+                'Ledgehill-Model': 'm',
+                'Ledgehill-Token-Count': `${readTokens},${writeTokens}`,
+                'Ledgehill-Prompt-Prefix': wanted.opening ?? '',
+              }
+            : {}),
           ...(lastEventId > 0 ? { 'Last-Event-Id': String(lastEventId) } : {}),
         },
         body: Buffer.from(body, 'latin1'),
@@ -94,15 +131,21 @@
       while (tries.length < wanted.mostTries && steadyNow() < dueUs) {
         const node = pick(tries.map((made) => made.node));
         if (node === undefined) break;
-        const fresh = tries.length === 0 ? undefined : new Client(`http://${node}`, { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
+        const fresh =
+          tries.length === 0
+            ? undefined
+            : new Client(`http://${node}`, { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
         const [made, retryUs] = await tryOnce(wanted, node, fresh ?? agent, lastIdIn(events, 0), dueUs);
         await fresh?.destroy();
         tries.push(made);
-        if (made.status >= 200 && made.status < 300) events += wanted.kind === 'resumed' && !made.whole ? wholeEvents(made.bytes) : made.bytes;
+        if (made.status >= 200 && made.status < 300)
+          events += wanted.kind === 'resumed' && !made.whole ? wholeEvents(made.bytes) : made.bytes;
         if (made.whole && made.status >= 200 && made.status < 300) return { isServed: true, events, tries };
-        if (wanted.kind === 'resumed' && events === streamText(wanted.body, 0, made.events)) return { isServed: true, events, tries };
+        if (wanted.kind === 'resumed' && events === streamText(wanted.body, 0, made.events))
+          return { isServed: true, events, tries };
         if (endings.has(made.status)) break;
-        if ((wanted.kind === 'once' || wanted.kind === 'stream') && !(made.whole && ownPromises.has(made.status))) break;
+        if ((wanted.kind === 'once' || wanted.kind === 'stream') && !(made.whole && ownPromises.has(made.status)))
+          break;
         await paused(steadyClock, Math.min(retryUs || 50_000, (dueUs - steadyNow()) / 3));
       }
       return { isServed: false, events, tries };
