--- a/tests/platform/stand-in/open-operator.ts
+++ b/tests/platform/stand-in/open-operator.ts
@@ -10,7 +10,11 @@
 export const openOperator = (nodes: readonly string[]) => {
   let turn = 0;
 
-  const call = async (method: 'GET' | 'PUT', body: string | undefined, expected: number | undefined): Promise<{ readonly status: number; readonly text: string }> => {
+  const call = async (
+    method: 'GET' | 'PUT',
+    body: string | undefined,
+    expected: number | undefined,
+  ): Promise<{ readonly status: number; readonly text: string }> => {
     turn += 1;
     let url = `http://${nodes[turn % nodes.length] ?? ''}/ledgehill/config`;
     try {
@@ -18,12 +22,16 @@
         const told = await request(url, {
           method,
           body,
-          headers: { 'content-type': 'application/json', ...(expected === undefined ? {} : { 'if-match': String(expected) }) },
+          headers: {
+            'content-type': 'application/json',
+            ...(expected === undefined ? {} : { 'if-match': String(expected) }),
+          },
           signal: AbortSignal.timeout(1_000),
         });
         const text = await told.body.text();
         const { location } = told.headers;
-        if (told.statusCode !== 307 || redirects === mostRedirects || typeof location !== 'string') return { status: told.statusCode, text };
+        if (told.statusCode !== 307 || redirects === mostRedirects || typeof location !== 'string')
+          return { status: told.statusCode, text };
         url = location;
       }
     } catch {
@@ -31,11 +39,19 @@
     }
   };
 
-  const persist = async (method: 'GET' | 'PUT', body: string | undefined, expected: number | undefined, budgetUs: number) => {
+  const persist = async (
+    method: 'GET' | 'PUT',
+    body: string | undefined,
+    expected: number | undefined,
+    budgetUs: number,
+  ) => {
     const dueUs = steadyNow() + budgetUs;
     let pauseUs = firstPauseUs;
     let told = await call(method, body, expected);
-    while (steadyNow() < dueUs && (told.status === 0 || told.status >= 500 || told.status === 404 || told.status === 408 || told.status === 429)) {
+    while (
+      steadyNow() < dueUs &&
+      (told.status === 0 || told.status >= 500 || told.status === 404 || told.status === 408 || told.status === 429)
+    ) {
       await paused(steadyClock, pauseUs);
       pauseUs *= 1.5;
       told = await call(method, body, expected);
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -82,7 +82,9 @@
     response.end(() => {
       if (misdeed !== 'surplus') return;
       spoiled.add(socket);
-      socket.write('HTTP/1.1 200 OK\r\nLedgehill-Attempt-Id: surplus\r\nLedgehill-Server-Seal: surplus\r\nContent-Length: 7\r\n\r\nsurplus');
+      socket.write(
+        'HTTP/1.1 200 OK\r\nLedgehill-Attempt-Id: surplus\r\nLedgehill-Server-Seal: surplus\r\nContent-Length: 7\r\n\r\nsurplus',
+      );
     });
   };
 
@@ -114,7 +116,8 @@
         began: (beganVersion) => {
           arrival.ran = true;
           shownVersion = beganVersion;
-          if (!isMute(message, arrival, misdeed)) response.writeHead(200, { ...headOf(arrival.attempt, misdeed), 'Content-Type': 'text/event-stream' });
+          if (!isMute(message, arrival, misdeed))
+            response.writeHead(200, { ...headOf(arrival.attempt, misdeed), 'Content-Type': 'text/event-stream' });
         },
         piece: (piece, pieceVersion) => {
           if (!response.headersSent || piece < after) return;
@@ -169,7 +172,19 @@
   const work = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
     if (message.url === '/ledgehill/report') {
       response.writeHead(200, { 'Content-Type': 'application/json' });
-      response.end(JSON.stringify({ phase: 'mixed', llms: [{ name: 'm', ver: version, loras: [] }], util: false, serial: 0, queued: 0, active: desk.active(), kv_inuse: 0, kv_max: 1, caps: 0 }));
+      response.end(
+        JSON.stringify({
+          phase: 'mixed',
+          llms: [{ name: 'm', ver: version, loras: [] }],
+          util: false,
+          serial: 0,
+          queued: 0,
+          active: desk.active(),
+          kv_inuse: 0,
+          kv_max: 1,
+          caps: 0,
+        }),
+      );
       return;
     }
     if (message.url === '/healthz') {
@@ -198,7 +213,11 @@
     const wanted = textOf(message, 'ledgehill-want-server');
     const wantedVersion = textOf(message, 'ledgehill-want-version');
     if (attempt === undefined) turnAway(response, 400, '');
-    else if ((wanted !== undefined && wanted !== id) || (wantedVersion !== undefined && Number(wantedVersion) !== version)) turnAway(response, 421, attempt);
+    else if (
+      (wanted !== undefined && wanted !== id) ||
+      (wantedVersion !== undefined && Number(wantedVersion) !== version)
+    )
+      turnAway(response, 421, attempt);
     else if (type === 'model') stream(message, response, arrival);
     else plain(message, response, arrival);
   };
--- a/tests/platform/stand-in/open-provider.ts
+++ b/tests/platform/stand-in/open-provider.ts
@@ -68,7 +68,9 @@
     const from = Number((searchParams.get('page_tok') ?? 'p-0').slice(2));
     const next = from + pageSize;
     response.writeHead(200, { 'Content-Type': 'application/json' });
-    response.end(JSON.stringify({ servers: entries.slice(from, next), next_cursor: next < entries.length ? `p-${next}` : null }));
+    response.end(
+      JSON.stringify({ servers: entries.slice(from, next), next_cursor: next < entries.length ? `p-${next}` : null }),
+    );
   });
   return {
     show: (servers) => {
--- a/tests/platform/stand-in/server-text.ts
+++ b/tests/platform/stand-in/server-text.ts
@@ -8,7 +8,10 @@
 
 /** The plain answer to a request: the same at every server of the service, with bytes of all values. */
 export const plainBytes = (service: string, body: string): Buffer =>
-  Buffer.concat([Buffer.from(`${service} ${markOf(body)} `, 'latin1'), Buffer.from(Array.from({ length: 256 }, (_, byte) => byte))]);
+  Buffer.concat([
+    Buffer.from(`${service} ${markOf(body)} `, 'latin1'),
+    Buffer.from(Array.from({ length: 256 }, (_, byte) => byte)),
+  ]);
 
 /** The events of a stream after one, as they are without a change of weights. */
 export const streamText = (body: string, after: number, events: number): string =>
--- a/tests/platform/stand-in/work-desk.ts
+++ b/tests/platform/stand-in/work-desk.ts
@@ -4,7 +4,14 @@
 import type { EngineOrder } from '../../../src/emulator/engine/engine-order.js';
 import { startEngineView } from '../../../src/emulator/engine/engine-view.js';
 import { engineDueUs, stepEngine } from '../../../src/emulator/engine/step-engine.js';
-import { startWebView, stepWeb, webDueUs, type WebEffect, type WebEvent, type WebFigures } from '../../../src/emulator/web/web-server.js';
+import {
+  startWebView,
+  stepWeb,
+  webDueUs,
+  type WebEffect,
+  type WebEvent,
+  type WebFigures,
+} from '../../../src/emulator/web/web-server.js';
 import { drive } from './drive.js';
 
 /** What becomes of work that a server took on. */
--- a/tests/platform/whole-path.test.ts
+++ b/tests/platform/whole-path.test.ts
@@ -35,7 +35,13 @@
   const seen = openSeen();
   const fleet = await launchFleet();
   const provider = openProvider({ address: fleet.providerAddress, lagUs, pageSize: 4, mostCallsASecond: 40 });
-  const open = async (id: string, service: string, type: 'model' | 'web', place: number, address?: string): Promise<PlatformServer> =>
+  const open = async (
+    id: string,
+    service: string,
+    type: 'model' | 'web',
+    place: number,
+    address?: string,
+  ): Promise<PlatformServer> =>
     openPlatformServer({
       id,
       service,
@@ -58,7 +64,12 @@
   const readiness = openReadiness(fleet.routers);
   const clients = openClients(seen, (tried) => {
     const ready = readiness.ready();
-    return oneOf(chance, ready.filter((node) => !tried.includes(node))) ?? oneOf(chance, ready);
+    return (
+      oneOf(
+        chance,
+        ready.filter((node) => !tried.includes(node)),
+      ) ?? oneOf(chance, ready)
+    );
   });
   const operator = openOperator(fleet.controls.map(({ ctl }) => ctl));
   const ends: Promise<ClientEnd>[] = [];
@@ -119,7 +130,11 @@
     await Promise.all(
       fleet.routers.map(async ({ edge }) => {
         const straight = openClients(seen, () => edge);
-        await until(`${edge} serves the added route`, async () => (await straight.ask({ ...wantedOf('added', 'idem'), mostTries: 1 })).isServed, 2_000_000);
+        await until(
+          `${edge} serves the added route`,
+          async () => (await straight.ask({ ...wantedOf('added', 'idem'), mostTries: 1 })).isServed,
+          2_000_000,
+        );
         await straight.close();
       }),
     );
@@ -138,7 +153,11 @@
     const [stopped] = fleet.routers;
     assert.ok(stopped !== undefined);
     const ended = stopped.launched.terminate();
-    await until('the joined server gets its share', () => seen.arrivals.some((arrival) => arrival.server === joined.id), 6_000_000);
+    await until(
+      'the joined server gets its share',
+      () => seen.arrivals.some((arrival) => arrival.server === joined.id),
+      6_000_000,
+    );
     await until('the leaving server is quiet', () => steadyNow() > shownUs + quiesceUs + 500_000, 5_000_000);
     assert.is(await ended, 0);
     endTraffic();
@@ -149,23 +168,47 @@
 
     assert.equal(judge(seen, allowedOf), []);
     const lateAtOld = seen.tries.filter(
-      (made) => made.route === 'idem' && made.sentUs > appliedUs && seen.arrivals.some((arrival) => arrival.attempt === made.attempt && arrival.service === 'gallery'),
+      (made) =>
+        made.route === 'idem' &&
+        made.sentUs > appliedUs &&
+        seen.arrivals.some((arrival) => arrival.attempt === made.attempt && arrival.service === 'gallery'),
     );
     assert.is(lateAtOld.length, 0, 'the old service got requests later than two seconds after the change');
-    const lateAtLeaving = seen.arrivals.filter((arrival) => arrival.server === leaving.id && arrival.atUs > shownUs + quiesceUs);
+    const lateAtLeaving = seen.arrivals.filter(
+      (arrival) => arrival.server === leaving.id && arrival.atUs > shownUs + quiesceUs,
+    );
     assert.is(lateAtLeaving.length, 0, 'the leaving server got requests too late');
     for (const end of all) {
       const [made] = end.tries;
-      if (end.isServed && made?.kind === 'resumed') assert.is(end.events.replace(/ledgehill-weight-versions: \d+\n/g, ''), streamText(made.body, 0, made.events));
+      if (end.isServed && made?.kind === 'resumed')
+        assert.is(end.events.replace(/ledgehill-weight-versions: \d+\n/g, ''), streamText(made.body, 0, made.events));
     }
     const brokenOff = new Set(seen.arrivals.filter((arrival) => arrival.broken).map((arrival) => arrival.attempt));
     const isServersFault = ({ attempt, route, sentUs, endUs }: ClientTry): boolean =>
       brokenOff.has(attempt) || (allowedOf(route).includes('gallery') && sentUs <= crashUs && crashUs <= endUs);
-    const runsOf = (attempt: string): string => seen.arrivals.filter((arrival) => arrival.attempt === attempt).map(({ server, ran }) => `${server} ${ran}`).join();
+    const runsOf = (attempt: string): string =>
+      seen.arrivals
+        .filter((arrival) => arrival.attempt === attempt)
+        .map(({ server, ran }) => `${server} ${ran}`)
+        .join();
     const unserved = all.filter((end) => !end.isServed && !end.tries.some(isServersFault));
     assert.ok(all.length > 400, `${all.length} requests`);
-    assert.equal(unserved.map((end) => end.tries.map(({ route, status, error, whole, sentUs, attempt }) => `${route} ${status} ${whole} ${error} ${(sentUs - crashUs) / 1_000} ms after the crash, ran at ${runsOf(attempt)}`)).slice(0, 20), [], `${unserved.length} of ${all.length} were not served`);
-    assert.ok(new Set(seen.tries.filter(({ status }) => status === 200).map(({ node }) => node)).size === 3, 'every router served');
+    assert.equal(
+      unserved
+        .map((end) =>
+          end.tries.map(
+            ({ route, status, error, whole, sentUs, attempt }) =>
+              `${route} ${status} ${whole} ${error} ${(sentUs - crashUs) / 1_000} ms after the crash, ran at ${runsOf(attempt)}`,
+          ),
+        )
+        .slice(0, 20),
+      [],
+      `${unserved.length} of ${all.length} were not served`,
+    );
+    assert.ok(
+      new Set(seen.tries.filter(({ status }) => status === 200).map(({ node }) => node)).size === 3,
+      'every router served',
+    );
     assert.is(provider.overRate(), 0);
     assert.is(models[0]?.misdeedsLeft(), 0);
   } catch (thrown) {
--- a/tests/platform/words.test.ts
+++ b/tests/platform/words.test.ts
@@ -22,7 +22,9 @@
   const found = filesBelow('src').flatMap((path) =>
     readFileSync(path, 'utf8')
       .split('\n')
-      .flatMap((line, place) => (platformWords.some((word) => word.test(line)) ? [`${path}:${place + 1}: ${line.trim()}`] : [])),
+      .flatMap((line, place) =>
+        platformWords.some((word) => word.test(line)) ? [`${path}:${place + 1}: ${line.trim()}`] : [],
+      ),
   );
   assert.equal(found, []);
 });
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -57,7 +57,17 @@
   openSlab<Continuation>().put((ticket) => ({
     ticket,
     exchange: 'e1',
-    rule: { kind: 'k', service: 's', tier: 't', repeatable: true, resumable: true, streams, budgetUs: 1, firstPieceUs: 1, silenceUs: 1 },
+    rule: {
+      kind: 'k',
+      service: 's',
+      tier: 't',
+      repeatable: true,
+      resumable: true,
+      streams,
+      budgetUs: 1,
+      firstPieceUs: 1,
+      silenceUs: 1,
+    },
     isModel: true,
     body: { kind: 'k', budgetUs: 1_000_000 },
     opaque: exchange,
--- a/tests/router/edge.test.ts
+++ b/tests/router/edge.test.ts
@@ -76,7 +76,10 @@
   const exchange = String(sent.headers['x-exchange-id']);
   const story = loopback.node.router.stories.find(exchange);
   assert.equal([story?.kind, story?.tier, story?.service], ['question', 'first', 'model']);
-  assert.equal(story?.steps.map((step) => step.what), ['deliver', 'done']);
+  assert.equal(
+    story?.steps.map((step) => step.what),
+    ['deliver', 'done'],
+  );
   const facts = JSON.stringify(story?.steps[0]?.facts);
   for (const word of ['"range"', '"owners"', '"pressure"', '"cold"', '"attempt":1']) assert.match(facts, word);
 });
@@ -93,20 +96,26 @@
 
 const faults = suite('edge under faults');
 
-const midStream = async (loopback: Loopback, kind: string, work: string): Promise<{ readonly sent: Promise<Sent>; readonly crash: () => void }> => {
+const midStream = async (
+  loopback: Loopback,
+  kind: string,
+  work: string,
+): Promise<{ readonly sent: Promise<Sent>; readonly crash: () => void }> => {
   const sent = loopback.send({ kind, opening: 'o', text: textOf(work, 40) });
   const runOf = () => loopback.history.runs.find((run) => run.work === work);
   while (runOf() === undefined) await new Promise((resolve) => setImmediate(resolve));
   const serverName = runOf()?.server;
   const story = () => loopback.node.router.view().exchanges;
-  while (![...story().values()].some((exchange) => exchange.started)) await new Promise((resolve) => setImmediate(resolve));
+  while (![...story().values()].some((exchange) => exchange.started))
+    await new Promise((resolve) => setImmediate(resolve));
   return { sent, crash: () => loopback.servers.find((server) => server.listed.id === serverName)?.crash() };
 };
 
 faults('a resumable stream is carried over at the next piece when its server crashes', async () => {
   const loopback = await openLoopback(3, 0, 5_000);
   try {
-    for (let place = 0; place < 5; place += 1) await loopback.send({ kind: 'question', opening: 'o', text: textOf(`warm${place}`, 1) });
+    for (let place = 0; place < 5; place += 1)
+      await loopback.send({ kind: 'question', opening: 'o', text: textOf(`warm${place}`, 1) });
     const { sent, crash } = await midStream(loopback, 'question', 'c1');
     crash();
     const ended = await sent;
--- a/tests/router/http-close.test.ts
+++ b/tests/router/http-close.test.ts
@@ -43,7 +43,13 @@
   goOn();
   assert.is(await slow, true, 'what was under way is answered');
   for (let asked = 0; asked < 300 && !isClosed && (await ask('/live')); asked += 1);
-  assert.is(await Promise.race([closed.then(() => 'closed'), ask('/live').then((isThere) => (isThere ? 'still served' : closed.then(() => 'closed')))]), 'closed');
+  assert.is(
+    await Promise.race([
+      closed.then(() => 'closed'),
+      ask('/live').then((isThere) => (isThere ? 'still served' : closed.then(() => 'closed'))),
+    ]),
+    'closed',
+  );
   await prober.destroy();
 });
 
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -38,7 +38,13 @@
 
 /** A core that applies every command at once. */
 export const bareCore = (): CoreClient => {
-  let state = applyCommand(startControlState, { type: 'setup', proposal: 'p', expected: 0, setup: sampleSetup('loopback'), atUs: 0 }).state;
+  let state = applyCommand(startControlState, {
+    type: 'setup',
+    proposal: 'p',
+    expected: 0,
+    setup: sampleSetup('loopback'),
+    atUs: 0,
+  }).state;
   return {
     ask: (question) => {
       if (question.type === 'read') {
@@ -52,7 +58,12 @@
   };
 };
 
-export const listedAt = (id: string, service: string, port: number, more: Partial<ListedServer> = {}): ListedServer => ({
+export const listedAt = (
+  id: string,
+  service: string,
+  port: number,
+  more: Partial<ListedServer> = {},
+): ListedServer => ({
   id,
   incarnation: 'i1',
   service,
@@ -91,10 +102,13 @@
     version += 1;
     node.spread.offerList({ version, atUs: steadyNow() + version, servers });
   };
-  const open = (listed: ListedServer, type: 'model' | 'web'): Promise<StandInServer> => openStandInServer(listed, type, history, figures);
+  const open = (listed: ListedServer, type: 'model' | 'web'): Promise<StandInServer> =>
+    openStandInServer(listed, type, history, figures);
   const servers = await Promise.all(
     serverPorts.map((port, index) =>
-      index < models ? open(listedAt(`m${index}`, 'model', port), 'model') : open(listedAt(`w${index}`, 'status', port), 'web'),
+      index < models
+        ? open(listedAt(`m${index}`, 'model', port), 'model')
+        : open(listedAt(`w${index}`, 'status', port), 'web'),
     ),
   );
   await served.listen();
--- a/tests/router/platform.test.ts
+++ b/tests/router/platform.test.ts
@@ -11,7 +11,8 @@
       return [receipt.statusCode, await receipt.body.text()];
     };
     const server = listedAt('m9', 'model', 9);
-    const list = (version: number, servers: readonly unknown[]): string => JSON.stringify({ version, atUs: 5, servers });
+    const list = (version: number, servers: readonly unknown[]): string =>
+      JSON.stringify({ version, atUs: 5, servers });
     assert.is((await put(list(7, [server])))[0], 200);
     const before = loopback.node.spread.view().list;
     const cases: readonly (readonly [string, number, string])[] = [
--- a/tests/servers/asking-group.ts
+++ b/tests/servers/asking-group.ts
@@ -67,11 +67,25 @@
         return Right({ servers, whole });
       },
     };
-    const surroundings = { ...simSurroundingsOf({ world, network, ports, serverAt: () => undefined, note: () => undefined }, name, address, life), listSource };
+    const surroundings = {
+      ...simSurroundingsOf(
+        { world, network, ports, serverAt: () => undefined, note: () => undefined },
+        name,
+        address,
+        life,
+      ),
+      listSource,
+    };
     const role = name.startsWith('c') ? 'control' : 'router';
     const counters = openCounters();
     const log = { change: () => undefined };
-    const spread = openSpreadTask({ node: name, role, address, http: `${address}/http`, locality: 'a' }, seeds, log, counters, surroundings);
+    const spread = openSpreadTask(
+      { node: name, role, address, http: `${address}/http`, locality: 'a' },
+      seeds,
+      log,
+      counters,
+      surroundings,
+    );
     const source = openSourceTask(role, name, spread, log, counters, surroundings);
     const lists: ServerList[] = [];
     spread.events.on('list', (list) => lists.push(list));
--- a/tests/servers/asking.test.ts
+++ b/tests/servers/asking.test.ts
@@ -5,11 +5,22 @@
 
 const second = 1_000_000;
 const names = ['c1', 'c2', 'c3', 'r1', 'r2', 'r3', 'r4', 'r5', 'r6'];
-const shown = (id: string, more: Partial<ReadServer> = {}): ReadServer => ({ id, service: 'model', address: '10.0.0.1:80', locality: 'a', state: 'up', ...more });
+const shown = (id: string, more: Partial<ReadServer> = {}): ReadServer => ({
+  id,
+  service: 'model',
+  address: '10.0.0.1:80',
+  locality: 'a',
+  state: 'up',
+  ...more,
+});
 const callsSince = ({ platform }: AskingGroup, sinceUs: number) => platform.calls.filter(({ atUs }) => atUs >= sinceUs);
-const askersSince = (group: AskingGroup, sinceUs: number) => [...new Set(callsSince(group, sinceUs).map(({ who }) => who))];
-const lastAsker = ({ platform, nodes }: AskingGroup): AskingNode | undefined => nodes.find(({ name }) => name === platform.calls.at(-1)?.who);
-const knowsLeaving = ({ lists }: AskingNode, id: string): boolean => lists.at(-1)?.servers.find((server) => server.id === id)?.state === 'leaving';
+const askersSince = (group: AskingGroup, sinceUs: number) => [
+  ...new Set(callsSince(group, sinceUs).map(({ who }) => who)),
+];
+const lastAsker = ({ platform, nodes }: AskingGroup): AskingNode | undefined =>
+  nodes.find(({ name }) => name === platform.calls.at(-1)?.who);
+const knowsLeaving = ({ lists }: AskingNode, id: string): boolean =>
+  lists.at(-1)?.servers.find((server) => server.id === id)?.state === 'leaving';
 
 const openQuiet = async (seed: number): Promise<AskingGroup> => {
   const group = openAskingGroup(seed, names);
@@ -20,8 +31,11 @@
 
 const leave = async (group: AskingGroup, nodes: readonly AskingNode[], withinUs: number): Promise<void> => {
   const shownUs = group.world.now();
-  group.platform.servers = group.platform.servers.map((server) => (server.id === 'b' ? { ...server, state: 'leaving' } : server));
-  while (!nodes.every((node) => knowsLeaving(node, 'b')) && group.world.now() < shownUs + 10 * second) await group.world.playUntil(group.world.now() + 10_000);
+  group.platform.servers = group.platform.servers.map((server) =>
+    server.id === 'b' ? { ...server, state: 'leaving' } : server,
+  );
+  while (!nodes.every((node) => knowsLeaving(node, 'b')) && group.world.now() < shownUs + 10 * second)
+    await group.world.playUntil(group.world.now() + 10_000);
   assert.ok(group.world.now() - shownUs <= withinUs, `known by all after ${group.world.now() - shownUs} us`);
 };
 
@@ -84,7 +98,10 @@
     frozen?.sim.wake();
     await group.world.playUntil(group.world.now() + 3 * second);
     assert.ok(group.nodes.every((node) => knowsLeaving(node, 'b')));
-    assert.ok(group.nodes.every(({ lists }) => lists.at(-1)?.servers.some(({ id }) => id === 'n')), 'what the frozen one had asked for proves nothing gone');
+    assert.ok(
+      group.nodes.every(({ lists }) => lists.at(-1)?.servers.some(({ id }) => id === 'n')),
+      'what the frozen one had asked for proves nothing gone',
+    );
     assert.is(askersSince(group, group.world.now() - second).length, 1);
   }
 });
@@ -102,7 +119,8 @@
   for (let seed = 1; seed <= 10; seed += 1) {
     const group = await openQuiet(seed);
     const isLeft = ({ name }: AskingNode): boolean => ['c1', 'c2', 'r1', 'r2'].includes(name);
-    for (const left of group.nodes.filter(isLeft)) for (const right of group.nodes.filter((node) => !isLeft(node))) {
+    for (const left of group.nodes.filter(isLeft))
+      for (const right of group.nodes.filter((node) => !isLeft(node))) {
         group.network.cut(left.address, right.address);
         group.network.cut(right.address, left.address);
       }
@@ -137,11 +155,27 @@
   group.platform.whole = false;
   group.platform.servers = [shown('a'), shown('n')];
   await group.world.playUntil(group.world.now() + 3 * second);
-  assert.ok(group.nodes.every(({ lists }) => lists.at(-1)?.servers.map(({ id }) => id).join() === 'a,b,n'));
+  assert.ok(
+    group.nodes.every(
+      ({ lists }) =>
+        lists
+          .at(-1)
+          ?.servers.map(({ id }) => id)
+          .join() === 'a,b,n',
+    ),
+  );
   assert.ok(group.nodes.some(({ counters }) => (counters.read()['list.read.incomplete'] ?? 0) > 0));
   group.platform.whole = true;
   await group.world.playUntil(group.world.now() + 3 * second);
-  assert.ok(group.nodes.every(({ lists }) => lists.at(-1)?.servers.map(({ id }) => id).join() === 'a,n'));
+  assert.ok(
+    group.nodes.every(
+      ({ lists }) =>
+        lists
+          .at(-1)
+          ?.servers.map(({ id }) => id)
+          .join() === 'a,n',
+    ),
+  );
 });
 
 test.run();
--- a/tests/servers/fold-reading.test.ts
+++ b/tests/servers/fold-reading.test.ts
@@ -18,7 +18,13 @@
 test('a new server is stamped once, and its incarnation is its id where none is told', () => {
   const first = foldReading(undefined, whole(shown('a')), startUs);
   const next = foldReading(first, whole(shown('a'), shown('b')), startUs + second);
-  assert.equal(next.servers.map(({ id, incarnation, listedAtUs }) => [id, incarnation, listedAtUs]), [['a', 'a', startUs], ['b', 'b', startUs + second]]);
+  assert.equal(
+    next.servers.map(({ id, incarnation, listedAtUs }) => [id, incarnation, listedAtUs]),
+    [
+      ['a', 'a', startUs],
+      ['b', 'b', startUs + second],
+    ],
+  );
   assert.ok(next.version > first.version);
 });
 
@@ -39,7 +45,13 @@
   const first = foldReading(undefined, whole(shown('a'), shown('b')), startUs);
   assert.is(foldReading(first, { servers: [shown('a')], whole: false }, startUs + second), first);
   const next = foldReading(first, whole(shown('a')), startUs + second);
-  assert.equal(next.servers.map(({ id, state, goneAtUs }) => [id, state, goneAtUs]), [['a', 'up', undefined], ['b', 'gone', startUs + second]]);
+  assert.equal(
+    next.servers.map(({ id, state, goneAtUs }) => [id, state, goneAtUs]),
+    [
+      ['a', 'up', undefined],
+      ['b', 'gone', startUs + second],
+    ],
+  );
 });
 
 test('a reading from before a server was listed does not prove it gone', () => {
@@ -52,7 +64,13 @@
 test('a new id at an address is another server', () => {
   const first = foldReading(undefined, whole(shown('a')), startUs);
   const next = foldReading(first, whole(shown('b')), startUs + second);
-  assert.equal(next.servers.map(({ id, state, address }) => [id, state, address]), [['a', 'gone', '10.0.0.1:80'], ['b', 'up', '10.0.0.1:80']]);
+  assert.equal(
+    next.servers.map(({ id, state, address }) => [id, state, address]),
+    [
+      ['a', 'gone', '10.0.0.1:80'],
+      ['b', 'up', '10.0.0.1:80'],
+    ],
+  );
 });
 
 test('weights that change are stamped anew', () => {
--- a/tests/servers/merge-lists.test.ts
+++ b/tests/servers/merge-lists.test.ts
@@ -36,13 +36,26 @@
     const merged = mergeLists(left, right);
     for (const server of left.servers) {
       const after = merged.servers.find(({ id }) => id === server.id);
-      assert.ok(after !== undefined && rankOfState(after.state) >= rankOfState(server.state) && after.listedAtUs <= server.listedAtUs);
+      assert.ok(
+        after !== undefined &&
+          rankOfState(after.state) >= rankOfState(server.state) &&
+          after.listedAtUs <= server.listedAtUs,
+      );
     }
     assert.ok(merged.version >= left.version && merged.version >= right.version);
     const isTie = left.servers.some((server) => right.servers.some((other) => isContradiction(server, other)));
-    if (!isTie) assert.is(merged.version > left.version, merged.digest !== left.digest || merged.version !== left.version);
+    if (!isTie)
+      assert.is(merged.version > left.version, merged.digest !== left.digest || merged.version !== left.version);
     if (merged.version === left.version && !isTie) {
-      const stamped = ({ servers }: AskedList) => servers.map(({ id, state, listedAtUs, leavingAtUs, goneAtUs, slots }) => ({ id, state, listedAtUs, leavingAtUs, goneAtUs, slots }));
+      const stamped = ({ servers }: AskedList) =>
+        servers.map(({ id, state, listedAtUs, leavingAtUs, goneAtUs, slots }) => ({
+          id,
+          state,
+          listedAtUs,
+          leavingAtUs,
+          goneAtUs,
+          slots,
+        }));
       assert.equal(stamped(merged), stamped(left));
     }
   }
@@ -62,7 +75,10 @@
   const known = askedListOf([tombstone, serverOf('sb', startUs)], startUs);
   assert.is(withoutOldTombstones({ ...known, atUs: startUs + tombstoneUs }).servers.length, 2);
   const dropped = withoutOldTombstones({ ...known, atUs: startUs + tombstoneUs + 2_000 });
-  assert.equal(dropped.servers.map(({ id }) => id), ['sb']);
+  assert.equal(
+    dropped.servers.map(({ id }) => id),
+    ['sb'],
+  );
   assert.is(dropped.version, known.version);
   const merged = mergeLists(known, dropped);
   assert.equal(merged, dropped);
@@ -77,8 +93,14 @@
 });
 
 test('decisions do not see who is gone, and nodes take asked lists only when they hold', () => {
-  const list = askedListOf([serverOf('sa', startUs, { state: 'gone', goneAtUs: startUs }), serverOf('sb', startUs, { slots: 3 })], startUs);
-  assert.equal(livingListOf(list).servers.map(({ id }) => id), ['sb']);
+  const list = askedListOf(
+    [serverOf('sa', startUs, { state: 'gone', goneAtUs: startUs }), serverOf('sb', startUs, { slots: 3 })],
+    startUs,
+  );
+  assert.equal(
+    livingListOf(list).servers.map(({ id }) => id),
+    ['sb'],
+  );
   assert.ok(checkList(livingListOf(list)).isRight());
   assert.ok(isAnyList(list));
   assert.not.ok(isAnyList({ ...list, digest: undefined }));
--- a/tests/servers/passive-watch.test.ts
+++ b/tests/servers/passive-watch.test.ts
@@ -40,9 +40,14 @@
     dials += 1;
     return Promise.resolve(isThere ? Right(linkTo()) : Left(typedError('link-error', 'nothing there')));
   };
-  const watch = openPassiveWatch(dial, clock, (_key, isLight) => void told.push(isLight), () => {
-    kept += 1;
-  });
+  const watch = openPassiveWatch(
+    dial,
+    clock,
+    (_key, isLight) => void told.push(isLight),
+    () => {
+      kept += 1;
+    },
+  );
   watch.watch([server]);
   const rest = async (): Promise<void> => {
     for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
--- a/tests/servers/spread-asked.test.ts
+++ b/tests/servers/spread-asked.test.ts
@@ -15,7 +15,12 @@
 /** Some spread machines whose frames arrive at once, in order. */
 const openMachines = (count: number) => {
   const addresses = Array.from({ length: count }, (_, index) => `n${index}:1`);
-  const views = new Map<string, SpreadView>(addresses.map((address) => [address, startSpreadView({ node: address, role: 'router', address, http: address, locality: 'a' }, addresses)]));
+  const views = new Map<string, SpreadView>(
+    addresses.map((address) => [
+      address,
+      startSpreadView({ node: address, role: 'router', address, http: address, locality: 'a' }, addresses),
+    ]),
+  );
   const effects: SpreadEffect[] = [];
   let atUs = 0;
   let isCut = false;
@@ -46,7 +51,10 @@
         type: 'reading',
         at: atUs,
         begunAt: atUs,
-        reading: { whole: true, servers: ids.map((id) => ({ id, service: 'model', address: '10.0.0.1:80', locality: 'a', state: 'up' })) },
+        reading: {
+          whole: true,
+          servers: ids.map((id) => ({ id, service: 'model', address: '10.0.0.1:80', locality: 'a', state: 'up' })),
+        },
       }),
     offer: (index: number, list: ServerList) => take(addresses[index] ?? '', { type: 'list', at: atUs, list }),
     refresh: (index: number) => take(addresses[index] ?? '', { type: 'refresh', at: atUs }),
@@ -69,7 +77,11 @@
   machines.offer(1, right);
   machines.heal();
   machines.play(3);
-  for (const index of [0, 1]) assert.equal(machines.listAt(index)?.servers.map(({ id }) => id), ['sa', 'sb']);
+  for (const index of [0, 1])
+    assert.equal(
+      machines.listAt(index)?.servers.map(({ id }) => id),
+      ['sa', 'sb'],
+    );
 });
 
 test('lists that are offered anywhere in any order come to one everywhere', () => {
@@ -80,7 +92,11 @@
       if (index % 3 === 0) machines.play(1);
     });
     machines.play(6);
-    assert.is(new Set([0, 1, 2, 3].map((index) => JSON.stringify(machines.listAt(index)?.servers))).size, 1, `seed ${seed}`);
+    assert.is(
+      new Set([0, 1, 2, 3].map((index) => JSON.stringify(machines.listAt(index)?.servers))).size,
+      1,
+      `seed ${seed}`,
+    );
   }
 });
 
@@ -90,9 +106,14 @@
   machines.offer(0, askedListOf(servers, startUs));
   machines.play(2);
   machines.effects.length = 0;
-  machines.offer(0, askedListOf([serverOf('s3', startUs, { state: 'leaving', leavingAtUs: startUs + 1_000 })], startUs + 1_000));
+  machines.offer(
+    0,
+    askedListOf([serverOf('s3', startUs, { state: 'leaving', leavingAtUs: startUs + 1_000 })], startUs + 1_000),
+  );
   machines.play(2);
-  const sent = machines.effects.flatMap((effect) => (effect.type === 'send' && effect.frame.type === 'list' ? [effect.frame.list.servers.length] : []));
+  const sent = machines.effects.flatMap((effect) =>
+    effect.type === 'send' && effect.frame.type === 'list' ? [effect.frame.list.servers.length] : [],
+  );
   assert.equal(sent, [1, 1]);
   for (const index of [1, 2]) {
     assert.is(machines.listAt(index)?.servers.length, 20);
@@ -108,7 +129,11 @@
   machines.play(3);
   machines.offer(0, askedListOf([serverOf('sc', startUs)], startUs));
   machines.play(3);
-  for (const index of [0, 1, 2]) assert.equal(machines.listAt(index)?.servers.map(({ id }) => id), ['sb']);
+  for (const index of [0, 1, 2])
+    assert.equal(
+      machines.listAt(index)?.servers.map(({ id }) => id),
+      ['sb'],
+    );
 });
 
 test('a node that asks for what is fresh is content only with the very list of a partner', () => {
@@ -129,7 +154,9 @@
   machines.play(1);
   machines.effects.length = 0;
   machines.play(1);
-  const told = machines.effects.flatMap((effect) => (effect.type === 'send' && effect.frame.type === 'digest' ? [effect.frame.read?.by] : []));
+  const told = machines.effects.flatMap((effect) =>
+    effect.type === 'send' && effect.frame.type === 'digest' ? [effect.frame.read?.by] : [],
+  );
   assert.equal(told, ['router/n0:1', 'router/n1:1']);
 });
 
--- a/tests/setup/examples.test.ts
+++ b/tests/setup/examples.test.ts
@@ -18,7 +18,8 @@
     assert.equal([deployment.routers, deployment.exchangesPerSecond], sizes[name]);
     assert.equal([deployment.models, deployment.webs, setup.fleet?.routers], [13, 3, deployment.routers]);
     assert.equal(deployment.kinds.map((kind) => kind.kind).sort(), setup.rules.map((rule) => rule.kind).sort());
-    for (const kind of deployment.kinds) assert.is(setup.rules.find((rule) => rule.kind === kind.kind)?.repeatable, !kind.runsOnce);
+    for (const kind of deployment.kinds)
+      assert.is(setup.rules.find((rule) => rule.kind === kind.kind)?.repeatable, !kind.runsOnce);
     const files = readdirSync(`examples/${name}/settings`);
     assert.is(files.length, 3 + deployment.routers);
     for (const file of files) {
@@ -40,7 +41,11 @@
   );
   const faults = checkSetup(broken).swap().unsafeCoerce();
   assert.equal(faults.map((fault) => fault.path).sort(), ['', 'retry.fraction', 'services[1].type', 'warmup.vnodes']);
-  const crossed: unknown = JSON.parse(JSON.stringify(example).replace('"tier":"questions"', '"tier":"none"').replace('"service":"thumbnails"', '"service":"none"'));
+  const crossed: unknown = JSON.parse(
+    JSON.stringify(example)
+      .replace('"tier":"questions"', '"tier":"none"')
+      .replace('"service":"thumbnails"', '"service":"none"'),
+  );
   assert.equal(
     checkSetup(crossed)
       .swap()
@@ -51,17 +56,42 @@
 });
 
 test('bad settings name every key', () => {
-  const error = checkControlSettings({ node: 'c 1', http: '1.2.3.4', partners: '10.0.0.1:1', seeds: ['10.0.0.1:1', '10.0.0.1:1'], locality: 'a', ringFiles: 1, ringFileBytes: 8 << 20, more: 1 })
+  const error = checkControlSettings({
+    node: 'c 1',
+    http: '1.2.3.4',
+    partners: '10.0.0.1:1',
+    seeds: ['10.0.0.1:1', '10.0.0.1:1'],
+    locality: 'a',
+    ringFiles: 1,
+    ringFileBytes: 8 << 20,
+    more: 1,
+  })
     .swap()
     .unsafeCoerce();
-  assert.equal(error.faults?.map((fault) => fault.path).sort(), ['', 'data', 'http', 'node', 'ringFileBytes', 'ringFiles', 'seeds']);
+  assert.equal(error.faults?.map((fault) => fault.path).sort(), [
+    '',
+    'data',
+    'http',
+    'node',
+    'ringFileBytes',
+    'ringFiles',
+    'seeds',
+  ]);
 });
 
 test('seeds are one to three addresses that differ', () => {
   const heldWith = (seeds: readonly string[]): boolean =>
     checkRouterSettings({ node: 'r1', http: '10.0.0.9:1', partners: '10.0.0.9:2', seeds, locality: 'a' }).isRight();
-  assert.ok(heldWith(['10.0.0.1:1']) && heldWith(['10.0.0.1:1', '10.0.0.2:1']) && heldWith(['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1']));
-  assert.not.ok(heldWith([]) || heldWith(['10.0.0.1:1', '10.0.0.1:1']) || heldWith(['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1']));
+  assert.ok(
+    heldWith(['10.0.0.1:1']) &&
+      heldWith(['10.0.0.1:1', '10.0.0.2:1']) &&
+      heldWith(['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1']),
+  );
+  assert.not.ok(
+    heldWith([]) ||
+      heldWith(['10.0.0.1:1', '10.0.0.1:1']) ||
+      heldWith(['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1']),
+  );
 });
 
 test.run();
--- a/tests/setup/objects.test.ts
+++ b/tests/setup/objects.test.ts
@@ -14,7 +14,12 @@
 });
 
 test('a document may be JSON as well', () => {
-  const one = JSON.stringify({ apiVersion: 'ledgehill/v1', kind: 'Tier', metadata: { name: 'extra' }, spec: { weight: 1, share: 0.1 } });
+  const one = JSON.stringify({
+    apiVersion: 'ledgehill/v1',
+    kind: 'Tier',
+    metadata: { name: 'extra' },
+    spec: { weight: 1, share: 0.1 },
+  });
   const setup = convertObjects(`${objectsOf('cuenca')}---\n${one}\n`).unsafeCoerce();
   assert.is(setup.tiers[setup.tiers.length - 1]?.name, 'extra');
 });
@@ -29,7 +34,11 @@
     [text.replace('vnodes:', 'vnodez:'), 'document 1 (Fleet', 'vnodez'],
     [text.replace('silenceUs: 4000000', 'silenceUs: -4'), '(Rule catalogue-question): spec.silenceUs', ''],
     [text.replace('  silenceUs: 4000000\n', ''), '(Rule catalogue-question): spec.silenceUs', 'required'],
-    [text.replace('service: "plate-model"', 'service: "nowhere"'), '(Rule catalogue-question): spec.service', 'nowhere'],
+    [
+      text.replace('service: "plate-model"', 'service: "nowhere"'),
+      '(Rule catalogue-question): spec.service',
+      'nowhere',
+    ],
     [`${text}---\n${text.split('---\n')[0]}`, '(Fleet', 'there is a Fleet already'],
     [text.split('---\n').slice(1).join('---\n'), 'documents', 'kind Fleet'],
     [`${text}---\nspec: [1\n`, 'document 11', 'Flow sequence'],
--- a/tests/setup/rule-index.test.ts
+++ b/tests/setup/rule-index.test.ts
@@ -10,11 +10,21 @@
 const [ask] = setup.rules;
 if (ask === undefined) throw new Error('no rule');
 
-const at = (kind: string, host: string, path: string, more: Partial<Rule> = {}): Rule => ({ ...ask, kind, match: { host, path }, ...more });
+const at = (kind: string, host: string, path: string, more: Partial<Rule> = {}): Rule => ({
+  ...ask,
+  kind,
+  match: { host, path },
+  ...more,
+});
 
 const placed: Setup = {
   ...setup,
-  rules: [at('all', 'a.example', '/'), at('deep', 'a.example', '/x/y/'), at('mid', 'a.example', '/x/'), at('other', 'b.example', '/x/')],
+  rules: [
+    at('all', 'a.example', '/'),
+    at('deep', 'a.example', '/x/y/'),
+    at('mid', 'a.example', '/x/'),
+    at('other', 'b.example', '/x/'),
+  ],
 };
 
 test('of the rules of a host the one with the longest path goes first; a host without rules has none', () => {
@@ -26,7 +36,13 @@
 });
 
 test('a split is drawn by weight from the name of the exchange, and always alike for one name', () => {
-  const split = at('split', 'a.example', '/', { split: [{ service: 'model', weight: 90 }, { service: 'status', weight: 10 }, { service: 'none', weight: 0 }] });
+  const split = at('split', 'a.example', '/', {
+    split: [
+      { service: 'model', weight: 90 },
+      { service: 'status', weight: 10 },
+      { service: 'none', weight: 0 },
+    ],
+  });
   const drawn = Array.from({ length: 4_000 }, (_, place) => shareOf(split, `e${place}`));
   const part = drawn.filter((service) => service === 'status').length / drawn.length;
   assert.ok(part > 0.08 && part < 0.12, `${part}`);
@@ -44,7 +60,9 @@
   assert.equal(faultsOf(placed.rules), []);
   assert.equal(faultsOf([...placed.rules, at('again', 'a.example', '/x/')]), ['rules[4].match']);
   assert.equal(faultsOf([at('k', 'h', '/', { split: [{ service: 'model', weight: 0 }] })]), ['rules[0].split']);
-  assert.equal(faultsOf([at('k', 'h', '/', { split: [{ service: 'gone', weight: 1 }] })]), ['rules[0].split[0].service']);
+  assert.equal(faultsOf([at('k', 'h', '/', { split: [{ service: 'gone', weight: 1 }] })]), [
+    'rules[0].split[0].service',
+  ]);
 });
 
 test.run();
--- a/tests/setup/setup-guard.test.ts
+++ b/tests/setup/setup-guard.test.ts
@@ -8,7 +8,10 @@
   if (typeof value !== 'object' || value === null) return [[path, null]];
   if (Array.isArray(value)) {
     const items: readonly unknown[] = value;
-    return [[path, {}], ...spoiled(items[0], `${path}[0]`).map(([at, item]) => [at, [item, ...items.slice(1)]] as const)];
+    return [
+      [path, {}],
+      ...spoiled(items[0], `${path}[0]`).map(([at, item]) => [at, [item, ...items.slice(1)]] as const),
+    ];
   }
   return Object.entries(value).flatMap(([key, inner]) => [
     [`${path}.${key} left out`, Object.fromEntries(Object.entries(value).filter(([name]) => name !== key))] as const,
--- a/tests/sim/busy-disk.test.ts
+++ b/tests/sim/busy-disk.test.ts
@@ -4,17 +4,29 @@
 
 const second = 1_000_000;
 
-const termAfter = async (syncUs: number, seed: number): Promise<{ readonly before: number; readonly after: number; readonly won: number }> => {
+const termAfter = async (
+  syncUs: number,
+  seed: number,
+): Promise<{ readonly before: number; readonly after: number; readonly won: number }> => {
   const fleet = openCoreFleet(seed);
   await fleet.playFor(4 * second);
   const before = fleet.leader()?.view().term ?? 0;
   let won = 0;
   fleet.leader()?.slowDisk(syncUs);
   for (let place = 0; place < 20; place += 1)
-    fleet.world.after(place * 300_000, () =>
-      void fleet.client.ask({ type: 'propose', command: { type: 'claim', key: `k${place}`, exchange: `e${place}`, atUs: 0 } }, 4 * second).then((asked) => asked.ifRight((word) => {
-        if (word.type === 'applied') won += 1;
-      })),
+    fleet.world.after(
+      place * 300_000,
+      () =>
+        void fleet.client
+          .ask(
+            { type: 'propose', command: { type: 'claim', key: `k${place}`, exchange: `e${place}`, atUs: 0 } },
+            4 * second,
+          )
+          .then((asked) =>
+            asked.ifRight((word) => {
+              if (word.type === 'applied') won += 1;
+            }),
+          ),
     );
   await fleet.playFor(12 * second);
   return { before, after: fleet.leader()?.view().term ?? 0, won };
--- a/tests/sim/claims.test.ts
+++ b/tests/sim/claims.test.ts
@@ -6,9 +6,11 @@
 const ask = (fleet: SmallFleet, call: string, place = 0): void =>
   fleet.call({ work: 'w', call, kind: 'summary', key: 'w', pieces: 30 }, place);
 
-const endsOf = (fleet: SmallFleet): readonly string[] => fleet.history.calls.map((call) => `${call.call} ${call.end}`).sort();
+const endsOf = (fleet: SmallFleet): readonly string[] =>
+  fleet.history.calls.map((call) => `${call.call} ${call.end}`).sort();
 
-const runningAt = (fleet: SmallFleet) => fleet.models.find((server) => server.listed.id === fleet.history.runs[0]?.server);
+const runningAt = (fleet: SmallFleet) =>
+  fleet.models.find((server) => server.listed.id === fleet.history.runs[0]?.server);
 
 test('the key of work whose outcome is unknown stays claimed: a repeat at another node does not run', async () => {
   const fleet = await readyFleet(1, 2, 3);
--- a/tests/sim/clocks.test.ts
+++ b/tests/sim/clocks.test.ts
@@ -6,10 +6,13 @@
 const leadsOf = (fleet: SmallFleet): readonly number[] =>
   fleet.routers.flatMap((router) => {
     const tasks = router.tasks();
-    return tasks === undefined ? [] : [tasks.spread.platformUs() - fleet.platform.now(), platformUsOf(tasks.router.view()) - fleet.platform.now()];
+    return tasks === undefined
+      ? []
+      : [tasks.spread.platformUs() - fleet.platform.now(), platformUsOf(tasks.router.view()) - fleet.platform.now()];
   });
 
-const ringOf = (fleet: SmallFleet, place: number): number => fleet.routers[place]?.tasks()?.router.view().stage.services.get('model')?.ring.size ?? 0;
+const ringOf = (fleet: SmallFleet, place: number): number =>
+  fleet.routers[place]?.tasks()?.router.view().stage.services.get('model')?.ring.size ?? 0;
 
 /** Plays a join while clocks go wrong; no node may think that the platform is further than it is, none may be late by much. */
 const joinWhile = async (seed: number, spoil: (fleet: SmallFleet) => void): Promise<void> => {
@@ -49,7 +52,12 @@
   fleet.world.after(500_000, () => fleet.routers[0]?.node.jump(20 * second));
   await fleet.play(3 * second);
   const key = `${leaver?.listed.id}/`;
-  for (const router of fleet.routers) assert.not.ok([...(router.tasks()?.router.view().stage.services.get('model')?.allowed ?? [])].some((allowed) => allowed.startsWith(key)));
+  for (const router of fleet.routers)
+    assert.not.ok(
+      [...(router.tasks()?.router.view().stage.services.get('model')?.allowed ?? [])].some((allowed) =>
+        allowed.startsWith(key),
+      ),
+    );
 });
 
 test.run();
--- a/tests/sim/core-members.test.ts
+++ b/tests/sim/core-members.test.ts
@@ -9,13 +9,21 @@
 
 const votersNow = (fleet: AskedCore): readonly string[] => {
   const view = fleet.leader()?.view();
-  return view === undefined ? [] : votersOf(view).map((member) => member.address).sort();
+  return view === undefined
+    ? []
+    : votersOf(view)
+        .map((member) => member.address)
+        .sort();
 };
 
 const addressesOf = (fleet: AskedCore): readonly string[] => fleet.machines.map((machine) => machine.address()).sort();
 
 const put = async (fleet: AskedCore, version: number, expectedVersion: number): Promise<string> => {
-  const word = simDesk(fleet).putOriginal({ setup: sampleSetup('first'), original: { version, text: `document ${version}` }, expectedVersion });
+  const word = simDesk(fleet).putOriginal({
+    setup: sampleSetup('first'),
+    original: { version, text: `document ${version}` },
+    expectedVersion,
+  });
   await fleet.playFor(4 * second);
   const told = await word;
   return told.type === 'decided' ? told.outcome.type : told.type;
@@ -54,7 +62,10 @@
       machine?.start();
       await fleet.playFor(3 * second);
       assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}: ${machine?.name}`);
-      assert.ok(fleet.machines.every((other) => other.view().role !== 'learner' && other.view().role !== 'unfounded'), `seed ${seed}: ${machine?.name}`);
+      assert.ok(
+        fleet.machines.every((other) => other.view().role !== 'learner' && other.view().role !== 'unfounded'),
+        `seed ${seed}: ${machine?.name}`,
+      );
       await fleet.playFor(second / 2);
     }
     assert.is(await readText(fleet), 'document 3', `seed ${seed}`);
@@ -85,7 +96,10 @@
     machine?.start();
     await fleet.playFor(3 * second);
     assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}`);
-    assert.ok(machine?.view().role === 'follower' || machine?.view().role === 'leader', `seed ${seed}: ${machine?.view().role}`);
+    assert.ok(
+      machine?.view().role === 'follower' || machine?.view().role === 'leader',
+      `seed ${seed}: ${machine?.view().role}`,
+    );
   }
 });
 
@@ -95,7 +109,10 @@
   fleet.machines.forEach((machine) => machine.loseDisk());
   fleet.machines.forEach((machine) => machine.start());
   await fleet.playFor(20 * second);
-  assert.equal(fleet.machines.map((machine) => machine.view().role), ['unfounded', 'unfounded', 'unfounded']);
+  assert.equal(
+    fleet.machines.map((machine) => machine.view().role),
+    ['unfounded', 'unfounded', 'unfounded'],
+  );
 });
 
 test('a leader whose disk refuses writes gives way, and takes part again once it does not', async () => {
@@ -121,10 +138,16 @@
     await fleet.playFor(5 * second);
     const desk = simDesk(fleet);
     const words = [7, 9].map((version) =>
-      desk.putOriginal({ setup: sampleSetup('first'), original: { version, text: `document ${version}` }, expectedVersion: 0 }),
+      desk.putOriginal({
+        setup: sampleSetup('first'),
+        original: { version, text: `document ${version}` },
+        expectedVersion: 0,
+      }),
     );
     await fleet.playFor(5 * second);
-    const outcomes = (await Promise.all(words)).map((word) => (word.type === 'decided' ? word.outcome.type : word.type));
+    const outcomes = (await Promise.all(words)).map((word) =>
+      word.type === 'decided' ? word.outcome.type : word.type,
+    );
     assert.equal([...outcomes].sort(), ['lost-race', 'taken'], `seed ${seed}`);
     const won = outcomes[0] === 'taken' ? 7 : 9;
     assert.is(await put(fleet, won, 5), 'taken', `seed ${seed}: again`);
--- a/tests/sim/extra-tries.test.ts
+++ b/tests/sim/extra-tries.test.ts
@@ -8,7 +8,9 @@
     const fleet = await readyFleet(seed, 4, 6);
     const callOn = (count: number): void => {
       for (let place = 0; place < count; place += 1)
-        fleet.world.after(place * 10_000, () => fleet.call({ work: `w${fleet.world.now()}`, opening: `o${place % 30}` }, place % 4));
+        fleet.world.after(place * 10_000, () =>
+          fleet.call({ work: `w${fleet.world.now()}`, opening: `o${place % 30}` }, place % 4),
+        );
     };
     callOn(600);
     await fleet.play(6 * second);
--- a/tests/sim/fleet.test.ts
+++ b/tests/sim/fleet.test.ts
@@ -5,7 +5,11 @@
 test('a whole fleet breaks no rule under every fault, on fixed seeds', async () => {
   for (const seed of [1, 4, 56, 408]) {
     const run = await fleetScenario.play(seed);
-    assert.equal(run.broken, [], `seed ${seed}: ledgehill rehearse --virtual fleet --seeds ${seed}\n${run.faults.join('\n')}`);
+    assert.equal(
+      run.broken,
+      [],
+      `seed ${seed}: ledgehill rehearse --virtual fleet --seeds ${seed}\n${run.faults.join('\n')}`,
+    );
     assert.ok((run.counts['complete'] ?? 0) > 1_000, `seed ${seed}: the fleet hardly served`);
   }
 });
--- a/tests/sim/lost-core.test.ts
+++ b/tests/sim/lost-core.test.ts
@@ -28,7 +28,12 @@
     const read = simDesk(fleet.core).read();
     await fleet.play(second);
     const word = await read;
-    assert.ok(word.type === 'record' && word.record.revision === 2 && setupDigestOf(word.record.setup) === setupDigestOf(sampleSetup('two', 3)), `seed ${seed}: ${word.type}`);
+    assert.ok(
+      word.type === 'record' &&
+        word.record.revision === 2 &&
+        setupDigestOf(word.record.setup) === setupDigestOf(sampleSetup('two', 3)),
+      `seed ${seed}: ${word.type}`,
+    );
     void fleet.put(sampleSetup('three', 3));
     await fleet.play(2 * second);
     assert.equal(shown(fleet), ['3 three', '3 three', '3 three'], `seed ${seed}`);
--- a/tests/sim/restart-in-split.test.ts
+++ b/tests/sim/restart-in-split.test.ts
@@ -6,9 +6,11 @@
 
 const second = 1_000_000;
 
-const take = (fleet: SimFleet, name: string, expected: number): void => void simDesk(fleet.core).put(sampleSetup(name, 4), name, expected);
+const take = (fleet: SimFleet, name: string, expected: number): void =>
+  void simDesk(fleet.core).put(sampleSetup(name, 4), name, expected);
 
-const revisionOf = (fleet: SimFleet, place: number): number | undefined => fleet.routers[place]?.tasks()?.spread.view().record?.revision;
+const revisionOf = (fleet: SimFleet, place: number): number | undefined =>
+  fleet.routers[place]?.tasks()?.spread.view().record?.revision;
 
 test('a router that restarts among partners with an older setup is not ready before the core has spoken', async () => {
   const fleet = openSimFleet(11, 4);
@@ -19,7 +21,10 @@
   fleet.platform.start();
   fleet.world.after(2 * second, () => take(fleet, 'one', 0));
   await play(5 * second);
-  assert.equal([0, 1, 2, 3].map((place) => revisionOf(fleet, place)), [1, 1, 1, 1]);
+  assert.equal(
+    [0, 1, 2, 3].map((place) => revisionOf(fleet, place)),
+    [1, 1, 1, 1],
+  );
 
   const addressOf = (place: number): string => fleet.routers[place]?.address ?? '';
   const core = fleet.core.machines.map((machine) => machine.address());
@@ -33,7 +38,10 @@
   cut([addressOf(2), addressOf(3)], [addressOf(0), addressOf(1), ...core]);
   take(fleet, 'two', 1);
   await play(2 * second);
-  assert.equal([0, 1, 2, 3].map((place) => revisionOf(fleet, place)), [2, 2, 1, 1]);
+  assert.equal(
+    [0, 1, 2, 3].map((place) => revisionOf(fleet, place)),
+    [2, 2, 1, 1],
+  );
 
   const [restarted] = fleet.routers;
   fleet.network.heal();
--- a/tests/sim/silence.test.ts
+++ b/tests/sim/silence.test.ts
@@ -36,7 +36,13 @@
   const [call] = fleet.history.calls;
   assert.is(call?.end, 'cut');
   assert.ok((call?.endUs ?? 0) - stuckUs < 3.2 * second, 'within the rule of its kind');
-  assert.equal([...checkRunOnce(fleet.history, new Set(['summary'])), ...checkResumes(fleet.history, new Set(['question', 'draft']))], []);
+  assert.equal(
+    [
+      ...checkRunOnce(fleet.history, new Set(['summary'])),
+      ...checkResumes(fleet.history, new Set(['question', 'draft'])),
+    ],
+    [],
+  );
   assert.is(fleet.history.runs.length, 1);
 });
 
--- a/tests/sim/small-fleet.ts
+++ b/tests/sim/small-fleet.ts
@@ -16,7 +16,12 @@
 };
 
 /** A fleet in virtual time that is ready: its first setup is in force and its model servers have entered. */
-export const readyFleet = async (seed: number, routers: number, models: number, setup: Setup = sampleSetup('first', routers)): Promise<SmallFleet> => {
+export const readyFleet = async (
+  seed: number,
+  routers: number,
+  models: number,
+  setup: Setup = sampleSetup('first', routers),
+): Promise<SmallFleet> => {
   const fleet = openSimFleet(seed, routers);
   const opened = Array.from({ length: models }, () => fleet.openServer('model'));
   fleet.openServer('status');
@@ -31,7 +36,17 @@
     const word = await desk.put(wanted, `put-${wanted.name}`, revision);
     if (word.type !== 'decided' || word.outcome.type !== 'taken') return undefined;
     revision = word.outcome.revision;
-    fleet.history.puts.push({ proposal: `put-${wanted.name}`, expected: revision - 1, name: wanted.name, digest: setupDigestOf(wanted), isFaulty: false, askedUs, toldUs: fleet.world.now(), outcome: 'taken', revision });
+    fleet.history.puts.push({
+      proposal: `put-${wanted.name}`,
+      expected: revision - 1,
+      name: wanted.name,
+      digest: setupDigestOf(wanted),
+      isFaulty: false,
+      askedUs,
+      toldUs: fleet.world.now(),
+      outcome: 'taken',
+      revision,
+    });
     return revision;
   };
   await play(3 * second);
@@ -44,7 +59,12 @@
     put,
     call: (wish, place = 0) => {
       const router = fleet.routers[place];
-      if (router !== undefined) openCaller(fleet, { call: wish.work, kind: 'question', key: undefined, opening: wish.work, pieces: 4, ...wish }, router);
+      if (router !== undefined)
+        openCaller(
+          fleet,
+          { call: wish.work, kind: 'question', key: undefined, opening: wish.work, pieces: 4, ...wish },
+          router,
+        );
     },
   };
 };
--- a/tests/sim/withdrawn-service.test.ts
+++ b/tests/sim/withdrawn-service.test.ts
@@ -8,7 +8,9 @@
   const setup = sampleSetup('without', 3);
   const callOn = (from: number, count: number): void => {
     for (let place = 0; place < count; place += 1)
-      fleet.world.after(place * 20_000, () => fleet.call({ work: `w${from + place}`, kind: 'check', pieces: 0 }, place % 3));
+      fleet.world.after(place * 20_000, () =>
+        fleet.call({ work: `w${from + place}`, kind: 'check', pieces: 0 }, place % 3),
+      );
   };
   callOn(0, 50);
   await fleet.play(2 * second);
@@ -16,7 +18,11 @@
   for (const server of fleet.servers()) if (server.listed.service === 'status') server.become('erring');
   callOn(50, 100);
   await fleet.play(second);
-  void fleet.put({ ...setup, services: setup.services.filter(({ name }) => name !== 'status'), rules: setup.rules.filter(({ service }) => service !== 'status') });
+  void fleet.put({
+    ...setup,
+    services: setup.services.filter(({ name }) => name !== 'status'),
+    rules: setup.rules.filter(({ service }) => service !== 'status'),
+  });
   await fleet.play(second);
   const toldUs = fleet.history.puts[fleet.history.puts.length - 1]?.toldUs ?? 0;
   assert.ok(toldUs > 0);
--- a/tests/spread/many.test.ts
+++ b/tests/spread/many.test.ts
@@ -10,7 +10,12 @@
 const grown = { seed: 1, routers: 77, controls: 3, localities: 4, regions: 1 };
 const planned = { seed: 2, routers: 400, controls: 21, localities: 11, regions: 5 };
 
-const recordAt = (revision: number): SetupRecord => ({ revision, takenAtUs: 0, setup: sampleSetup(`setup-${revision}`), epochs: [] });
+const recordAt = (revision: number): SetupRecord => ({
+  revision,
+  takenAtUs: 0,
+  setup: sampleSetup(`setup-${revision}`),
+  epochs: [],
+});
 
 const nodeAt = (many: Many, place: number): ManyNode => {
   const node = many.nodes[place];
@@ -21,15 +26,30 @@
 const offerSetup = (many: Many, place: number, revision: number): void =>
   many.offer(nodeAt(many, place), { type: 'setup', at: many.now(), record: recordAt(revision) });
 
-const hasSetup = (revision: number) => (node: ManyNode): boolean => node.view.record?.revision === revision;
+const hasSetup =
+  (revision: number) =>
+  (node: ManyNode): boolean =>
+    node.view.record?.revision === revision;
 
-const knowsLiving = (many: Many) => (node: ManyNode): boolean => node.view.partners.size === many.living().length - 1;
+const knowsLiving =
+  (many: Many) =>
+  (node: ManyNode): boolean =>
+    node.view.partners.size === many.living().length - 1;
 
 const read = (many: Many, place: number, leaving: string | undefined): void => {
   const servers = Array.from({ length: 40 }, (_, index): ReadServer => ({
-    id: `s${index}`, service: 'model', address: `10.1.0.${index}:80`, locality: 'a', state: `s${index}` === leaving ? 'leaving' : 'up',
+    id: `s${index}`,
+    service: 'model',
+    address: `10.1.0.${index}:80`,
+    locality: 'a',
+    state: `s${index}` === leaving ? 'leaving' : 'up',
   }));
-  many.offer(nodeAt(many, place), { type: 'reading', at: many.now(), begunAt: many.now() - 100_000, reading: { whole: true, servers } });
+  many.offer(nodeAt(many, place), {
+    type: 'reading',
+    at: many.now(),
+    begunAt: many.now() - 100_000,
+    reading: { whole: true, servers },
+  });
 };
 
 const isWithin = (tookUs: number | undefined, mostUs: number, what: string): void =>
@@ -42,7 +62,8 @@
   many.play(15 * second);
   many.resetCounts();
   many.play(10 * second);
-  for (const node of many.nodes) assert.ok(node.sentBytes < 2_000 * 10, `${node.address} sent ${node.sentBytes} bytes in ten seconds`);
+  for (const node of many.nodes)
+    assert.ok(node.sentBytes < 2_000 * 10, `${node.address} sent ${node.sentBytes} bytes in ten seconds`);
   assert.is(many.falseAlarms.length, 0);
 });
 
@@ -56,7 +77,15 @@
   offerSetup(many, 0, 1);
   isWithin(many.until(hasSetup(1), 3 * second, 10_000), second, 'a setup');
   read(many, 1, 's3');
-  isWithin(many.until((node) => node.view.list?.servers.find(({ id }) => id === 's3')?.state === 'leaving', 3 * second, 10_000), second, 'a leaving server');
+  isWithin(
+    many.until(
+      (node) => node.view.list?.servers.find(({ id }) => id === 's3')?.state === 'leaving',
+      3 * second,
+      10_000,
+    ),
+    second,
+    'a leaving server',
+  );
   let latestUs = 0;
   for (let reading = 0; reading < 16; reading += 1) {
     read(many, 1, 's3');
--- a/tests/spread/many.ts
+++ b/tests/spread/many.ts
@@ -8,7 +8,8 @@
 import { startSpreadView, type SpreadView } from '../../src/spread/machine/spread-view.js';
 import { stepSpread } from '../../src/spread/machine/step.js';
 
-const seedOf = (nodes: readonly ManyNode[]): Partner => nodes[0]?.view.self ?? { node: '', role: 'control', address: '', http: '', locality: '' };
+const seedOf = (nodes: readonly ManyNode[]): Partner =>
+  nodes[0]?.view.self ?? { node: '', role: 'control', address: '', http: '', locality: '' };
 
 /** What one of those that all know each other knows. */
 const withoutSelf = (view: SpreadView, all: SpreadView, address: string): SpreadView => {
@@ -72,7 +73,8 @@
     if (isCut(from, to) || chance() < lossShare) return;
     const { boot } = to;
     after(200 + chance() * 1_500 + (from.region === to.region ? 0 : farDelayUs), () => {
-      if (to.isUp && to.boot === boot && !isCut(from, to)) take(to, { type: 'frame', at: atUs, from: from.address, frame });
+      if (to.isUp && to.boot === boot && !isCut(from, to))
+        take(to, { type: 'frame', at: atUs, from: from.address, frame });
     });
   };
   const take = (node: ManyNode, event: SpreadEvent): void => {
@@ -80,7 +82,9 @@
     const former = node.view.lost;
     node.view = step.view;
     if (step.view.lost !== former)
-      for (const [address] of step.view.lost) if (!former.has(address) && byAddress.get(address)?.isUp === true) falseAlarms.push(`${node.address} gave up ${address}`);
+      for (const [address] of step.view.lost)
+        if (!former.has(address) && byAddress.get(address)?.isUp === true)
+          falseAlarms.push(`${node.address} gave up ${address}`);
     for (const effect of step.effects) if (effect.type === 'send') deliver(node, effect.address, effect.frame);
   };
   const start = (node: ManyNode): void => {
@@ -100,9 +104,23 @@
     const place = index % localities;
     const address = `10.0.${index >> 8}.${index & 255}:7000`;
     const locality = `locality-${place}`;
-    const self = { node: `${role}-${index}`, role, address, http: `${address.split(':')[0] ?? ''}:8000`, locality } as const;
+    const self = {
+      node: `${role}-${index}`,
+      role,
+      address,
+      http: `${address.split(':')[0] ?? ''}:8000`,
+      locality,
+    } as const;
     const node: ManyNode = {
-      address, region: place % regions, locality, view: startSpreadView(self, []), isUp: false, boot: 0, sentFrames: 0, sentBytes: 0, farBytes: 0,
+      address,
+      region: place % regions,
+      locality,
+      view: startSpreadView(self, []),
+      isUp: false,
+      boot: 0,
+      sentFrames: 0,
+      sentBytes: 0,
+      farBytes: 0,
     };
     nodes.push(node);
     byAddress.set(address, node);
@@ -121,7 +139,10 @@
   };
   /** Begins all at once, as nodes that have long known each other. */
   const startAcquainted = (): void => {
-    const all = nodes.reduce((view, { view: { self } }) => withPartner(view, self, 0).view, startSpreadView({ ...seedOf(nodes), address: 'nowhere:1' }, []));
+    const all = nodes.reduce(
+      (view, { view: { self } }) => withPartner(view, self, 0).view,
+      startSpreadView({ ...seedOf(nodes), address: 'nowhere:1' }, []),
+    );
     for (const node of nodes) {
       start(node);
       const known = withoutSelf(node.view, all, node.address);
--- a/tests/spread/restarted-partner.test.ts
+++ b/tests/spread/restarted-partner.test.ts
@@ -21,7 +21,11 @@
   });
 
 const nextFrame = ({ events }: PartnerLinks): Promise<Frame | undefined> =>
-  within(steadyClock, new Promise<Frame>((resolve) => events.once('frame', (_from, frame) => resolve(frame))), longestUs);
+  within(
+    steadyClock,
+    new Promise<Frame>((resolve) => events.once('frame', (_from, frame) => resolve(frame))),
+    longestUs,
+  );
 
 test('a partner that has just come back hears the receipt of its first word', async () => {
   const [corePort = 0, routerPort = 0] = await freePorts(2);
--- a/tests/spread/spread.test.ts
+++ b/tests/spread/spread.test.ts
@@ -13,7 +13,12 @@
 
 const second = 1_000_000;
 
-const recordAt = (revision: number): SetupRecord => ({ revision, takenAtUs: 0, setup: sampleSetup(`setup-${revision}`), epochs: [] });
+const recordAt = (revision: number): SetupRecord => ({
+  revision,
+  takenAtUs: 0,
+  setup: sampleSetup(`setup-${revision}`),
+  epochs: [],
+});
 
 type Group = {
   readonly world: World;
@@ -32,9 +37,20 @@
   const ports: SimPorts = new Map();
   const addresses = Array.from({ length: 12 }, (_, index) => `node-${index}:1`);
   const spreads = addresses.map((address) => {
-    const surroundings = simSurroundingsOf({ world, network, ports, serverAt: () => undefined, note: () => undefined }, address, address, openSimNode(world).begin());
+    const surroundings = simSurroundingsOf(
+      { world, network, ports, serverAt: () => undefined, note: () => undefined },
+      address,
+      address,
+      openSimNode(world).begin(),
+    );
     const node = address.slice(0, -2);
-    const spread = openSpreadTask({ node, role: 'router', address, http: `${address}/http`, locality: 'a' }, addresses.slice(0, 3), { change: () => undefined }, openCounters(), surroundings);
+    const spread = openSpreadTask(
+      { node, role: 'router', address, http: `${address}/http`, locality: 'a' },
+      addresses.slice(0, 3),
+      { change: () => undefined },
+      openCounters(),
+      surroundings,
+    );
     void spread.start();
     const listener = ports.get(address);
     ports.set(address, (from, frame) => {
@@ -59,9 +75,15 @@
     spreads[5]?.offerSetup(recordAt(1));
     spreads[7]?.offerList(listOf(1, 50, foundersAt(3, 0)));
     await world.playUntil(world.now() + 250_000);
-    assert.equal(new Set(spreads.map((spread) => [spread.view().record?.revision, spread.view().list?.version].join())), new Set(['1,1']));
+    assert.equal(
+      new Set(spreads.map((spread) => [spread.view().record?.revision, spread.view().list?.version].join())),
+      new Set(['1,1']),
+    );
     await world.playUntil(world.now() + 2 * second);
-    assert.ok((counts.get('setup') ?? 0) <= 15, `seed ${seed}: ${counts.get('setup')} whole setups were sent to 11 processes`);
+    assert.ok(
+      (counts.get('setup') ?? 0) <= 15,
+      `seed ${seed}: ${counts.get('setup')} whole setups were sent to 11 processes`,
+    );
     assert.ok((counts.get('list') ?? 0) <= 15, `seed ${seed}: ${counts.get('list')} whole lists were sent`);
   }
 });
@@ -76,13 +98,17 @@
   ports.get(addresses[6] ?? '')?.(addresses[4] ?? '', { type: 'setup', record: recordAt(1) });
   assert.is(spreads[6]?.view().record?.revision, 2);
   network.heal();
-  for (const left of addresses.slice(0, 6)) for (const right of addresses.slice(6)) {
+  for (const left of addresses.slice(0, 6))
+    for (const right of addresses.slice(6)) {
       network.cut(left, right);
       network.cut(right, left);
     }
   spreads[0]?.offerList(listOf(4, 50, []));
   await world.playUntil(world.now() + 2 * second);
-  assert.equal(spreads.map((spread) => spread.view().list?.version), [4, 4, 4, 4, 4, 4, ...Array.from({ length: 6 }, () => undefined)]);
+  assert.equal(
+    spreads.map((spread) => spread.view().list?.version),
+    [4, 4, 4, 4, 4, 4, ...Array.from({ length: 6 }, () => undefined)],
+  );
   network.heal();
   await world.playUntil(world.now() + second);
   assert.equal(new Set(spreads.map((spread) => spread.view().list?.version)), new Set([4]));
