--- a/src/control/log/command.ts
+++ b/src/control/log/command.ts
@@ -4,7 +4,7 @@
 import type { Setup } from '../../setup/document/setup.js';
 import type { Member } from '../members/member.js';
 
-/** What an entry of the log asks for. */
+/** What an entry of the log pendingRequests for. */
 export type Command =
   | { readonly type: 'start-term' }
   | { readonly type: 'members'; readonly members: readonly Member[] }
--- a/src/control/log/control-image.ts
+++ b/src/control/log/snapshot.ts
@@ -1,10 +1,10 @@
 import type { Member } from '../members/member.js';
-import type { ControlState } from '../state/control-state.js';
+import type { ReplicatedState } from '../state/replicated-state.js';
 
 /** The folded log up to an index. */
-export type ControlImage = {
+export type Snapshot = {
   readonly index: number;
   readonly term: number;
   readonly members: readonly Member[];
-  readonly state: ControlState;
+  readonly state: ReplicatedState;
 };
--- a/src/control/machine/control-event.ts
+++ b/src/control/machine/control-event.ts
@@ -12,8 +12,8 @@
       readonly from: string;
       readonly message: ControlMessage;
     }
-  | { readonly type: 'propose'; readonly at: Micros; readonly ask: string; readonly command: Command }
-  | { readonly type: 'read'; readonly at: Micros; readonly ask: string; readonly proposal?: string }
+  | { readonly type: 'propose'; readonly at: Micros; readonly requestId: string; readonly command: Command }
+  | { readonly type: 'read'; readonly at: Micros; readonly requestId: string; readonly proposal?: string }
   /** Where core machines are now, by the settings and the spread. */
   | {
       readonly type: 'known';
--- a/src/control/machine/control-step.ts
+++ b/src/control/machine/control-step.ts
@@ -1,21 +1,21 @@
 import type { ControlEffect } from './control-effect.js';
-import type { ControlView } from './control-view.js';
+import type { Replica } from './replica.js';
 
-/** A new view of a core machine and what it wants done. */
+/** A new replica of a core machine and what it wants done. */
 export type ControlStep = {
-  readonly view: ControlView;
+  readonly replica: Replica;
   readonly effects: readonly ControlEffect[];
 };
 
-export const stepped = (view: ControlView, ...effects: readonly ControlEffect[]): ControlStep => ({ view, effects });
+export const stepOf = (replica: Replica, ...effects: readonly ControlEffect[]): ControlStep => ({ replica, effects });
 
-export const andThen = (step: ControlStep, next: (view: ControlView) => ControlStep): ControlStep => {
-  const nextStep = next(step.view);
-  return { view: nextStep.view, effects: [...step.effects, ...nextStep.effects] };
+export const andThen = (step: ControlStep, next: (replica: Replica) => ControlStep): ControlStep => {
+  const nextStep = next(step.replica);
+  return { replica: nextStep.replica, effects: [...step.effects, ...nextStep.effects] };
 };
 
-export const overAll = <T>(
+export const forEachStep = <T>(
   step: ControlStep,
   items: readonly T[],
-  next: (view: ControlView, item: T) => ControlStep,
-): ControlStep => items.reduce((reachedStep, item) => andThen(reachedStep, (view) => next(view, item)), step);
+  next: (replica: Replica, item: T) => ControlStep,
+): ControlStep => items.reduce((reachedStep, item) => andThen(reachedStep, (replica) => next(replica, item)), step);
--- a/src/control/machine/receipt.ts
+++ b/src/control/machine/core-reply.ts
@@ -3,7 +3,7 @@
 import type { Outcome } from '../state/outcome.js';
 
 /** What an asker is told. */
-export type Receipt =
+export type CoreReply =
   | { readonly type: 'applied'; readonly outcome: Outcome }
   | { readonly type: 'record'; readonly record?: SetupRecord; readonly outcome?: ProposalOutcome }
   /** Nothing was begun; another machine may lead. */
--- /dev/null
+++ b/src/control/machine/follower.ts
@@ -0,0 +1,95 @@
+import type { LogEntry } from '../log/log-entry.js';
+import { commitTo } from './commit.js';
+import { andThen, stepOf, type ControlStep } from './control-step.js';
+import type { Replica } from './replica.js';
+import { entriesFrom, lastIndexOf, termAt } from './log-reading.js';
+import type { ControlMessage } from './message.js';
+import { becomeFollower, replaceLogSuffix } from './roles.js';
+
+type Append = Extract<ControlMessage, { readonly type: 'append' }>;
+type InstallSnapshot = Extract<ControlMessage, { readonly type: 'installSnapshot' }>;
+
+const recordLeaderContact = (replica: Replica, from: string, chance: number): ControlStep =>
+  becomeFollower({ ...replica, leaderContactUs: replica.atUs }, replica.term, from, chance);
+
+const replyToAppend = (replica: Replica, to: string, matches: boolean, index: number, round: number): ControlStep =>
+  stepOf(replica, { type: 'send', to, message: { type: 'appendReply', term: replica.term, matches, index, round } });
+
+const firstConflictingPlace = (replica: Replica, entries: readonly LogEntry[]): number =>
+  entries.findIndex((entry) => entry.index > replica.snapshot.index && termAt(replica, entry.index) !== entry.term);
+
+const storeEntries = (replica: Replica, entries: readonly LogEntry[]): ControlStep => {
+  const newPlace = firstConflictingPlace(replica, entries);
+  if (newPlace < 0) return stepOf(replica);
+  const newEntries = entries.slice(newPlace);
+  return stepOf(replaceLogSuffix(replica, newEntries), {
+    type: 'persist',
+    record: { type: 'entries', entries: newEntries },
+  });
+};
+
+export const onAppend = (replica: Replica, from: string, message: Append, chance: number): ControlStep => {
+  if (message.term < replica.term) return replyToAppend(replica, from, false, lastIndexOf(replica), message.round);
+  return andThen(recordLeaderContact(replica, from, chance), (heardReplica) => {
+    const isBehindSnapshot = message.previousIndex < heardReplica.snapshot.index;
+    if (!isBehindSnapshot && termAt(heardReplica, message.previousIndex) !== message.previousTerm)
+      return replyToAppend(
+        heardReplica,
+        from,
+        false,
+        Math.min(lastIndexOf(heardReplica), message.previousIndex - 1),
+        message.round,
+      );
+    const reachedIndex = message.previousIndex + message.entries.length;
+    return andThen(
+      andThen(storeEntries(heardReplica, message.entries), (longerReplica) =>
+        commitTo(longerReplica, Math.min(message.commit, reachedIndex)),
+      ),
+      (reachedReplica) =>
+        replyToAppend(
+          reachedReplica,
+          from,
+          true,
+          Math.max(reachedIndex, Math.min(reachedReplica.commit, lastIndexOf(reachedReplica))),
+          message.round,
+        ),
+    );
+  });
+};
+
+/**
+ * Takes a whole snapshot from the leader when its log no longer reaches back far enough. What stands behind
+ * the snapshot in the same log stays: it may have been acknowledged before a late snapshot came.
+ */
+export const onInstallSnapshot = (
+  replica: Replica,
+  from: string,
+  message: InstallSnapshot,
+  chance: number,
+): ControlStep => {
+  if (message.term < replica.term) return replyToAppend(replica, from, false, lastIndexOf(replica), message.round);
+  return andThen(recordLeaderContact(replica, from, chance), (heardReplica) => {
+    const { snapshot } = message;
+    if (snapshot.index <= heardReplica.commit)
+      return replyToAppend(heardReplica, from, true, heardReplica.commit, message.round);
+    const entries =
+      termAt(heardReplica, snapshot.index) === snapshot.term
+        ? entriesFrom(heardReplica, snapshot.index + 1, heardReplica.entries.length)
+        : [];
+    const installedReplica: Replica = {
+      ...heardReplica,
+      snapshot,
+      entries,
+      commit: snapshot.index,
+      state: snapshot.state,
+    };
+    const kept = stepOf(
+      installedReplica,
+      { type: 'persist', record: { type: 'snapshot', snapshot } },
+      ...(entries.length === 0 ? [] : [{ type: 'persist' as const, record: { type: 'entries' as const, entries } }]),
+      { type: 'members', members: snapshot.members },
+      ...(snapshot.state.record === undefined ? [] : [{ type: 'taken' as const, record: snapshot.state.record }]),
+    );
+    return andThen(kept, (keptReplica) => replyToAppend(keptReplica, from, true, snapshot.index, message.round));
+  });
+};
--- a/src/control/machine/log-reading.ts
+++ b/src/control/machine/log-reading.ts
@@ -1,42 +1,44 @@
 import type { LogEntry } from '../log/log-entry.js';
 import type { Member } from '../members/member.js';
-import type { ControlView } from './control-view.js';
+import type { Replica } from './replica.js';
 
-type Logged = Pick<ControlView, 'image' | 'entries'>;
+type Logged = Pick<Replica, 'snapshot' | 'entries'>;
 
 /** How much an entry weighs by the document that came with it. */
 export const textCharsOf = ({ command }: LogEntry): number =>
   command.type === 'setup' ? (command.original?.text.length ?? 0) : 0;
 
-export const lastIndexOf = (view: Logged): number => view.entries[view.entries.length - 1]?.index ?? view.image.index;
+export const lastIndexOf = (replica: Logged): number =>
+  replica.entries[replica.entries.length - 1]?.index ?? replica.snapshot.index;
 
-export const lastTermOf = (view: Logged): number => view.entries[view.entries.length - 1]?.term ?? view.image.term;
+export const lastTermOf = (replica: Logged): number =>
+  replica.entries[replica.entries.length - 1]?.term ?? replica.snapshot.term;
 
-export const entryAt = (view: Logged, index: number): LogEntry | undefined =>
-  view.entries[index - view.image.index - 1];
+export const entryAt = (replica: Logged, index: number): LogEntry | undefined =>
+  replica.entries[index - replica.snapshot.index - 1];
 
-export const termAt = (view: Logged, index: number): number | undefined =>
-  index === view.image.index ? view.image.term : entryAt(view, index)?.term;
+export const termAt = (replica: Logged, index: number): number | undefined =>
+  index === replica.snapshot.index ? replica.snapshot.term : entryAt(replica, index)?.term;
 
-export const entriesFrom = (view: Logged, index: number, most: number): readonly LogEntry[] => {
-  const startPlace = Math.max(0, index - view.image.index - 1);
-  return view.entries.slice(startPlace, startPlace + most);
+export const entriesFrom = (replica: Logged, index: number, most: number): readonly LogEntry[] => {
+  const startPlace = Math.max(0, index - replica.snapshot.index - 1);
+  return replica.entries.slice(startPlace, startPlace + most);
 };
 
 /** The members by the newest entry that names them, committed or not. */
-export const membersOf = (view: Logged): readonly Member[] => {
-  for (let place = view.entries.length - 1; place >= 0; place -= 1) {
-    const command = view.entries[place]?.command;
+export const membersOf = (replica: Logged): readonly Member[] => {
+  for (let place = replica.entries.length - 1; place >= 0; place -= 1) {
+    const command = replica.entries[place]?.command;
     if (command?.type === 'members') return command.members;
   }
-  return view.image.members;
+  return replica.snapshot.members;
 };
 
-export const votersOf = (view: Logged): readonly Member[] => membersOf(view).filter((member) => member.voter);
+export const votersOf = (replica: Logged): readonly Member[] => membersOf(replica).filter((member) => member.voter);
 
-export const isVoter = (view: Logged, identity: string): boolean =>
-  votersOf(view).some((member) => member.identity === identity);
+export const isVoter = (replica: Logged, identity: string): boolean =>
+  votersOf(replica).some((member) => member.identity === identity);
 
 /** Whether the newest members entry is not committed yet; only one change runs at a time. */
-export const hasOpenChange = (view: Logged & Pick<ControlView, 'commit'>): boolean =>
-  view.entries.some((entry) => entry.index > view.commit && entry.command.type === 'members');
+export const hasOpenChange = (replica: Logged & Pick<Replica, 'commit'>): boolean =>
+  replica.entries.some((entry) => entry.index > replica.commit && entry.command.type === 'members');
--- a/src/control/machine/message.ts
+++ b/src/control/machine/message.ts
@@ -1,17 +1,17 @@
-import type { ControlImage } from '../log/control-image.js';
+import type { Snapshot } from '../log/snapshot.js';
 import type { LogEntry } from '../log/log-entry.js';
 
 /** What core machines say to each other. */
 export type ControlMessage =
   | {
-      readonly type: 'hello';
+      readonly type: 'probe';
       readonly identity: string;
       readonly address: string;
       readonly founded: boolean;
       readonly offer?: string;
     }
   | {
-      readonly type: 'helloBack';
+      readonly type: 'probeReply';
       readonly identity: string;
       readonly address: string;
       readonly founded: boolean;
@@ -19,9 +19,9 @@
     }
   | { readonly type: 'join'; readonly identity: string; readonly address: string }
   | { readonly type: 'preVote'; readonly term: number; readonly lastIndex: number; readonly lastTerm: number }
-  | { readonly type: 'preVoteBack'; readonly term: number; readonly granted: boolean; readonly forTerm: number }
+  | { readonly type: 'preVoteReply'; readonly term: number; readonly granted: boolean; readonly forTerm: number }
   | { readonly type: 'vote'; readonly term: number; readonly lastIndex: number; readonly lastTerm: number }
-  | { readonly type: 'voteBack'; readonly term: number; readonly granted: boolean }
+  | { readonly type: 'voteReply'; readonly term: number; readonly granted: boolean }
   | {
       readonly type: 'append';
       readonly term: number;
@@ -32,12 +32,12 @@
       readonly round: number;
     }
   | {
-      readonly type: 'appendBack';
+      readonly type: 'appendReply';
       readonly term: number;
       readonly matches: boolean;
       /** The last index that holds, or the furthest that could. */
       readonly index: number;
       readonly round: number;
     }
-  | { readonly type: 'install'; readonly term: number; readonly image: ControlImage; readonly round: number }
-  | { readonly type: 'takeOver'; readonly term: number };
+  | { readonly type: 'installSnapshot'; readonly term: number; readonly snapshot: Snapshot; readonly round: number }
+  | { readonly type: 'timeoutNow'; readonly term: number };
--- a/src/control/machine/control-view.ts
+++ b/src/control/machine/replica.ts
@@ -1,19 +1,19 @@
 import type { Micros } from '../../common/micros.js';
-import type { ControlImage } from '../log/control-image.js';
+import type { Snapshot } from '../log/snapshot.js';
 import type { LogEntry } from '../log/log-entry.js';
-import type { ControlState } from '../state/control-state.js';
-import { startControlState } from '../state/control-state.js';
+import type { ReplicatedState } from '../state/replicated-state.js';
+import { startReplicatedState } from '../state/replicated-state.js';
 import type { PendingRead } from './pending-read.js';
 import type { Progress } from './progress.js';
 import type { Role } from './role.js';
 
-/** The whole view of one core machine. */
-export type ControlView = {
+/** The whole replica of one core machine. */
+export type Replica = {
   readonly identity: string;
   readonly address: string;
   readonly seeds: readonly string[];
   /** Core machines that are known otherwise; they found nothing, they only show the way. */
-  readonly known: readonly string[];
+  readonly knownAddresses: readonly string[];
   /** Whether it may found a core with the other seeds. */
   readonly founds: boolean;
   /** How many voters a leader brings the core to. */
@@ -24,40 +24,40 @@
   readonly votedFor: string | undefined;
   readonly leader: string | undefined;
   readonly offer: string | undefined;
-  readonly hellos: ReadonlyMap<
+  readonly probes: ReadonlyMap<
     string,
     { readonly identity: string; readonly offer: string | undefined; readonly founded: boolean }
   >;
-  readonly image: ControlImage;
+  readonly snapshot: Snapshot;
   readonly entries: readonly LogEntry[];
   readonly commit: number;
-  readonly state: ControlState;
+  readonly state: ReplicatedState;
   readonly electionUs: Micros;
   readonly heartbeatUs: Micros;
-  readonly heardLeaderUs: Micros;
+  readonly leaderContactUs: Micros;
   readonly leadsSinceUs: Micros;
   readonly votes: ReadonlySet<string>;
   readonly progress: ReadonlyMap<string, Progress>;
   readonly round: number;
   readonly reads: readonly PendingRead[];
-  readonly asks: ReadonlyMap<number, string>;
+  readonly pendingRequests: ReadonlyMap<number, string>;
 };
 
 export const usualVoters = 3;
 
-export const startImage: ControlImage = { index: 0, term: 0, members: [], state: startControlState };
+export const startSnapshot: Snapshot = { index: 0, term: 0, members: [], state: startReplicatedState };
 
-export const startControlView = (
+export const startReplica = (
   identity: string,
   address: string,
   seeds: readonly string[],
   founds = true,
   votersWanted = usualVoters,
-): ControlView => ({
+): Replica => ({
   identity,
   address,
   seeds,
-  known: [],
+  knownAddresses: [],
   founds,
   votersWanted,
   atUs: 0,
@@ -66,18 +66,18 @@
   votedFor: undefined,
   leader: undefined,
   offer: undefined,
-  hellos: new Map(),
-  image: startImage,
+  probes: new Map(),
+  snapshot: startSnapshot,
   entries: [],
   commit: 0,
-  state: startControlState,
+  state: startReplicatedState,
   electionUs: 0,
   heartbeatUs: 0,
-  heardLeaderUs: Number.NEGATIVE_INFINITY,
+  leaderContactUs: Number.NEGATIVE_INFINITY,
   leadsSinceUs: 0,
   votes: new Set(),
   progress: new Map(),
   round: 0,
   reads: [],
-  asks: new Map(),
+  pendingRequests: new Map(),
 });
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -1,69 +1,81 @@
 import type { Micros } from '../../common/micros.js';
 import type { LogEntry } from '../log/log-entry.js';
 import type { ControlEffect } from './control-effect.js';
-import { stepped, type ControlStep } from './control-step.js';
-import type { ControlView } from './control-view.js';
+import { stepOf, type ControlStep } from './control-step.js';
+import type { Replica } from './replica.js';
 import { isVoter, membersOf } from './log-reading.js';
 import type { Role } from './role.js';
-import { electionSpanUs } from './timing.js';
+import { electionTimeoutUs } from './timing.js';
 
-export const electionMoment = (view: ControlView, chance: number): Micros =>
-  view.atUs + electionSpanUs + Math.floor(chance * electionSpanUs);
+export const drawElectionDeadline = (replica: Replica, chance: number): Micros =>
+  replica.atUs + electionTimeoutUs + Math.floor(chance * electionTimeoutUs);
 
 /** The role of a machine that neither leads nor stands for election. */
-export const restingRoleOf = (view: ControlView): Role => {
-  if (membersOf(view).length === 0) return 'unfounded';
-  return isVoter(view, view.identity) ? 'follower' : 'learner';
+export const passiveRoleOf = (replica: Replica): Role => {
+  if (membersOf(replica).length === 0) return 'unfounded';
+  return isVoter(replica, replica.identity) ? 'follower' : 'learner';
 };
 
-const roleEffects = (former: ControlView, view: ControlView): readonly ControlEffect[] =>
-  former.role === view.role && former.leader === view.leader
+const roleEffects = (former: Replica, replica: Replica): readonly ControlEffect[] =>
+  former.role === replica.role && former.leader === replica.leader
     ? []
-    : [{ type: 'role', role: view.role, term: view.term, leader: view.leader }];
+    : [{ type: 'role', role: replica.role, term: replica.term, leader: replica.leader }];
 
 /** Goes to another role; what was asked of a leader that steps down is undecided, its reads begin anew. */
-export const withRole = (view: ControlView, change: Partial<ControlView>): ControlStep => {
-  const changedView = { ...view, ...change };
-  const stepsDown = view.role === 'leader' && changedView.role !== 'leader';
-  const restedView: ControlView = stepsDown
-    ? { ...changedView, asks: new Map(), reads: [], progress: new Map() }
-    : changedView;
-  return stepped(
-    restedView,
+export const changeRole = (replica: Replica, change: Partial<Replica>): ControlStep => {
+  const changedReplica = { ...replica, ...change };
+  const stepsDown = replica.role === 'leader' && changedReplica.role !== 'leader';
+  const restedReplica: Replica = stepsDown
+    ? { ...changedReplica, pendingRequests: new Map(), reads: [], progress: new Map() }
+    : changedReplica;
+  return stepOf(
+    restedReplica,
     ...(stepsDown
-      ? [...view.asks.values()].map((ask): ControlEffect => ({ type: 'receipt', ask, receipt: { type: 'undecided' } }))
+      ? [...replica.pendingRequests.values()].map((requestId): ControlEffect => ({
+          type: 'reply',
+          requestId,
+          reply: { type: 'undecided' },
+        }))
       : []),
     ...(stepsDown
-      ? view.reads.map((read): ControlEffect => ({
-          type: 'receipt',
-          ask: read.ask,
-          receipt: { type: 'not-leader', leader: undefined },
+      ? replica.reads.map((read): ControlEffect => ({
+          type: 'reply',
+          requestId: read.requestId,
+          reply: { type: 'not-leader', leader: undefined },
         }))
       : []),
-    ...roleEffects(view, restedView),
+    ...roleEffects(replica, restedReplica),
   );
 };
 
 /** Follows a term, and the leader of it when that is known. */
-export const followed = (view: ControlView, term: number, leader: string | undefined, chance: number): ControlStep => {
-  const isNewTerm = term > view.term;
-  const termView: ControlView = isNewTerm ? { ...view, term, votedFor: undefined } : view;
-  const step = withRole(termView, {
-    role: restingRoleOf(view),
+export const becomeFollower = (
+  replica: Replica,
+  term: number,
+  leader: string | undefined,
+  chance: number,
+): ControlStep => {
+  const isNewTerm = term > replica.term;
+  const termReplica: Replica = isNewTerm ? { ...replica, term, votedFor: undefined } : replica;
+  const step = changeRole(termReplica, {
+    role: passiveRoleOf(replica),
     leader,
     votes: new Set(),
-    electionUs: electionMoment(view, chance),
+    electionUs: drawElectionDeadline(replica, chance),
   });
   return isNewTerm
     ? {
-        view: step.view,
-        effects: [{ type: 'keep', record: { type: 'vote', term, votedFor: undefined } }, ...step.effects],
+        replica: step.replica,
+        effects: [{ type: 'persist', record: { type: 'vote', term, votedFor: undefined } }, ...step.effects],
       }
     : step;
 };
 
-export const withEntries = (view: ControlView, entries: readonly LogEntry[]): ControlView => {
+export const replaceLogSuffix = (replica: Replica, entries: readonly LogEntry[]): Replica => {
   const firstIndex = entries[0]?.index;
-  if (firstIndex === undefined) return view;
-  return { ...view, entries: [...view.entries.slice(0, Math.max(0, firstIndex - view.image.index - 1)), ...entries] };
+  if (firstIndex === undefined) return replica;
+  return {
+    ...replica,
+    entries: [...replica.entries.slice(0, Math.max(0, firstIndex - replica.snapshot.index - 1)), ...entries],
+  };
 };
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -1,104 +1,118 @@
 import type { ControlEvent } from './control-event.js';
-import { andThen, stepped, type ControlStep } from './control-step.js';
-import type { ControlView } from './control-view.js';
-import { felt, onPreVote, onPreVoteBack, onVote, onVoteBack, stood } from './electing.js';
-import { onAppend, onInstall } from './following.js';
-import { onHello, soughtLeader, soughtSeeds } from './founding.js';
-import { onAppendBack, onJoin, onLeaderTick, onRead } from './leading.js';
+import { andThen, stepOf, type ControlStep } from './control-step.js';
+import type { Replica } from './replica.js';
+import {
+  startPreVote,
+  onPreVoteRequest,
+  onPreVoteReply,
+  onVoteRequest,
+  onVoteReply,
+  startElection,
+} from './elections.js';
+import { onAppend, onInstallSnapshot } from './follower.js';
+import { onProbe, findLeader, tryBootstrap } from './bootstrap.js';
+import { onAppendReply, onJoin, onLeaderTick, onRead } from './leader.js';
 import { isVoter, votersOf } from './log-reading.js';
 import type { ControlMessage } from './message.js';
-import { appended } from './replicating.js';
-import { followed } from './roles.js';
-import { electionSpanUs, rejoinSpanUs } from './timing.js';
+import { appendCommand } from './replication.js';
+import { becomeFollower } from './roles.js';
+import { electionTimeoutUs, rejoinTimeoutUs } from './timing.js';
 
-const onTick = (view: ControlView, chance: number): ControlStep => {
-  if (view.role === 'leader') return onLeaderTick(view, chance);
-  if (view.role === 'unfounded') return view.atUs >= view.heartbeatUs ? soughtSeeds(view, chance) : stepped(view);
-  const isLost = view.atUs > view.heardLeaderUs + rejoinSpanUs && view.atUs >= view.heartbeatUs;
-  const sought = isLost ? soughtLeader(view) : stepped(view);
-  return view.atUs >= view.electionUs ? andThen(sought, (soughtView) => felt(soughtView, chance)) : sought;
+const onTick = (replica: Replica, chance: number): ControlStep => {
+  if (replica.role === 'leader') return onLeaderTick(replica, chance);
+  if (replica.role === 'unfounded')
+    return replica.atUs >= replica.heartbeatUs ? tryBootstrap(replica, chance) : stepOf(replica);
+  const isLost = replica.atUs > replica.leaderContactUs + rejoinTimeoutUs && replica.atUs >= replica.heartbeatUs;
+  const sought = isLost ? findLeader(replica) : stepOf(replica);
+  return replica.atUs >= replica.electionUs
+    ? andThen(sought, (soughtReplica) => startPreVote(soughtReplica, chance))
+    : sought;
 };
 
 const carriesTerm = (message: ControlMessage): message is Extract<ControlMessage, { readonly term: number }> =>
-  message.type !== 'hello' && message.type !== 'helloBack' && message.type !== 'join';
+  message.type !== 'probe' && message.type !== 'probeReply' && message.type !== 'join';
 
-const onMessage = (view: ControlView, from: string, message: ControlMessage, chance: number): ControlStep => {
+const onMessage = (replica: Replica, from: string, message: ControlMessage, chance: number): ControlStep => {
   switch (message.type) {
-    case 'hello':
-    case 'helloBack':
-      return onHello(view, message, chance);
+    case 'probe':
+    case 'probeReply':
+      return onProbe(replica, message, chance);
     case 'join':
-      return onJoin(view, message);
+      return onJoin(replica, message);
     case 'preVote':
-      return onPreVote(view, from, message);
-    case 'preVoteBack':
-      return onPreVoteBack(view, from, message, chance);
+      return onPreVoteRequest(replica, from, message);
+    case 'preVoteReply':
+      return onPreVoteReply(replica, from, message, chance);
     case 'vote':
-      return onVote(view, from, message, chance);
-    case 'voteBack':
-      return onVoteBack(view, from, message);
+      return onVoteRequest(replica, from, message, chance);
+    case 'voteReply':
+      return onVoteReply(replica, from, message);
     case 'append':
-      return onAppend(view, from, message, chance);
-    case 'appendBack':
-      return onAppendBack(view, from, message);
-    case 'install':
-      return onInstall(view, from, message, chance);
-    case 'takeOver':
-      return message.term === view.term && isVoter(view, view.identity) && view.role !== 'leader'
-        ? stood(view, chance)
-        : stepped(view);
+      return onAppend(replica, from, message, chance);
+    case 'appendReply':
+      return onAppendReply(replica, from, message);
+    case 'installSnapshot':
+      return onInstallSnapshot(replica, from, message, chance);
+    case 'timeoutNow':
+      return message.term === replica.term && isVoter(replica, replica.identity) && replica.role !== 'leader'
+        ? startElection(replica, chance)
+        : stepOf(replica);
   }
 };
 
-const onTermed = (view: ControlView, from: string, message: ControlMessage, chance: number): ControlStep => {
+const onTermed = (replica: Replica, from: string, message: ControlMessage, chance: number): ControlStep => {
   const isAhead =
-    carriesTerm(message) && message.type !== 'preVote' && message.type !== 'preVoteBack' && message.term > view.term;
+    carriesTerm(message) &&
+    message.type !== 'preVote' &&
+    message.type !== 'preVoteReply' &&
+    message.term > replica.term;
   return isAhead && carriesTerm(message)
-    ? andThen(followed(view, message.term, undefined, chance), (followedView) =>
-        onMessage(followedView, from, message, chance),
+    ? andThen(becomeFollower(replica, message.term, undefined, chance), (followedReplica) =>
+        onMessage(followedReplica, from, message, chance),
       )
-    : onMessage(view, from, message, chance);
+    : onMessage(replica, from, message, chance);
 };
 
 /** A leader that is to stop hands its place to the voter that has most. */
-const onResign = (view: ControlView, chance: number): ControlStep => {
-  if (view.role !== 'leader') return stepped(view);
-  const heir = votersOf(view)
-    .filter((voter) => voter.identity !== view.identity)
+const onResign = (replica: Replica, chance: number): ControlStep => {
+  if (replica.role !== 'leader') return stepOf(replica);
+  const heir = votersOf(replica)
+    .filter((voter) => voter.identity !== replica.identity)
     .sort(
-      (left, right) => (view.progress.get(right.identity)?.match ?? 0) - (view.progress.get(left.identity)?.match ?? 0),
+      (left, right) =>
+        (replica.progress.get(right.identity)?.match ?? 0) - (replica.progress.get(left.identity)?.match ?? 0),
     )[0];
-  if (heir === undefined) return stepped(view);
-  const resigned = followed({ ...view, heardLeaderUs: view.atUs }, view.term, undefined, chance);
-  return andThen(resigned, (resignedView) =>
-    stepped(
-      { ...resignedView, electionUs: view.atUs + electionSpanUs * 4 },
-      { type: 'send', to: heir.identity, message: { type: 'takeOver', term: view.term } },
+  if (heir === undefined) return stepOf(replica);
+  const resigned = becomeFollower({ ...replica, leaderContactUs: replica.atUs }, replica.term, undefined, chance);
+  return andThen(resigned, (resignedReplica) =>
+    stepOf(
+      { ...resignedReplica, electionUs: replica.atUs + electionTimeoutUs * 4 },
+      { type: 'send', to: heir.identity, message: { type: 'timeoutNow', term: replica.term } },
     ),
   );
 };
 
-/** One core machine: an event in, a new view and effects out; no clock, no chance, no I/O of its own. */
-export const stepControl = (view: ControlView, event: ControlEvent): ControlStep => {
-  const nowView: ControlView = { ...view, atUs: Math.max(view.atUs, event.at) };
+/** One core machine: an event in, a new replica and effects out; no clock, no chance, no I/O of its own. */
+export const stepControl = (replica: Replica, event: ControlEvent): ControlStep => {
+  const nowReplica: Replica = { ...replica, atUs: Math.max(replica.atUs, event.at) };
   switch (event.type) {
     case 'tick':
-      return onTick(nowView, event.chance);
+      return onTick(nowReplica, event.chance);
     case 'message':
-      return onTermed(nowView, event.from, event.message, event.chance);
+      return onTermed(nowReplica, event.from, event.message, event.chance);
     case 'propose':
-      return nowView.role === 'leader'
-        ? appended(nowView, event.command, event.ask)
-        : stepped(nowView, {
-            type: 'receipt',
-            ask: event.ask,
-            receipt: { type: 'not-leader', leader: nowView.leader },
+      return nowReplica.role === 'leader'
+        ? appendCommand(nowReplica, event.command, event.requestId)
+        : stepOf(nowReplica, {
+            type: 'reply',
+            requestId: event.requestId,
+            reply: { type: 'not-leader', leader: nowReplica.leader },
           });
     case 'read':
-      return onRead(nowView, event.ask, event.proposal);
+      return onRead(nowReplica, event.requestId, event.proposal);
     case 'known':
-      return stepped({ ...nowView, known: [...new Set([...event.seeds, ...event.addresses])] });
+      return stepOf({ ...nowReplica, knownAddresses: [...new Set([...event.seeds, ...event.addresses])] });
     case 'resign':
-      return onResign(nowView, event.chance);
+      return onResign(nowReplica, event.chance);
   }
 };
--- a/src/control/state/apply.ts
+++ b/src/control/state/apply.ts
@@ -6,21 +6,21 @@
 import type { WarmupEpoch } from '../../setup/document/warmup-epoch.js';
 import type { Command } from '../log/command.js';
 import type { Claim } from './claim.js';
-import type { ControlState } from './control-state.js';
+import type { ReplicatedState } from './replicated-state.js';
 import type { Outcome } from './outcome.js';
 import type { ProposalOutcome } from './proposal-outcome.js';
 
 export const claimKeepUs: Micros = 900_000_000;
 export const mostClaims = 100_000;
-const mostProposals = 512;
-const mostEpochs = 256;
+const maxProposals = 512;
+const maxEpochs = 256;
 /** No booking is longer; figures that were replaced so long ago price nothing any more. */
 const longestBookingUs: Micros = 3_600_000_000;
-const shelfCount = 512;
+const bucketCount = 512;
 
 /** The state after a command, and what it came to. */
 export type Applied = {
-  readonly state: ControlState;
+  readonly state: ReplicatedState;
   readonly outcome: Outcome;
 };
 
@@ -34,18 +34,18 @@
           (_, place) => (formerEpochs[place + 1] ?? epoch).sinceUs > epoch.sinceUs - longestBookingUs,
         ),
         epoch,
-      ].slice(-mostEpochs);
+      ].slice(-maxEpochs);
 };
 
-const withProposal = (state: ControlState, proposal: string, outcome: ProposalOutcome): Applied => {
-  const proposals = new Map([...state.proposals].slice(-(mostProposals - 1)));
+const withProposal = (state: ReplicatedState, proposal: string, outcome: ProposalOutcome): Applied => {
+  const proposals = new Map([...state.proposals].slice(-(maxProposals - 1)));
   proposals.set(proposal, outcome);
   return { state: { ...state, proposals }, outcome: { type: 'proposal', outcome } };
 };
 
 type SetupCommand = Extract<Command, { readonly type: 'setup' }>;
 
-const withTaken = (state: ControlState, command: SetupCommand): Applied => {
+const withTaken = (state: ReplicatedState, command: SetupCommand): Applied => {
   const record: SetupRecord = {
     revision: (state.record?.revision ?? 0) + 1,
     takenAtUs: state.clockUs,
@@ -56,7 +56,7 @@
   return withProposal({ ...state, record }, command.proposal, { type: 'taken', revision: record.revision });
 };
 
-const applySetup = (state: ControlState, command: SetupCommand): Applied => {
+const applySetup = (state: ReplicatedState, command: SetupCommand): Applied => {
   if (command.original !== undefined) return applyOriginal(state, command, command.original);
   const knownOutcome = state.proposals.get(command.proposal);
   if (knownOutcome !== undefined) return { state, outcome: { type: 'proposal', outcome: knownOutcome } };
@@ -70,7 +70,7 @@
  * The race of operators' own documents, by their own versions. What was taken once is taken whenever it is sent again; a
  * lost race is not remembered, since the same document may be put on top of the right version later.
  */
-const applyOriginal = (state: ControlState, command: SetupCommand, original: Original): Applied => {
+const applyOriginal = (state: ReplicatedState, command: SetupCommand, original: Original): Applied => {
   const newestRevision = state.record?.revision ?? 0;
   const inForce = state.record?.original;
   const told = (outcome: ProposalOutcome): Applied => ({ state, outcome: { type: 'proposal', outcome } });
@@ -84,7 +84,7 @@
     : told({ type: 'lost-race', revision: newestRevision });
 };
 
-const applyVoid = (state: ControlState, proposal: string): Applied => {
+const applyVoid = (state: ReplicatedState, proposal: string): Applied => {
   const knownOutcome = state.proposals.get(proposal);
   return knownOutcome === undefined
     ? withProposal(state, proposal, { type: 'void', revision: state.record?.revision ?? 0 })
@@ -95,7 +95,7 @@
  * A core that has lost everything takes up what nodes hold. What operators have put into it since is newer in time, so
  * it stays, and goes on above what nodes hold, or they would never take it.
  */
-const applyRestore = (state: ControlState, { record }: Extract<Command, { readonly type: 'restore' }>): Applied => {
+const applyRestore = (state: ReplicatedState, { record }: Extract<Command, { readonly type: 'restore' }>): Applied => {
   const own = state.record;
   if (own !== undefined && own.revision >= record.revision) return { state, outcome: { type: 'done' } };
   const restored = own === undefined ? record : { ...own, revision: record.revision + 1 };
@@ -105,44 +105,48 @@
   };
 };
 
-const shelfOf = (key: string): number => positionOf(key) % shelfCount;
+const bucketOf = (key: string): number => positionOf(key) % bucketCount;
 
-const withShelf = (state: ControlState, shelf: number, claims: ReadonlyMap<string, Claim>): ControlState => ({
+const withBucket = (state: ReplicatedState, shelf: number, claims: ReadonlyMap<string, Claim>): ReplicatedState => ({
   ...state,
-  shelves: withEntry(state.shelves, shelf, claims),
-  claimCount: state.claimCount + claims.size - (state.shelves.get(shelf)?.size ?? 0),
+  buckets: withEntry(state.buckets, shelf, claims),
+  claimCount: state.claimCount + claims.size - (state.buckets.get(shelf)?.size ?? 0),
 });
 
-const freshClaims = (state: ControlState, shelf: number): ReadonlyMap<string, Claim> =>
-  new Map([...(state.shelves.get(shelf) ?? [])].filter(([, claim]) => claim.atUs + claimKeepUs > state.clockUs));
+const freshClaims = (state: ReplicatedState, shelf: number): ReadonlyMap<string, Claim> =>
+  new Map([...(state.buckets.get(shelf) ?? [])].filter(([, claim]) => claim.atUs + claimKeepUs > state.clockUs));
 
-const applyClaim = (state: ControlState, command: Extract<Command, { readonly type: 'claim' }>): Applied => {
-  const shelf = shelfOf(command.key);
+const applyClaim = (state: ReplicatedState, command: Extract<Command, { readonly type: 'claim' }>): Applied => {
+  const shelf = bucketOf(command.key);
   const claims = freshClaims(state, shelf);
   const heldClaim = claims.get(command.key);
   if (heldClaim !== undefined)
     return {
-      state: withShelf(state, shelf, claims),
+      state: withBucket(state, shelf, claims),
       outcome: { type: 'claimed', won: heldClaim.exchange === command.exchange, holder: heldClaim.exchange },
     };
   if (state.claimCount >= mostClaims)
-    return { state: withShelf(state, shelf, claims), outcome: { type: 'claims-full' } };
+    return { state: withBucket(state, shelf, claims), outcome: { type: 'claims-full' } };
   return {
-    state: withShelf(state, shelf, withEntry(claims, command.key, { exchange: command.exchange, atUs: state.clockUs })),
+    state: withBucket(
+      state,
+      shelf,
+      withEntry(claims, command.key, { exchange: command.exchange, atUs: state.clockUs }),
+    ),
     outcome: { type: 'claimed', won: true, holder: command.exchange },
   };
 };
 
-const applyRelease = (state: ControlState, command: Extract<Command, { readonly type: 'release' }>): Applied => {
-  const shelf = shelfOf(command.key);
+const applyRelease = (state: ReplicatedState, command: Extract<Command, { readonly type: 'release' }>): Applied => {
+  const shelf = bucketOf(command.key);
   const keptClaims = new Map(
     [...freshClaims(state, shelf)].filter(([key, claim]) => key !== command.key || claim.exchange !== command.exchange),
   );
-  return { state: withShelf(state, shelf, keptClaims), outcome: { type: 'done' } };
+  return { state: withBucket(state, shelf, keptClaims), outcome: { type: 'done' } };
 };
 
-/** Applies one command; it asks nothing but the state, so all core machines come to the same. */
-export const applyCommand = (state: ControlState, command: Command): Applied => {
+/** Applies one command; it pendingRequests nothing but the state, so all core machines come to the same. */
+export const applyCommand = (state: ReplicatedState, command: Command): Applied => {
   switch (command.type) {
     case 'start-term':
     case 'members':
--- a/src/control/wire/kept-codec.ts
+++ b/src/control/wire/durable-record-codec.ts
@@ -4,12 +4,13 @@
 import { checked } from '../../common/checked.js';
 import { messageOf, typedError, type TypedError } from '../../common/typed-error.js';
 import { typed, unionGuard } from '../../common/union.js';
-import type { KeptRecord } from '../log/kept-record.js';
+import type { DurableRecord } from '../log/durable-record.js';
 import { entriesSchema } from './entry-schema.js';
-import { decodeImage, encodeImage, imageSchema, type PlainImage } from './image-codec.js';
+import { decodeSnapshot, encodeSnapshot, snapshotSchema, type PlainSnapshot } from './snapshot-codec.js';
 
-type KeptImage = Extract<KeptRecord, { readonly type: 'image' }>;
-type PlainRecord = Exclude<KeptRecord, KeptImage> | { readonly type: 'image'; readonly image: PlainImage };
+type KeptSnapshot = Extract<DurableRecord, { readonly type: 'snapshot' }>;
+type PlainRecord =
+  Exclude<DurableRecord, KeptSnapshot> | { readonly type: 'snapshot'; readonly snapshot: PlainSnapshot };
 
 const isPlainRecord = unionGuard<PlainRecord>({
   identity: object({ type: typed('identity'), identity: string().required(), founds: boolean().optional() }),
@@ -20,26 +21,26 @@
     votedFor: string().optional().default(undefined),
   }),
   entries: object({ type: typed('entries'), entries: entriesSchema }),
-  image: object({ type: typed('image'), image: imageSchema }),
+  snapshot: object({ type: typed('snapshot'), snapshot: snapshotSchema }),
 });
 
 const batchSchema = object({ records: array(mixed(isPlainRecord).required()).required() }).required();
 
-export const encodeKept = (records: readonly KeptRecord[]): Uint8Array =>
+export const encodeDurableRecords = (records: readonly DurableRecord[]): Uint8Array =>
   serialize({
     records: records.map((record) =>
-      record.type === 'image' ? { type: 'image', image: encodeImage(record.image) } : record,
+      record.type === 'snapshot' ? { type: 'snapshot', snapshot: encodeSnapshot(record.snapshot) } : record,
     ),
   });
 
 /** Reads a batch of kept records; one that does not hold is damage. */
-export const decodeKept = (bytes: Uint8Array): Either<TypedError, readonly KeptRecord[]> => {
+export const decodeDurableRecords = (bytes: Uint8Array): Either<TypedError, readonly DurableRecord[]> => {
   try {
     return checked(batchSchema, deserialize(bytes))
       .mapLeft((faults) => typedError('damaged-disk', 'a kept record is not of a known form', faults))
       .map(({ records }) =>
         records.map((record) =>
-          record.type === 'image' ? { type: 'image', image: decodeImage(record.image) } : record,
+          record.type === 'snapshot' ? { type: 'snapshot', snapshot: decodeSnapshot(record.snapshot) } : record,
         ),
       );
   } catch (thrown) {
@@ -47,8 +48,9 @@
   }
 };
 
-export const sequenceKept = (batches: readonly Uint8Array[]): Either<TypedError, readonly KeptRecord[]> =>
-  batches.reduce<Either<TypedError, readonly KeptRecord[]>>(
-    (readSoFar, batch) => readSoFar.chain((records) => decodeKept(batch).map((more) => [...records, ...more])),
+export const decodeDurableBatches = (batches: readonly Uint8Array[]): Either<TypedError, readonly DurableRecord[]> =>
+  batches.reduce<Either<TypedError, readonly DurableRecord[]>>(
+    (readSoFar, batch) =>
+      readSoFar.chain((records) => decodeDurableRecords(batch).map((more) => [...records, ...more])),
     Right([]),
   );
--- a/src/control/wire/message-codec.ts
+++ b/src/control/wire/message-codec.ts
@@ -2,29 +2,34 @@
 import { typed, unionGuard } from '../../common/union.js';
 import type { ControlMessage } from '../machine/message.js';
 import { entriesSchema } from './entry-schema.js';
-import { decodeImage, encodeImage, imageSchema, type PlainImage } from './image-codec.js';
+import { decodeSnapshot, encodeSnapshot, snapshotSchema, type PlainSnapshot } from './snapshot-codec.js';
 
-type Install = Extract<ControlMessage, { readonly type: 'install' }>;
+type InstallSnapshot = Extract<ControlMessage, { readonly type: 'installSnapshot' }>;
 
-/** A control message as it travels: images in their plain form. */
+/** A control message as it travels: snapshots in their plain form. */
 export type PlainMessage =
-  | Exclude<ControlMessage, Install>
-  | { readonly type: 'install'; readonly term: number; readonly image: PlainImage; readonly round: number };
+  | Exclude<ControlMessage, InstallSnapshot>
+  | {
+      readonly type: 'installSnapshot';
+      readonly term: number;
+      readonly snapshot: PlainSnapshot;
+      readonly round: number;
+    };
 
 const whole = () => number().required().integer().min(0);
 const name = () => string().required();
 const offer = () => string().optional();
 
 export const isPlainMessage = unionGuard<PlainMessage>({
-  hello: object({
-    type: typed('hello'),
+  probe: object({
+    type: typed('probe'),
     identity: name(),
     address: name(),
     founded: boolean().required(),
     offer: offer(),
   }),
-  helloBack: object({
-    type: typed('helloBack'),
+  probeReply: object({
+    type: typed('probeReply'),
     identity: name(),
     address: name(),
     founded: boolean().required(),
@@ -32,9 +37,9 @@
   }),
   join: object({ type: typed('join'), identity: name(), address: name() }),
   preVote: object({ type: typed('preVote'), term: whole(), lastIndex: whole(), lastTerm: whole() }),
-  preVoteBack: object({ type: typed('preVoteBack'), term: whole(), granted: boolean().required(), forTerm: whole() }),
+  preVoteReply: object({ type: typed('preVoteReply'), term: whole(), granted: boolean().required(), forTerm: whole() }),
   vote: object({ type: typed('vote'), term: whole(), lastIndex: whole(), lastTerm: whole() }),
-  voteBack: object({ type: typed('voteBack'), term: whole(), granted: boolean().required() }),
+  voteReply: object({ type: typed('voteReply'), term: whole(), granted: boolean().required() }),
   append: object({
     type: typed('append'),
     term: whole(),
@@ -44,19 +49,19 @@
     commit: whole(),
     round: whole(),
   }),
-  appendBack: object({
-    type: typed('appendBack'),
+  appendReply: object({
+    type: typed('appendReply'),
     term: whole(),
     matches: boolean().required(),
     index: number().required().integer(),
     round: whole(),
   }),
-  install: object({ type: typed('install'), term: whole(), image: imageSchema, round: whole() }),
-  takeOver: object({ type: typed('takeOver'), term: whole() }),
+  installSnapshot: object({ type: typed('installSnapshot'), term: whole(), snapshot: snapshotSchema, round: whole() }),
+  timeoutNow: object({ type: typed('timeoutNow'), term: whole() }),
 });
 
 export const plainMessageOf = (message: ControlMessage): PlainMessage =>
-  message.type === 'install' ? { ...message, image: encodeImage(message.image) } : message;
+  message.type === 'installSnapshot' ? { ...message, snapshot: encodeSnapshot(message.snapshot) } : message;
 
 export const messageOfPlain = (message: PlainMessage): ControlMessage =>
-  message.type === 'install' ? { ...message, image: decodeImage(message.image) } : message;
+  message.type === 'installSnapshot' ? { ...message, snapshot: decodeSnapshot(message.snapshot) } : message;
--- a/src/control/wire/image-codec.ts
+++ b/src/control/wire/snapshot-codec.ts
@@ -1,13 +1,13 @@
 import { array, mixed, number, object, string, type InferType } from 'yup';
 import { isSetupRecord } from '../../setup/check/setup-guard.js';
-import type { ControlImage } from '../log/control-image.js';
+import type { Snapshot } from '../log/snapshot.js';
 import { memberSchema } from './command-guard.js';
 import { isProposalOutcome } from './outcome-guard.js';
 
 const claimForm = /^\d+ \d+ \S+ \S+$/;
 
-/** The form of an image on the wire and on disk, with lists in place of maps. */
-export const imageSchema = object({
+/** The form of a snapshot on the wire and on disk, with lists in place of maps. */
+export const snapshotSchema = object({
   index: number().required().integer().min(0),
   term: number().required().integer().min(0),
   members: array(memberSchema).required(),
@@ -20,22 +20,24 @@
   claims: array(string().required().matches(claimForm)).required(),
 }).required();
 
-export type PlainImage = InferType<typeof imageSchema>;
+export type PlainSnapshot = InferType<typeof snapshotSchema>;
 
-export const encodeImage = (image: ControlImage): PlainImage => ({
-  index: image.index,
-  term: image.term,
-  members: [...image.members],
-  clockUs: image.state.clockUs,
+export const encodeSnapshot = (snapshot: Snapshot): PlainSnapshot => ({
+  index: snapshot.index,
+  term: snapshot.term,
+  members: [...snapshot.members],
+  clockUs: snapshot.state.clockUs,
   record:
-    image.state.record === undefined ? undefined : { ...image.state.record, ...mutableRecord(image.state.record) },
-  proposals: [...image.state.proposals].map(([proposal, outcome]) => ({ proposal, outcome })),
-  claims: [...image.state.shelves].flatMap(([shelf, claims]) =>
+    snapshot.state.record === undefined
+      ? undefined
+      : { ...snapshot.state.record, ...mutableRecord(snapshot.state.record) },
+  proposals: [...snapshot.state.proposals].map(([proposal, outcome]) => ({ proposal, outcome })),
+  claims: [...snapshot.state.buckets].flatMap(([shelf, claims]) =>
     [...claims].map(([key, claim]) => `${shelf} ${claim.atUs} ${claim.exchange} ${key}`),
   ),
 });
 
-const mutableRecord = (record: NonNullable<ControlImage['state']['record']>) => ({
+const mutableRecord = (record: NonNullable<Snapshot['state']['record']>) => ({
   epochs: [...record.epochs],
   setup: {
     ...record.setup,
@@ -45,14 +47,14 @@
   },
 });
 
-export const decodeImage = (plain: PlainImage): ControlImage => {
-  const shelves = new Map<number, Map<string, { readonly exchange: string; readonly atUs: number }>>();
+export const decodeSnapshot = (plain: PlainSnapshot): Snapshot => {
+  const buckets = new Map<number, Map<string, { readonly exchange: string; readonly atUs: number }>>();
   for (const claim of plain.claims) {
     const [shelfText = '', atText = '', exchange = '', key = ''] = claim.split(' ');
     const shelf =
-      shelves.get(Number(shelfText)) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
+      buckets.get(Number(shelfText)) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
     shelf.set(key, { exchange, atUs: Number(atText) });
-    shelves.set(Number(shelfText), shelf);
+    buckets.set(Number(shelfText), shelf);
   }
   return {
     index: plain.index,
@@ -62,7 +64,7 @@
       clockUs: plain.clockUs,
       record: plain.record,
       proposals: new Map(plain.proposals.map(({ proposal, outcome }) => [proposal, outcome])),
-      shelves,
+      buckets,
       claimCount: plain.claims.length,
     },
   };
--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -5,9 +5,9 @@
 import type { RingFile } from './ring-file.js';
 import { encodeMark, markOffsetOf } from './synced-mark.js';
 
-/** What a ring gave back when it was opened: an image and the records after it. */
+/** What a ring gave back when it was opened: a snapshot and the records after it. */
 export type Recovered = {
-  readonly image: Buffer | undefined;
+  readonly snapshot: Buffer | undefined;
   readonly records: readonly Buffer[];
 };
 
@@ -15,10 +15,10 @@
 export type DiskRing = {
   readonly recovered: Recovered;
   /**
-   * Appends and syncs one record; when the file is full the image, which holds the record, opens the next file. A refusal
+   * Appends and syncs one record; when the file is full the snapshot, which holds the record, opens the next file. A refusal
    * keeps nothing and may pass: the same record may be appended again.
    */
-  readonly append: (record: Uint8Array, image: () => Uint8Array) => Promise<Either<TypedError, void>>;
+  readonly append: (record: Uint8Array, snapshot: () => Uint8Array) => Promise<Either<TypedError, void>>;
   readonly close: () => Promise<void>;
 };
 
@@ -33,7 +33,10 @@
   return formerFile?.content.complete && formerFile.content.generation === newestFile.content.generation - 1
     ? Right(formerFile)
     : Left(
-        typedError('damaged-disk', `no whole image is left: generation ${newestFile.content.generation} does not hold`),
+        typedError(
+          'damaged-disk',
+          `no whole snapshot is left: generation ${newestFile.content.generation} does not hold`,
+        ),
       );
 };
 
@@ -54,28 +57,28 @@
     const mark = async (file: RingFile, syncedSequence: number): Promise<void> =>
       file.write(markOffsetOf(syncedSequence), encodeMark({ generation, sequence: syncedSequence }));
 
-    const turnOver = async (image: Uint8Array): Promise<Either<TypedError, void>> => {
+    const startNextFile = async (snapshot: Uint8Array): Promise<Either<TypedError, void>> => {
       const nextIndex = (currentFile === undefined ? 0 : files.indexOf(currentFile) + 1) % files.length;
       const nextFile = files[nextIndex];
-      if (nextFile === undefined || firstRecordOffset + paddedLength(image.length) > nextFile.size)
-        return Left(typedError('disk-error', `an image of ${image.length} bytes does not fit into a ring file`));
+      if (nextFile === undefined || firstRecordOffset + paddedLength(snapshot.length) > nextFile.size)
+        return Left(typedError('disk-error', `a snapshot of ${snapshot.length} bytes does not fit into a ring file`));
       const nextGeneration = generation + 1;
       await nextFile.write(0, Buffer.alloc(firstRecordOffset));
       await nextFile.write(0, encodeRecord(nextGeneration, 0, Buffer.from('ledgehill')));
-      await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, image));
+      await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, snapshot));
       await nextFile.sync();
       await nextFile.write(markOffsetOf(0), encodeMark({ generation: nextGeneration, sequence: 0 }));
       generation = nextGeneration;
       currentFile = nextFile;
       sequence = 1;
-      offset = firstRecordOffset + paddedLength(image.length);
+      offset = firstRecordOffset + paddedLength(snapshot.length);
       return Right(undefined);
     };
 
-    const append = async (record: Uint8Array, image: () => Uint8Array): Promise<Either<TypedError, void>> => {
+    const append = async (record: Uint8Array, snapshot: () => Uint8Array): Promise<Either<TypedError, void>> => {
       try {
         if (currentFile === undefined || offset + paddedLength(record.length) > currentFile.size)
-          return await turnOver(image());
+          return await startNextFile(snapshot());
         await currentFile.write(offset, encodeRecord(generation, sequence, record));
         await currentFile.sync();
         await mark(currentFile, sequence);
@@ -89,7 +92,7 @@
 
     return {
       recovered: {
-        image: newestFile?.content.payloads[0],
+        snapshot: newestFile?.content.payloads[0],
         records: newestFile?.content.payloads.slice(1) ?? [],
       },
       append,
--- a/src/disk/read-file.ts
+++ b/src/disk/read-file.ts
@@ -3,7 +3,7 @@
 import { alignBytes, decodeRecord, firstRecordOffset, paddedLength, type DiskRecord } from './record-format.js';
 import { readMark } from './synced-mark.js';
 
-/** What one file of the ring holds; `complete` says that its image was finished. */
+/** What one file of the ring holds; `complete` says that its snapshot was finished. */
 export type FileContent = {
   readonly generation: number;
   readonly complete: boolean;
--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -4,7 +4,7 @@
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
 import type { Log } from '../log.js';
-import { openOperatorDesk, type OperatorDesk } from '../operator/operator-desk.js';
+import { openOperatorService, type OperatorService } from '../operator/operator-service.js';
 import type { ControlSettings } from '../settings/control-settings.js';
 import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
@@ -16,7 +16,7 @@
   readonly spread: SpreadTask;
   readonly control: ControlTask;
   readonly core: CoreClient;
-  readonly desk: OperatorDesk;
+  readonly desk: OperatorService;
   readonly counters: Counters;
   readonly unready: () => string | undefined;
   readonly start: () => Promise<void>;
@@ -63,10 +63,10 @@
       spread,
       control,
       core,
-      desk: openOperatorDesk(core, spread.platformUs),
+      desk: openOperatorService(core, spread.platformUs),
       counters,
       unready: () => {
-        const { leader, role } = control.view();
+        const { leader, role } = control.replica();
         if (leader === undefined) return `no leader is known (${role})`;
         return role === 'learner' || role === 'unfounded' ? `not a voter of the core yet (${role})` : undefined;
       },
@@ -74,7 +74,7 @@
         await spread.start();
         source.start();
         control.start();
-        log.change('started', { identity: control.view().identity, role: control.view().role });
+        log.change('started', { identity: control.replica().identity, role: control.replica().role });
       },
       stop: async () => {
         log.change('stopping', {});
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -3,16 +3,16 @@
 import { every } from '../../common/clock/every.js';
 import type { Micros } from '../../common/micros.js';
 import type { TypedError } from '../../common/typed-error.js';
-import { imageRecordsOf, recoveredView } from '../../control/keeping/recover.js';
-import type { KeptRecord } from '../../control/log/kept-record.js';
+import { snapshotRecordsOf, recoverReplica } from '../../control/persistence/recovery.js';
+import type { DurableRecord } from '../../control/log/durable-record.js';
 import type { ControlEffect } from '../../control/machine/control-effect.js';
 import type { ControlEvent } from '../../control/machine/control-event.js';
-import { startControlView, usualVoters, type ControlView } from '../../control/machine/control-view.js';
+import { startReplica, usualVoters, type Replica } from '../../control/machine/replica.js';
 import { membersOf, textCharsOf } from '../../control/machine/log-reading.js';
-import { pulseOf } from '../../control/machine/replicating.js';
+import { heartbeatsOf } from '../../control/machine/replication.js';
 import { stepControl } from '../../control/machine/step.js';
-import { busyDiskUs, heartbeatSpanUs, mostTextChars } from '../../control/machine/timing.js';
-import { encodeKept, sequenceKept } from '../../control/wire/kept-codec.js';
+import { diskStallLimitUs, heartbeatIntervalUs, maxAppendTextChars } from '../../control/machine/timing.js';
+import { encodeDurableRecords, decodeDurableBatches } from '../../control/wire/durable-record-codec.js';
 import { messageOfPlain, plainMessageOf } from '../../control/wire/message-codec.js';
 import type { DiskRing } from '../../disk/disk-ring.js';
 import type { Counters } from '../counters.js';
@@ -24,7 +24,7 @@
 
 /** The task that owns the control machine and its disk. */
 export type ControlTask = {
-  readonly view: () => ControlView;
+  readonly replica: () => Replica;
   readonly start: () => void;
   readonly resign: () => Promise<void>;
   readonly close: () => Promise<void>;
@@ -34,33 +34,37 @@
 const restoreSpanUs: Micros = 500_000;
 const refusedSpanUs: Micros = 200_000;
 
-const bornOn = async (
+const recoverOrCreate = async (
   ring: DiskRing,
   settings: ControlSettings,
   freshName: () => string,
-): Promise<Either<TypedError, ControlView>> => {
-  const recovered = [...(ring.recovered.image === undefined ? [] : [ring.recovered.image]), ...ring.recovered.records];
-  const freshView = startControlView(
+): Promise<Either<TypedError, Replica>> => {
+  const recovered = [
+    ...(ring.recovered.snapshot === undefined ? [] : [ring.recovered.snapshot]),
+    ...ring.recovered.records,
+  ];
+  const freshReplica = startReplica(
     `${settings.node}-${freshName()}`,
     settings.partners,
     settings.seeds,
     settings.founds ?? true,
     settings.voters ?? usualVoters,
   );
-  if (recovered.length > 0) return sequenceKept(recovered).map((records) => recoveredView(freshView, records));
+  if (recovered.length > 0)
+    return decodeDurableBatches(recovered).map((records) => recoverReplica(freshReplica, records));
   const kept = await ring.append(new Uint8Array(0), () =>
-    encodeKept([{ type: 'identity', identity: freshView.identity, founds: freshView.founds }]),
+    encodeDurableRecords([{ type: 'identity', identity: freshReplica.identity, founds: freshReplica.founds }]),
   );
-  return kept.map(() => freshView);
+  return kept.map(() => freshReplica);
 };
 
 /** Records are kept together, unless the documents in them are too large for one. */
-const batchesOf = (records: readonly KeptRecord[]): readonly (readonly KeptRecord[])[] => {
+const batchesOf = (records: readonly DurableRecord[]): readonly (readonly DurableRecord[])[] => {
   if (records.length === 0) return [];
   const textChars = records
     .flatMap((record) => (record.type === 'entries' ? record.entries : []))
     .reduce((sum, entry) => sum + textCharsOf(entry), 0);
-  return textChars > mostTextChars ? records.map((record) => [record]) : [records];
+  return textChars > maxAppendTextChars ? records.map((record) => [record]) : [records];
 };
 
 const mayPass = (kept: Either<TypedError, void>): boolean =>
@@ -77,9 +81,9 @@
 ): EitherAsync<TypedError, ControlTask> =>
   openRing(settings.data, { files: settings.ringFiles, fileBytes: settings.ringFileBytes }).chain((ring) =>
     EitherAsync(async ({ liftEither }) => {
-      const bornView = await liftEither(await bornOn(ring, settings, freshName));
-      let view = bornView;
-      let syncedView = bornView;
+      const bornReplica = await liftEither(await recoverOrCreate(ring, settings, freshName));
+      let replica = bornReplica;
+      let syncedReplica = bornReplica;
       let pulsedUs = 0;
       let restoredUs = Number.NEGATIVE_INFINITY;
       let hasFailed = false;
@@ -88,21 +92,21 @@
       let syncStartedUs: number | undefined;
       let endTicks = (): void => undefined;
       const knownAddresses = new Map<string, string>();
-      const askAddresses = new Map<string, string>();
+      const requesterAddresses = new Map<string, string>();
 
       const addressOf = (identity: string): string | undefined =>
-        membersOf(view).find((member) => member.identity === identity)?.address ?? knownAddresses.get(identity);
+        membersOf(replica).find((member) => member.identity === identity)?.address ?? knownAddresses.get(identity);
 
-      const carryOut = (effect: ControlEffect): void => {
+      const execute = (effect: ControlEffect): void => {
         switch (effect.type) {
-          case 'keep':
+          case 'persist':
             return;
           case 'send': {
             const address = addressOf(effect.to);
             if (address !== undefined)
               spread.send(address, {
                 type: 'control',
-                identity: view.identity,
+                identity: replica.identity,
                 to: effect.to,
                 message: plainMessageOf(effect.message),
               });
@@ -111,19 +115,19 @@
           case 'sendTo':
             spread.send(effect.address, {
               type: 'control',
-              identity: view.identity,
+              identity: replica.identity,
               message: plainMessageOf(effect.message),
             });
             return;
-          case 'receipt': {
-            const address = askAddresses.get(effect.ask);
-            askAddresses.delete(effect.ask);
+          case 'reply': {
+            const address = requesterAddresses.get(effect.requestId);
+            requesterAddresses.delete(effect.requestId);
             if (address === undefined) return;
-            const receipt =
-              effect.receipt.type === 'not-leader' && effect.receipt.leader !== undefined
-                ? { ...effect.receipt, leader: addressOf(effect.receipt.leader) }
-                : effect.receipt;
-            spread.send(address, { type: 'receipt', ask: effect.ask, receipt });
+            const reply =
+              effect.reply.type === 'not-leader' && effect.reply.leader !== undefined
+                ? { ...effect.reply, leader: addressOf(effect.reply.leader) }
+                : effect.reply;
+            spread.send(address, { type: 'reply', requestId: effect.requestId, reply });
             return;
           }
           case 'taken':
@@ -143,11 +147,11 @@
        * Keeps records, however often the disk refuses them: it may take them later. Until then this machine says nothing,
        * so that a leader is followed by another one; what will never fit is the end of it.
        */
-      const keep = async (records: readonly KeptRecord[]): Promise<boolean> => {
+      const persist = async (records: readonly DurableRecord[]): Promise<boolean> => {
         const startedUs = clock.now();
         syncStartedUs = startedUs;
         const append = (): Promise<Either<TypedError, void>> =>
-          ring.append(encodeKept(records), () => encodeKept(imageRecordsOf(view)));
+          ring.append(encodeDurableRecords(records), () => encodeDurableRecords(snapshotRecordsOf(replica)));
         let kept = await append();
         while (mayPass(kept) && !isClosing) {
           counters.count('disk.refusals');
@@ -168,14 +172,14 @@
         return kept.isRight();
       };
 
-      const keepAll = async (records: readonly KeptRecord[]): Promise<boolean> => {
-        for (const batch of batchesOf(records)) if (!(await keep(batch))) return false;
+      const persistAll = async (records: readonly DurableRecord[]): Promise<boolean> => {
+        for (const batch of batchesOf(records)) if (!(await persist(batch))) return false;
         return true;
       };
 
       /** What is not led asks wherever core machines are known to be, also when all its seeds are stale. */
       const knownEvents = (): readonly ControlEvent[] => {
-        if (view.leader !== undefined) return [];
+        if (replica.leader !== undefined) return [];
         const { seeds, partners } = spread.view();
         const addresses = [...partners.values()].flatMap(({ partner }) =>
           partner.role === 'control' ? [partner.address] : [],
@@ -187,19 +191,19 @@
         if (hasFailed) return;
         const effects: ControlEffect[] = [];
         for (const event of events) {
-          const step = stepControl(view, event);
-          view = step.view;
+          const step = stepControl(replica, event);
+          replica = step.replica;
           effects.push(...step.effects);
         }
-        const records = effects.flatMap((effect) => (effect.type === 'keep' ? [effect.record] : []));
-        if (!(await keepAll(records))) return;
-        syncedView = view;
-        effects.forEach(carryOut);
+        const records = effects.flatMap((effect) => (effect.type === 'persist' ? [effect.record] : []));
+        if (!(await persistAll(records))) return;
+        syncedReplica = replica;
+        effects.forEach(execute);
       });
 
       spread.events.on('control', (from, frame) => {
         knownAddresses.set(frame.identity, from);
-        if (frame.to !== undefined && frame.to !== view.identity) return;
+        if (frame.to !== undefined && frame.to !== replica.identity) return;
         mailbox.post({
           type: 'message',
           at: clock.now(),
@@ -211,39 +215,49 @@
       /** Gives a core that founded itself anew what the nodes still hold, before it takes anything else. */
       const restore = (): void => {
         const { record } = spread.view();
-        if (view.role !== 'leader' || record === undefined || record.revision <= (view.state.record?.revision ?? 0))
+        if (
+          replica.role !== 'leader' ||
+          record === undefined ||
+          record.revision <= (replica.state.record?.revision ?? 0)
+        )
           return;
         if (clock.now() < restoredUs + restoreSpanUs) return;
         restoredUs = clock.now();
-        mailbox.post({ type: 'propose', at: clock.now(), ask: freshName(), command: { type: 'restore', record } });
+        mailbox.post({
+          type: 'propose',
+          at: clock.now(),
+          requestId: freshName(),
+          command: { type: 'restore', record },
+        });
       };
 
-      spread.events.on('ask', (from, { ask, question }) => {
+      spread.events.on('request', (from, { requestId, request }) => {
         restore();
-        askAddresses.set(ask, from);
-        if (askAddresses.size > 10_000) askAddresses.delete(askAddresses.keys().next().value ?? ask);
+        requesterAddresses.set(requestId, from);
+        if (requesterAddresses.size > 10_000)
+          requesterAddresses.delete(requesterAddresses.keys().next().value ?? requestId);
         mailbox.post(
-          question.type === 'read'
-            ? { type: 'read', at: clock.now(), ask, proposal: question.proposal }
-            : { type: 'propose', at: clock.now(), ask, command: question.command },
+          request.type === 'read'
+            ? { type: 'read', at: clock.now(), requestId, proposal: request.proposal }
+            : { type: 'propose', at: clock.now(), requestId, command: request.command },
         );
       });
-      counters.gauge('control.term', () => view.term);
-      counters.gauge('control.commit', () => view.commit);
-      counters.gauge('control.leads', () => (view.role === 'leader' && !refuses ? 1 : 0));
+      counters.gauge('control.term', () => replica.term);
+      counters.gauge('control.commit', () => replica.commit);
+      counters.gauge('control.leads', () => (replica.role === 'leader' && !refuses ? 1 : 0));
       counters.gauge('disk.stalledUs', () => (syncStartedUs === undefined ? 0 : clock.now() - syncStartedUs));
 
       return {
-        view: () => view,
+        replica: () => replica,
         start: () => {
           endTicks = every(clock, tickUs, () => {
             const nowUs = clock.now();
             [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);
             restore();
-            const isBusy = !refuses && syncStartedUs !== undefined && nowUs - syncStartedUs < busyDiskUs;
-            if (!isBusy || nowUs - pulsedUs < heartbeatSpanUs) return;
+            const isBusy = !refuses && syncStartedUs !== undefined && nowUs - syncStartedUs < diskStallLimitUs;
+            if (!isBusy || nowUs - pulsedUs < heartbeatIntervalUs) return;
             pulsedUs = nowUs;
-            pulseOf(syncedView).forEach(carryOut);
+            heartbeatsOf(syncedReplica).forEach(execute);
           });
         },
         resign: async () => {
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -3,29 +3,29 @@
 import { within } from '../common/clock/within.js';
 import type { Micros } from '../common/micros.js';
 import { typedError, type TypedError } from '../common/typed-error.js';
-import type { Receipt } from '../control/machine/receipt.js';
-import type { Question } from '../spread/frame/frame.js';
+import type { CoreReply } from '../control/machine/core-reply.js';
+import type { CoreRequest } from '../spread/frame/frame.js';
 import type { SpreadTask } from './spread-task.js';
 import type { Surroundings } from './surroundings/surroundings.js';
 
-/** Asks the core, wherever its leader is. Every question may be put twice: the log knows it again. */
+/** Asks the core, wherever its leader is. Every request may be put twice: the log knows it again. */
 export type CoreClient = {
-  readonly ask: (question: Question, budgetUs: Micros) => Promise<Either<TypedError, Receipt>>;
+  readonly ask: (request: CoreRequest, budgetUs: Micros) => Promise<Either<TypedError, CoreReply>>;
 };
 
 const tryBudgetUs: Micros = 600_000;
 const pauseUs: Micros = 40_000;
 
-const isLast = (receipt: Receipt): boolean => receipt.type === 'applied' || receipt.type === 'record';
+const isLast = (reply: CoreReply): boolean => reply.type === 'applied' || reply.type === 'record';
 
 export const openCoreClient = (
   spread: SpreadTask,
   { clock, freshName }: Pick<Surroundings, 'clock' | 'freshName'>,
 ): CoreClient => {
-  const waiting = new Map<string, (receipt: Receipt) => void>();
+  const pending = new Map<string, (reply: CoreReply) => void>();
   let leaderAddress: string | undefined;
   let turn = 0;
-  spread.events.on('receipt', ({ ask, receipt }) => waiting.get(ask)?.(receipt));
+  spread.events.on('reply', ({ requestId, reply }) => pending.get(requestId)?.(reply));
 
   const targetAddress = (): string | undefined => {
     if (leaderAddress !== undefined) return leaderAddress;
@@ -39,48 +39,48 @@
   };
 
   return {
-    ask: async (question, budgetUs) => {
+    ask: async (request, budgetUs) => {
       const dueUs = clock.now() + budgetUs;
-      const asks: string[] = [];
+      const requestIds: string[] = [];
       let mayStand = false;
-      let hearLast: (receipt: Receipt) => void = () => undefined;
+      let hearLast: (reply: CoreReply) => void = () => undefined;
       /** A last word counts whichever try it answers, and however late within the budget. */
-      const lastWord = new Promise<Receipt>((resolve) => {
+      const lastWord = new Promise<CoreReply>((resolve) => {
         hearLast = resolve;
       });
-      const askAt = (address: string): Promise<Receipt> =>
+      const askAt = (address: string): Promise<CoreReply> =>
         new Promise((resolve) => {
-          const ask = freshName();
-          asks.push(ask);
-          waiting.set(ask, (receipt) => {
-            if (isLast(receipt)) {
+          const requestId = freshName();
+          requestIds.push(requestId);
+          pending.set(requestId, (reply) => {
+            if (isLast(reply)) {
               leaderAddress = address;
-              hearLast(receipt);
-            } else resolve(receipt);
+              hearLast(reply);
+            } else resolve(reply);
           });
-          spread.send(address, { type: 'ask', ask, question });
+          spread.send(address, { type: 'request', requestId, request });
         });
       try {
         for (let leftUs = budgetUs; leftUs > 0; leftUs = dueUs - clock.now()) {
           const address = targetAddress();
-          const receipt =
+          const reply =
             address === undefined
               ? undefined
               : await within(clock, Promise.race([lastWord, askAt(address)]), Math.min(tryBudgetUs, leftUs));
-          if (receipt !== undefined && isLast(receipt)) return Right(receipt);
-          if (address !== undefined && receipt?.type !== 'not-leader') mayStand = true;
-          leaderAddress = receipt?.type === 'not-leader' && receipt.leader !== address ? receipt.leader : undefined;
+          if (reply !== undefined && isLast(reply)) return Right(reply);
+          if (address !== undefined && reply?.type !== 'not-leader') mayStand = true;
+          leaderAddress = reply?.type === 'not-leader' && reply.leader !== address ? reply.leader : undefined;
           if (leaderAddress !== undefined) continue;
           const lateReceipt = await Promise.race([lastWord, paused(clock, pauseUs)]);
           if (lateReceipt !== undefined) return Right(lateReceipt);
         }
         return Left(
-          mayStand && question.type === 'propose'
+          mayStand && request.type === 'propose'
             ? typedError('undecided', 'the core gave no last word in time; the proposal may yet be taken')
             : typedError('unreachable', 'no leader of the core was reached in time'),
         );
       } finally {
-        for (const ask of asks) waiting.delete(ask);
+        for (const requestId of requestIds) pending.delete(requestId);
       }
     },
   };
--- a/src/process/http/operator-paths.ts
+++ b/src/process/http/operator-paths.ts
@@ -4,8 +4,8 @@
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import type { ProposalOutcome } from '../../control/state/proposal-outcome.js';
-import type { OperatorDesk } from '../operator/operator-desk.js';
-import type { OperatorWord } from '../operator/operator-word.js';
+import type { OperatorService } from '../operator/operator-service.js';
+import type { OperatorReply } from '../operator/operator-reply.js';
 import type { HttpServer } from './http-server.js';
 import { readJsonBody } from './read-body.js';
 import { reply, replyError } from './reply.js';
@@ -67,7 +67,7 @@
   });
 };
 
-const replyWord = (response: ServerResponse, word: OperatorWord): void => {
+const replyWord = (response: ServerResponse, word: OperatorReply): void => {
   switch (word.type) {
     case 'record':
       reply(response, 200, word.record, { etag: `"${word.record.revision}"` });
@@ -94,7 +94,7 @@
 };
 
 /** What operators use: put a setup, read the newest, ask after a proposal or withdraw it. */
-export const addOperatorPaths = ({ app }: HttpServer, desk: OperatorDesk): void => {
+export const addOperatorPaths = ({ app }: HttpServer, desk: OperatorService): void => {
   app.get('/operator/setup', async (_message, response) => replyWord(response, await desk.read()));
 
   app.put('/operator/setup', async (message, response) => {
--- a/src/process/operator/operator-word.ts
+++ b/src/process/operator/operator-reply.ts
@@ -3,7 +3,7 @@
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 
 /** What an operator is told. */
-export type OperatorWord =
+export type OperatorReply =
   | { readonly type: 'record'; readonly record: SetupRecord }
   | { readonly type: 'none' }
   | { readonly type: 'decided'; readonly proposal: string; readonly outcome: ProposalOutcome }
--- a/src/process/operator/operator-desk.ts
+++ b/src/process/operator/operator-service.ts
@@ -2,14 +2,14 @@
 import { Right, type Either } from 'purify-ts';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
-import type { Receipt } from '../../control/machine/receipt.js';
+import type { CoreReply } from '../../control/machine/core-reply.js';
 import type { Command } from '../../control/log/command.js';
 import type { ProposalOutcome } from '../../control/state/proposal-outcome.js';
 import { checkSetup } from '../../setup/check/check-setup.js';
 import type { Setup } from '../../setup/document/setup.js';
 import type { Original } from '../../setup/document/original.js';
 import type { CoreClient } from '../core-client.js';
-import type { OperatorWord } from './operator-word.js';
+import type { OperatorReply } from './operator-reply.js';
 
 /** A setup with the operator's own document that it was made of, and the version of it that is to be replaced. */
 export type OriginalPut = {
@@ -19,27 +19,27 @@
 };
 
 /** What operators may ask for, over HTTP or in the simulator. */
-export type OperatorDesk = {
-  readonly read: () => Promise<OperatorWord>;
+export type OperatorService = {
+  readonly read: () => Promise<OperatorReply>;
   /** Puts a setup in place of the expected revision, or of the newest where none is given. */
-  readonly put: (value: unknown, proposal: string, expected: number | undefined) => Promise<OperatorWord>;
+  readonly put: (value: unknown, proposal: string, expected: number | undefined) => Promise<OperatorReply>;
   /** Puts a setup made of an operator's own document; the document's version decides the race. */
-  readonly putOriginal: (put: OriginalPut) => Promise<OperatorWord>;
-  readonly ask: (proposal: string) => Promise<OperatorWord>;
+  readonly putOriginal: (put: OriginalPut) => Promise<OperatorReply>;
+  readonly ask: (proposal: string) => Promise<OperatorReply>;
   /** Decides a proposal that is not decided yet: it never will be taken. */
-  readonly withdraw: (proposal: string) => Promise<OperatorWord>;
+  readonly withdraw: (proposal: string) => Promise<OperatorReply>;
 };
 
 /** What operators may ask for without a document of their own. */
-export type RevisionDesk = Omit<OperatorDesk, 'putOriginal'>;
+export type RevisionService = Omit<OperatorService, 'putOriginal'>;
 
 const readBudgetUs: Micros = 2_000_000;
 const proposeBudgetUs: Micros = 4_000_000;
 
-const recordOf = (receipt: Receipt): Extract<Receipt, { readonly type: 'record' }> | undefined =>
+const recordOf = (receipt: CoreReply): Extract<CoreReply, { readonly type: 'record' }> | undefined =>
   receipt.type === 'record' ? receipt : undefined;
 
-const outcomeOf = (receipt: Receipt): ProposalOutcome | undefined =>
+const outcomeOf = (receipt: CoreReply): ProposalOutcome | undefined =>
   receipt.type === 'applied' && receipt.outcome.type === 'proposal' ? receipt.outcome.outcome : undefined;
 
 const checkedFor = (value: unknown): Either<TypedError, Setup> =>
@@ -49,17 +49,17 @@
 const proposalOf = ({ version, text }: Original): string =>
   `original-${version}-${createHash('sha256').update(text).digest('hex').slice(0, 32)}`;
 
-const wordOf = (proposal: string, word: Either<TypedError, OperatorWord>): OperatorWord =>
-  word.caseOf<OperatorWord>({
+const wordOf = (proposal: string, word: Either<TypedError, OperatorReply>): OperatorReply =>
+  word.caseOf<OperatorReply>({
     Left: (error) => (error.type === 'undecided' ? { type: 'unknown', proposal, error } : { type: 'refused', error }),
     Right: (told) => told,
   });
 
-export const openOperatorDesk = (core: CoreClient, platformUs: () => Micros): OperatorDesk => {
+export const openOperatorService = (core: CoreClient, platformUs: () => Micros): OperatorService => {
   const newestRevision = async (): Promise<Either<TypedError, number>> =>
     (await core.ask({ type: 'read' }, readBudgetUs)).map((receipt) => recordOf(receipt)?.record?.revision ?? 0);
 
-  const propose = async (proposal: string, command: Command): Promise<Either<TypedError, OperatorWord>> =>
+  const propose = async (proposal: string, command: Command): Promise<Either<TypedError, OperatorReply>> =>
     (await core.ask({ type: 'propose', command }, proposeBudgetUs)).map((receipt) => {
       const outcome = outcomeOf(receipt);
       return outcome === undefined
@@ -69,7 +69,7 @@
 
   return {
     read: async () =>
-      (await core.ask({ type: 'read' }, readBudgetUs)).caseOf<OperatorWord>({
+      (await core.ask({ type: 'read' }, readBudgetUs)).caseOf<OperatorReply>({
         Left: (error) => ({ type: 'refused', error }),
         Right: (receipt) => {
           const record = recordOf(receipt)?.record;
@@ -94,7 +94,7 @@
       );
     },
     putOriginal: async ({ setup, original, expectedVersion }) =>
-      checkedFor(setup).caseOf<Promise<OperatorWord>>({
+      checkedFor(setup).caseOf<Promise<OperatorReply>>({
         Left: (error) => Promise.resolve({ type: 'refused', error }),
         Right: async (made) => {
           const proposal = proposalOf(original);
@@ -110,7 +110,7 @@
         },
       }),
     ask: async (proposal) =>
-      (await core.ask({ type: 'read', proposal }, readBudgetUs)).caseOf<OperatorWord>({
+      (await core.ask({ type: 'read', proposal }, readBudgetUs)).caseOf<OperatorReply>({
         Left: (error) => ({ type: 'unknown', proposal, error }),
         Right: (receipt) => {
           const outcome = recordOf(receipt)?.outcome;
@@ -124,7 +124,7 @@
         },
       }),
     withdraw: async (proposal) =>
-      (await propose(proposal, { type: 'void', proposal })).caseOf<OperatorWord>({
+      (await propose(proposal, { type: 'void', proposal })).caseOf<OperatorReply>({
         Left: (error) => ({ type: 'unknown', proposal, error }),
         Right: (told) => told,
       }),
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -14,7 +14,7 @@
   readonly routers: [routers: number];
   readonly refreshed: [];
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
-  readonly ask: [from: string, frame: Extract<Frame, { readonly type: 'ask' }>];
+  readonly request: [from: string, frame: Extract<Frame, { readonly type: 'request' }>];
   readonly work: [frame: Extract<Frame, { readonly type: 'work' }>];
-  readonly receipt: [frame: Extract<Frame, { readonly type: 'receipt' }>];
+  readonly reply: [frame: Extract<Frame, { readonly type: 'reply' }>];
 };
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -103,14 +103,14 @@
       case 'control':
         events.emit('control', from, frame);
         return;
-      case 'ask':
-        events.emit('ask', from, frame);
+      case 'request':
+        events.emit('request', from, frame);
         return;
       case 'work':
         events.emit('work', frame);
         return;
-      case 'receipt':
-        events.emit('receipt', frame);
+      case 'reply':
+        events.emit('reply', frame);
         return;
       case 'digest':
       case 'inquire':
--- a/src/rehearsal/stand-in/http-desk.ts
+++ b/src/rehearsal/stand-in/http-desk.ts
@@ -2,14 +2,14 @@
 import { checked } from '../../common/checked.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import { httpCall, type HttpReceipt, type HttpCall } from '../../cli/http-call.js';
-import type { RevisionDesk } from '../../process/operator/operator-desk.js';
-import type { OperatorWord } from '../../process/operator/operator-word.js';
+import type { RevisionService } from '../../process/operator/operator-service.js';
+import type { OperatorReply } from '../../process/operator/operator-reply.js';
 import { recordSchema } from '../../setup/check/record-schema.js';
 import { readNumbers } from './read-numbers.js';
 
 const outcomeSchema = object({ outcome: string().required() });
 
-const wordOf = (proposal: string, { status, body }: HttpReceipt): OperatorWord => {
+const wordOf = (proposal: string, { status, body }: HttpReceipt): OperatorReply => {
   const { revision = 0, newest = 0 } = readNumbers(body, ['revision', 'newest']);
   const outcome = checked(outcomeSchema, body)
     .map((told) => told.outcome)
@@ -35,19 +35,19 @@
 };
 
 /** An operator's way to a core machine over HTTP. A call that breaks may have been heard. */
-export const httpDesk = (address: () => string): RevisionDesk => {
-  const told = async (proposal: string, call: Omit<HttpCall, 'address'>): Promise<OperatorWord> =>
-    (await httpCall({ ...call, address: address() }).run()).caseOf<OperatorWord>({
+export const httpDesk = (address: () => string): RevisionService => {
+  const told = async (proposal: string, call: Omit<HttpCall, 'address'>): Promise<OperatorReply> =>
+    (await httpCall({ ...call, address: address() }).run()).caseOf<OperatorReply>({
       Left: (error: TypedError) => ({ type: 'unknown', proposal, error }),
       Right: (receipt) => wordOf(proposal, receipt),
     });
   return {
     read: async () =>
-      (await httpCall({ method: 'GET', address: address(), path: '/operator/setup' }).run()).caseOf<OperatorWord>({
+      (await httpCall({ method: 'GET', address: address(), path: '/operator/setup' }).run()).caseOf<OperatorReply>({
         Left: (error) => ({ type: 'refused', error }),
         Right: ({ status, body }) => {
           if (status === 404) return { type: 'none' };
-          return checked(recordSchema, body).caseOf<OperatorWord>({
+          return checked(recordSchema, body).caseOf<OperatorReply>({
             Left: () => ({ type: 'refused', error: typedError('unreachable', `status ${status}`) }),
             Right: (record) => ({ type: 'record', record }),
           });
--- a/src/rehearsal/stand-in/operator.ts
+++ b/src/rehearsal/stand-in/operator.ts
@@ -1,6 +1,6 @@
 import type { Micros } from '../../common/micros.js';
-import type { RevisionDesk } from '../../process/operator/operator-desk.js';
-import type { OperatorWord } from '../../process/operator/operator-word.js';
+import type { RevisionService } from '../../process/operator/operator-service.js';
+import type { OperatorReply } from '../../process/operator/operator-reply.js';
 import { setupDigestOf } from '../../setup/document/setup-digest.js';
 import type { Setup } from '../../setup/document/setup.js';
 import type { History } from '../history/history.js';
@@ -8,7 +8,7 @@
 import type { PutRecord } from '../history/setup-record.js';
 
 /** At which desk a setup is put, and whether it is meant to be refused. */
-export type PutHow = { readonly desk?: RevisionDesk; readonly isFaulty?: boolean };
+export type PutHow = { readonly desk?: RevisionService; readonly isFaulty?: boolean };
 
 /** An operator who writes down what it asked and what it was told. */
 export type Operator = {
@@ -20,7 +20,7 @@
   readonly settle: (byWithdrawing: boolean) => Promise<void>;
 };
 
-const outcomeOf = (word: OperatorWord): Pick<PutRecord, 'outcome' | 'revision'> => {
+const outcomeOf = (word: OperatorReply): Pick<PutRecord, 'outcome' | 'revision'> => {
   if (word.type === 'decided')
     return word.outcome.type === 'taken'
       ? { outcome: 'taken', revision: word.outcome.revision }
@@ -30,7 +30,7 @@
   return { outcome: 'unknown', revision: undefined };
 };
 
-const laterOf = (word: OperatorWord, toldUs: Micros): PutLater | undefined => {
+const laterOf = (word: OperatorReply, toldUs: Micros): PutLater | undefined => {
   if (word.type !== 'decided') return undefined;
   const { type, revision } = word.outcome;
   return type === 'taken'
@@ -38,7 +38,7 @@
     : { toldUs, outcome: type === 'void' ? 'withdrawn' : 'lost-race', revision: undefined };
 };
 
-export const openOperator = (history: History, now: () => Micros, usualDesk: RevisionDesk): Operator => {
+export const openOperator = (history: History, now: () => Micros, usualDesk: RevisionService): Operator => {
   let proposals = 0;
   return {
     put: async (setup, expected, { desk = usualDesk, isFaulty = false } = {}) => {
--- a/src/sim/core/claims-scenario.ts
+++ b/src/sim/core/claims-scenario.ts
@@ -1,6 +1,6 @@
 import { oneOf } from '../../common/chance.js';
-import { encodeKept } from '../../control/wire/kept-codec.js';
-import { imageRecordsOf } from '../../control/keeping/recover.js';
+import { encodeDurableRecords } from '../../control/wire/durable-record-codec.js';
+import { snapshotRecordsOf } from '../../control/persistence/recovery.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { openCoreFleet } from './core-fleet.js';
 
@@ -57,8 +57,8 @@
   await world.playUntil(endUs + 10 * second);
   const leader = fleet.leader();
   if (leader !== undefined) {
-    counts['claimsHeld'] = leader.view().state.claimCount;
-    counts['imageBytes'] = encodeKept(imageRecordsOf(leader.view())).length;
+    counts['claimsHeld'] = leader.replica().state.claimCount;
+    counts['imageBytes'] = encodeDurableRecords(snapshotRecordsOf(leader.replica())).length;
   }
   if ((counts['unheard'] ?? 0) > (counts['claims'] ?? 0) / 1000)
     rules.breakRule(`almost-no-refusals: ${counts['unheard']} claims were not decided in time`);
--- a/src/sim/core/core-faults.ts
+++ b/src/sim/core/core-faults.ts
@@ -21,12 +21,12 @@
 
 /** Whether all three machines vote and have caught up, so that one more loss can be borne. */
 export const isWhole = (fleet: CoreFleet): boolean => {
-  const view = fleet.leader()?.view();
+  const view = fleet.leader()?.replica();
   return (
     view !== undefined &&
-    view.image.members.length + view.entries.length > 0 &&
+    view.snapshot.members.length + view.entries.length > 0 &&
     fleet.machines.every((machine) => {
-      const own = machine.view();
+      const own = machine.replica();
       return (
         machine.isUp() &&
         own.term === view.term &&
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -79,7 +79,7 @@
         voters,
         refounds,
         laterSeeds,
-        logOf: (control) => rules.logOf(() => control.view().identity),
+        logOf: (control) => rules.logOf(() => control.replica().identity),
         hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
       }),
     );
@@ -90,8 +90,8 @@
     rules,
     leader: () =>
       machines
-        .filter((machine) => machine.isUp() && machine.view().role === 'leader')
-        .sort((left, right) => right.view().term - left.view().term)[0],
+        .filter((machine) => machine.isUp() && machine.replica().role === 'leader')
+        .sort((left, right) => right.replica().term - left.replica().term)[0],
     playFor: (span) => world.playUntil(world.now() + span),
   };
 };
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -1,7 +1,7 @@
 import { wholeBelow } from '../../common/chance.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { sampleSetup } from '../sample-setup.js';
-import { simDesk } from './sim-desk.js';
+import { simOperatorService } from './sim-operator-service.js';
 import { bringFaults, endFaults } from './core-faults.js';
 import { openCoreFleet } from './core-fleet.js';
 
@@ -12,7 +12,7 @@
 const play = async (seed: number): Promise<SimRun> => {
   const fleet = openCoreFleet(seed);
   const { world, rules } = fleet;
-  const desk = simDesk(fleet);
+  const desk = simOperatorService(fleet);
   const counts = { taken: 0, lostRace: 0, unknown: 0, reads: 0, claimsWon: 0, claimsRepeated: 0 };
   const faults: string[] = [];
   const takenNames = new Map<number, string>();
@@ -120,7 +120,7 @@
   if (!isBack) rules.breakRule('no setup could be taken within 12 s after trouble ended');
   await world.playUntil(troubleEndsUs + recoveryUs + 15 * second);
 
-  const revisions = fleet.machines.map((machine) => machine.view().state.record?.revision ?? 0);
+  const revisions = fleet.machines.map((machine) => machine.replica().state.record?.revision ?? 0);
   if (new Set(revisions).size > 1) rules.breakRule(`the machines ended at revisions ${revisions.join(', ')}`);
   for (const [revision, name] of takenNames)
     if (rules.nameAt(revision) !== name)
--- a/src/sim/core/said.ts
+++ b/src/sim/core/said.ts
@@ -1,4 +1,4 @@
-import type { ControlView } from '../../control/machine/control-view.js';
+import type { Replica } from '../../control/machine/replica.js';
 import { lastIndexOf } from '../../control/machine/log-reading.js';
 import type { PlainMessage } from '../../control/wire/message-codec.js';
 
@@ -6,7 +6,7 @@
 export type Said = {
   readonly note: (to: string | undefined, message: PlainMessage) => void;
   /** What a view that was recovered from disk has lost of it, if anything. */
-  readonly lostBy: (view: ControlView) => string | undefined;
+  readonly lostBy: (view: Replica) => string | undefined;
   /** For a machine that comes back as another one. */
   readonly forget: () => void;
 };
@@ -23,14 +23,14 @@
   return {
     note: (to, message) => {
       if (
-        message.type === 'voteBack' ||
+        message.type === 'voteReply' ||
         message.type === 'vote' ||
-        message.type === 'appendBack' ||
+        message.type === 'appendReply' ||
         message.type === 'append'
       )
         noteTerm(message.term);
-      if (message.type === 'voteBack' && message.granted && message.term === term) voteFor = to;
-      if (message.type === 'appendBack' && message.matches && message.term >= kept.term)
+      if (message.type === 'voteReply' && message.granted && message.term === term) voteFor = to;
+      if (message.type === 'appendReply' && message.matches && message.term >= kept.term)
         kept = {
           term: message.term,
           index: message.term > kept.term ? message.index : Math.max(kept.index, message.index),
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -1,6 +1,6 @@
 import type { Micros } from '../../common/micros.js';
 import { lastIndexOf } from '../../control/machine/log-reading.js';
-import { startControlView, type ControlView } from '../../control/machine/control-view.js';
+import { startReplica, type Replica } from '../../control/machine/replica.js';
 import { openControlNode, type ControlNode } from '../../process/control/control-node.js';
 import type { Log } from '../../process/log.js';
 import type { PartnerLinks } from '../../spread/link/partner-links.js';
@@ -18,7 +18,7 @@
   /** Its tasks; none while it is down. */
   readonly tasks: () => ControlNode | undefined;
   /** What its machine knew last. */
-  readonly view: () => ControlView;
+  readonly replica: () => Replica;
   readonly isUp: () => boolean;
   readonly start: () => void;
   /** Power is lost: of what was not synced some may be there, some torn, some gone. */
@@ -78,7 +78,7 @@
   let isEmpty = true;
   let hasLostDisk = false;
   let tasks: ControlNode | undefined;
-  let lastView = startControlView(name, address, seeds());
+  let lastView = startReplica(name, address, seeds());
   const emptyFiles = () =>
     openMemoryFiles(ringFiles, ringFileBytes, undefined, () => ({
       fails: isFull,
@@ -88,13 +88,13 @@
   let files = emptyFiles();
 
   const end = (): void => {
-    lastView = control.view();
+    lastView = control.replica();
     tasks = undefined;
     node.kill();
   };
 
   const born = (made: ControlNode): void => {
-    const view = made.control.view();
+    const view = made.control.replica();
     if (isEmpty && usedIdentities.has(view.identity)) hearUnkept(`${view.identity} came back without its disk`);
     if (isEmpty) said.forget();
     isEmpty = false;
@@ -111,7 +111,7 @@
     address: () => address,
     node,
     tasks: () => tasks,
-    view: () => tasks?.control.view() ?? lastView,
+    replica: () => tasks?.control.replica() ?? lastView,
     isUp: node.isUp,
     start: () => {
       if (node.isUp()) return;
--- a/src/sim/core/sim-desk.ts
+++ b/src/sim/core/sim-operator-service.ts
@@ -1,19 +1,19 @@
 import { oneOf } from '../../common/chance.js';
 import { typedError } from '../../common/typed-error.js';
-import type { OperatorDesk } from '../../process/operator/operator-desk.js';
-import type { OperatorWord } from '../../process/operator/operator-word.js';
+import type { OperatorService } from '../../process/operator/operator-service.js';
+import type { OperatorReply } from '../../process/operator/operator-reply.js';
 import type { CoreFleet } from './core-fleet.js';
 
 const patienceUs = 8_000_000;
 
 /** An operator's way to any core machine; where the machine falls silent, nothing is known. */
-export const simDesk = ({ world, network, machines }: CoreFleet): OperatorDesk => {
-  const told = (proposal: string, use: (desk: OperatorDesk) => Promise<OperatorWord>): Promise<OperatorWord> =>
+export const simOperatorService = ({ world, network, machines }: CoreFleet): OperatorService => {
+  const told = (proposal: string, use: (desk: OperatorService) => Promise<OperatorReply>): Promise<OperatorReply> =>
     new Promise((resolve) => {
       const machine = oneOf(world.chance, machines);
       if (machine === undefined) return;
       const address = machine.address();
-      const back = (word: OperatorWord): void => network.send(address, 'operator', () => resolve(word));
+      const back = (word: OperatorReply): void => network.send(address, 'operator', () => resolve(word));
       network.send('operator', address, () => {
         const isThere = machine.hear(({ desk }) => {
           void use(desk).then(back);
--- a/src/sim/fleet/fleet-scenario.ts
+++ b/src/sim/fleet/fleet-scenario.ts
@@ -4,7 +4,7 @@
 import { termsOf } from '../../rehearsal/checker/terms-of.js';
 import type { History } from '../../rehearsal/history/history.js';
 import { openOperator } from '../../rehearsal/stand-in/operator.js';
-import { simDesk } from '../core/sim-desk.js';
+import { simOperatorService } from '../core/sim-operator-service.js';
 import type { Setup } from '../../setup/document/setup.js';
 import { sampleSetup } from '../sample-setup.js';
 import type { SimRun, SimScenario } from '../sim-run.js';
@@ -40,7 +40,7 @@
 /** An operator who changes, races, bursts, errs, and asks after what it was not told. */
 const operateOn = (fleet: SimFleet, routers: number): void => {
   const { world, history, core } = fleet;
-  const operator = openOperator(history, world.now, simDesk(core));
+  const operator = openOperator(history, world.now, simOperatorService(core));
   let setups = 0;
   const next = (): Setup => {
     setups += 1;
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -1,22 +1,22 @@
 import { mixed, number, object, string } from 'yup';
 import { typed, unionGuard } from '../../common/union.js';
-import type { Receipt } from '../../control/machine/receipt.js';
+import type { CoreReply } from '../../control/machine/core-reply.js';
 import { isCommand } from '../../control/wire/command-guard.js';
 import { isPlainMessage } from '../../control/wire/message-codec.js';
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
 import { isAnyList } from '../../servers/list/check-asked-list.js';
 import { isSetupRecord } from '../../setup/check/setup-guard.js';
 import { isDigest } from './digest-guard.js';
-import type { Frame, Question } from './frame.js';
+import type { Frame, CoreRequest } from './frame.js';
 
 const whole = () => number().required().integer().min(0);
 
-const isQuestion = unionGuard<Question>({
+const isCoreRequest = unionGuard<CoreRequest>({
   propose: object({ type: typed('propose'), command: mixed(isCommand).required() }),
   read: object({ type: typed('read'), proposal: string().optional() }),
 });
 
-const isReceipt = unionGuard<Receipt>({
+const isCoreReply = unionGuard<CoreReply>({
   applied: object({ type: typed('applied'), outcome: mixed(isOutcome).required() }),
   record: object({
     type: typed('record'),
@@ -45,6 +45,6 @@
     message: mixed(isPlainMessage).required(),
   }),
   work: object({ type: typed('work'), server: string().required(), service: string().required(), tokens: whole() }),
-  ask: object({ type: typed('ask'), ask: string().required(), question: mixed(isQuestion).required() }),
-  receipt: object({ type: typed('receipt'), ask: string().required(), receipt: mixed(isReceipt).required() }),
+  request: object({ type: typed('request'), requestId: string().required(), request: mixed(isCoreRequest).required() }),
+  reply: object({ type: typed('reply'), requestId: string().required(), reply: mixed(isCoreReply).required() }),
 });
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -1,6 +1,6 @@
 import type { Micros } from '../../common/micros.js';
 import type { Command } from '../../control/log/command.js';
-import type { Receipt } from '../../control/machine/receipt.js';
+import type { CoreReply } from '../../control/machine/core-reply.js';
 import type { PlainMessage } from '../../control/wire/message-codec.js';
 import type { AskedList } from '../../servers/list/asked-list.js';
 import type { ServerList } from '../../servers/list/server-list.js';
@@ -51,9 +51,9 @@
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
   /** A server was given something to read, so many tokens. */
   | { readonly type: 'work'; readonly server: string; readonly service: string; readonly tokens: number }
-  | { readonly type: 'ask'; readonly ask: string; readonly question: Question }
-  | { readonly type: 'receipt'; readonly ask: string; readonly receipt: Receipt };
+  | { readonly type: 'request'; readonly requestId: string; readonly request: CoreRequest }
+  | { readonly type: 'reply'; readonly requestId: string; readonly reply: CoreReply };
 
 /** What any process may ask the core. */
-export type Question =
+export type CoreRequest =
   { readonly type: 'propose'; readonly command: Command } | { readonly type: 'read'; readonly proposal?: string };
--- a/tests/control/core-client.test.ts
+++ b/tests/control/core-client.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import type { Either } from 'purify-ts';
 import type { TypedError } from '../../src/common/typed-error.js';
-import type { Receipt } from '../../src/control/machine/receipt.js';
+import type { CoreReply } from '../../src/control/machine/core-reply.js';
 import { openCoreClient } from '../../src/process/core-client.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openSpreadTask } from '../../src/process/spread-task.js';
@@ -12,10 +12,10 @@
 import { openNetwork } from '../../src/sim/world/network.js';
 import { openWorld } from '../../src/sim/world/world.js';
 
-const won: Receipt = { type: 'applied', outcome: { type: 'claimed', won: true, holder: 'x' } };
+const won: CoreReply = { type: 'applied', outcome: { type: 'claimed', won: true, holder: 'x' } };
 
-/** Asks a core of which one machine answers each question after a while; what it is told, and when. */
-const askedOf = async (receiptAfterUs: number, budgetUs: number, receipt: Receipt = won) => {
+/** Asks a core of which one machine answers each request after a while; what it is told, and when. */
+const askedOf = async (receiptAfterUs: number, budgetUs: number, reply: CoreReply = won) => {
   const world = openWorld(1);
   const ports: SimPorts = new Map();
   const surroundings = simSurroundingsOf(
@@ -33,11 +33,13 @@
   );
   await spread.start();
   ports.set('core:1', (from, frame) => {
-    if (frame.type === 'ask')
-      world.after(receiptAfterUs, () => ports.get(from)?.('core:1', { type: 'receipt', ask: frame.ask, receipt }));
+    if (frame.type === 'request')
+      world.after(receiptAfterUs, () =>
+        ports.get(from)?.('core:1', { type: 'reply', requestId: frame.requestId, reply }),
+      );
   });
   const core = openCoreClient(spread, surroundings);
-  const told: { word: Either<TypedError, Receipt> | undefined; atUs: number } = { word: undefined, atUs: 0 };
+  const told: { word: Either<TypedError, CoreReply> | undefined; atUs: number } = { word: undefined, atUs: 0 };
   void core
     .ask({ type: 'propose', command: { type: 'claim', key: 'k', exchange: 'x', atUs: 0 } }, budgetUs)
     .then((word) => {
--- a/tests/control/operator.test.ts
+++ b/tests/control/operator.test.ts
@@ -7,7 +7,7 @@
 import { openCounters } from '../../src/process/counters.js';
 import { openHttpServer, type HttpServer } from '../../src/process/http/http-server.js';
 import { addOperatorPaths } from '../../src/process/http/operator-paths.js';
-import { openOperatorDesk } from '../../src/process/operator/operator-desk.js';
+import { openOperatorService } from '../../src/process/operator/operator-service.js';
 import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 import { bareCore } from '../router/loopback.js';
@@ -29,7 +29,7 @@
   const http: HttpServer = openHttpServer(`127.0.0.1:${port}`, openCounters());
   addOperatorPaths(
     http,
-    openOperatorDesk(core, () => 0),
+    openOperatorService(core, () => 0),
   );
   await http.listen();
   try {
--- a/tests/control/original.test.ts
+++ b/tests/control/original.test.ts
@@ -2,9 +2,9 @@
 import * as assert from 'uvu/assert';
 import type { Command } from '../../src/control/log/command.js';
 import { applyCommand } from '../../src/control/state/apply.js';
-import { startControlState, type ControlState } from '../../src/control/state/control-state.js';
+import { startReplicatedState, type ReplicatedState } from '../../src/control/state/replicated-state.js';
 import { isCommand } from '../../src/control/wire/command-guard.js';
-import { decodeKept, encodeKept } from '../../src/control/wire/kept-codec.js';
+import { decodeDurableRecords, encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
 import { isSetupRecord } from '../../src/setup/check/setup-guard.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 
@@ -19,8 +19,8 @@
   atUs: 1,
 });
 
-const played = (puts: readonly Put[]): { readonly state: ControlState; readonly outcomes: readonly string[] } =>
-  puts.reduce<{ readonly state: ControlState; readonly outcomes: readonly string[] }>(
+const played = (puts: readonly Put[]): { readonly state: ReplicatedState; readonly outcomes: readonly string[] } =>
+  puts.reduce<{ readonly state: ReplicatedState; readonly outcomes: readonly string[] }>(
     ({ state, outcomes }, put) => {
       const applied = applyCommand(state, commandOf(put));
       return {
@@ -31,7 +31,7 @@
         ],
       };
     },
-    { state: startControlState, outcomes: [] },
+    { state: startReplicatedState, outcomes: [] },
   );
 
 test('the version decides: it builds on the one in force and rises', () => {
@@ -89,20 +89,20 @@
   assert.is(state.record?.original?.text, 'document 9');
 });
 
-test('a large document goes whole through guards, disk and image', () => {
+test('a large document goes whole through guards, disk and snapshot', () => {
   const text = `{"ver":3,"more":"${'é'.repeat(2 << 20)}"}`;
   const command = commandOf({ version: 3, expected: 0, text });
   assert.ok(isCommand(command));
   const { state } = played([{ version: 3, expected: 0, text }]);
   assert.ok(isSetupRecord(state.record));
-  const image = { index: 1, term: 1, members: [], state };
-  const [record, entries] = decodeKept(
-    encodeKept([
-      { type: 'image', image },
+  const snapshot = { index: 1, term: 1, members: [], state };
+  const [record, entries] = decodeDurableRecords(
+    encodeDurableRecords([
+      { type: 'snapshot', snapshot },
       { type: 'entries', entries: [{ index: 2, term: 1, command }] },
     ]),
   ).unsafeCoerce();
-  assert.is(record?.type === 'image' ? record.image.state.record?.original?.text : undefined, text);
+  assert.is(record?.type === 'snapshot' ? record.snapshot.state.record?.original?.text : undefined, text);
   const kept = entries?.type === 'entries' ? entries.entries[0]?.command : undefined;
   assert.is(kept?.type === 'setup' ? kept.original?.text : undefined, text);
   assert.not.ok(isCommand({ ...command, original: { version: 3 } }));
--- /dev/null
+++ b/tests/control/recovery.test.ts
@@ -0,0 +1,112 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { snapshotRecordsOf, recoverReplica } from '../../src/control/persistence/recovery.js';
+import type { Command } from '../../src/control/log/command.js';
+import type { DurableRecord } from '../../src/control/log/durable-record.js';
+import { startReplica, type Replica } from '../../src/control/machine/replica.js';
+import { stepControl } from '../../src/control/machine/step.js';
+import { decodeDurableRecords, encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+
+const largeSetup = (name: string) => {
+  const setup = sampleSetup(name);
+  const more = setup.rules.flatMap((rule) =>
+    Array.from({ length: 200 }, (_, place) => ({ ...rule, kind: `${rule.kind}-${place}` })),
+  );
+  return { ...setup, rules: [...setup.rules, ...more] };
+};
+
+/** A core of one machine that leads; what it asked to keep comes with it. */
+const leaderAfter = (
+  commands: readonly Command[],
+): { readonly replica: Replica; readonly kept: readonly DurableRecord[] } => {
+  const kept: DurableRecord[] = [];
+  let replica = startReplica('c1-x', 'a:1', ['a:1']);
+  const take = (event: Parameters<typeof stepControl>[1]): void => {
+    const step = stepControl(replica, event);
+    replica = step.replica;
+    for (const effect of step.effects) if (effect.type === 'persist') kept.push(effect.record);
+  };
+  take({
+    type: 'message',
+    at: 1,
+    chance: 0,
+    from: 'c1-x',
+    message: { type: 'probe', identity: 'c1-x', address: 'a:1', founded: false },
+  });
+  take({
+    type: 'message',
+    at: 2,
+    chance: 0,
+    from: 'c1-x',
+    message: { type: 'probe', identity: 'c1-x', address: 'a:1', founded: false },
+  });
+  take({ type: 'tick', at: 2_000_000, chance: 0 });
+  commands.forEach((command, place) =>
+    take({ type: 'propose', at: 2_000_001 + place, requestId: `a${place}`, command }),
+  );
+  return { replica, kept };
+};
+
+test('a machine finds its term, vote, log and state again, from records and from a snapshot', () => {
+  const commands: readonly Command[] = [
+    { type: 'setup', proposal: 'p1', expected: 0, setup: sampleSetup('one'), atUs: 10 },
+    { type: 'claim', key: 'record/k1', exchange: 'e1', atUs: 20 },
+    { type: 'setup', proposal: 'p2', expected: 0, setup: sampleSetup('two'), atUs: 30 },
+  ];
+  const { replica, kept } = leaderAfter(commands);
+  assert.is(replica.role, 'leader');
+  assert.is(replica.state.record?.setup.name, 'one');
+  const start = startReplica('none', 'a:1', ['a:1']);
+  const again = (records: readonly DurableRecord[]): Replica =>
+    recoverReplica(start, decodeDurableRecords(encodeDurableRecords(records)).unsafeCoerce());
+  const fromRecords = again(kept);
+  assert.equal(
+    [fromRecords.term, fromRecords.votedFor, fromRecords.entries],
+    [replica.term, replica.votedFor, replica.entries],
+  );
+  const fromSnapshot = again(snapshotRecordsOf(replica));
+  assert.equal(
+    [fromSnapshot.identity, fromSnapshot.term, fromSnapshot.votedFor, fromSnapshot.commit],
+    ['c1-x', replica.term, replica.votedFor, replica.commit],
+  );
+  assert.equal(fromSnapshot.state, replica.state);
+});
+
+test('a snapshot holds the newest setup only, however many large ones were taken before it', () => {
+  const commands = Array.from({ length: 30 }, (_, place): Command => ({
+    type: 'setup',
+    proposal: `p${place}`,
+    expected: place,
+    setup: largeSetup(`large-${place}`),
+    atUs: place,
+  }));
+  const { replica } = leaderAfter(commands);
+  assert.is(replica.state.record?.revision, 30);
+  const oneBytes = encodeDurableRecords([{ type: 'entries', entries: replica.entries.slice(-1) }]).length;
+  const imageBytes = encodeDurableRecords(snapshotRecordsOf(replica)).length;
+  assert.ok(imageBytes < 2 * oneBytes, `${imageBytes} bytes for a snapshot, ${oneBytes} for one setup`);
+});
+
+test('a snapshot with as many claims as there may be fits into a ring file of the default size', () => {
+  const claims = Array.from(
+    { length: 60_000 },
+    (_, place) =>
+      [
+        `label-copy-rewrite/00000000-0000-4000-8000-${String(place).padStart(12, '0')}`,
+        { exchange: `router-9.0123abcd.c${place}`, atUs: 1_700_000_000_000_000 },
+      ] as const,
+  );
+  const { replica } = leaderAfter([]);
+  const full: Replica = {
+    ...replica,
+    state: { ...replica.state, buckets: new Map([[1, new Map(claims)]]), claimCount: claims.length },
+  };
+  const snapshot: Replica = { ...full, snapshot: { ...full.snapshot, state: full.state } };
+  const bytes = encodeDurableRecords(snapshotRecordsOf(snapshot));
+  assert.ok(bytes.length < 12 << 20, `${bytes.length} bytes`);
+  const again = recoverReplica(startReplica('none', 'a:1', ['a:1']), decodeDurableRecords(bytes).unsafeCoerce());
+  assert.equal(again.state.buckets, full.state.buckets);
+});
+
+test.run();
--- a/tests/decision/bookings.test.ts
+++ b/tests/decision/bookings.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { bookingsOf } from '../../src/decision/timeline/bookings.js';
 import { applyCommand } from '../../src/control/state/apply.js';
-import { startControlState } from '../../src/control/state/control-state.js';
+import { startReplicatedState } from '../../src/control/state/replicated-state.js';
 import type { ListedServer } from '../../src/servers/list/listed-server.js';
 import { foundersAt, recordOf, second, serverOf, setup, warmup } from './figures.js';
 
@@ -77,7 +77,7 @@
 test('many changes of the figures leave the price of a booking under way as it was', () => {
   const servers = [...foundersAt(4, 0), serverOf('n1', 100 * second)];
   const longer = (place: number) => ({ ...warmup, boundUs: (60 + place) * second, paceUs: 5 * second });
-  let state = applyCommand(startControlState, { type: 'setup', proposal: 'p0', expected: 0, setup, atUs: 0 }).state;
+  let state = applyCommand(startReplicatedState, { type: 'setup', proposal: 'p0', expected: 0, setup, atUs: 0 }).state;
   for (let place = 1; place <= 20; place += 1)
     state = applyCommand(state, {
       type: 'setup',
--- a/tests/disk/disk-ring.test.ts
+++ b/tests/disk/disk-ring.test.ts
@@ -14,16 +14,16 @@
   return result.swap().toMaybe().extractNullable()?.type;
 };
 
-/** Everything that a ring gave back, as one text: the image and the records after it, each a letter list. */
+/** Everything that a ring gave back, as one text: the snapshot and the records after it, each a letter list. */
 const textOf = (ring: DiskRing): string =>
-  [ring.recovered.image, ...ring.recovered.records].map((bytes) => bytes?.toString() ?? '').join('');
+  [ring.recovered.snapshot, ...ring.recovered.records].map((bytes) => bytes?.toString() ?? '').join('');
 
 const appendLetters = async (ring: DiskRing, kept: string, letters: string): Promise<string> => {
   let text = kept;
   for (const letter of letters) {
     text += letter;
-    const image = text;
-    (await ring.append(Buffer.from(letter), () => Buffer.from(image))).unsafeCoerce();
+    const snapshot = text;
+    (await ring.append(Buffer.from(letter), () => Buffer.from(snapshot))).unsafeCoerce();
   }
   return text;
 };
@@ -48,8 +48,8 @@
     let asked = '';
     for (const letter of alphabet.slice(0, 60)) {
       asked += letter;
-      const image = asked;
-      if ((await ring.append(Buffer.from(letter), () => Buffer.from(image))).isLeft()) break;
+      const snapshot = asked;
+      if ((await ring.append(Buffer.from(letter), () => Buffer.from(snapshot))).isLeft()) break;
       acknowledged = asked;
     }
     const left = textOf(await opened(memory.afterPowerLoss(() => chance() < 0.5)));
@@ -65,8 +65,8 @@
     let asked = '';
     for (const letter of alphabet.slice(0, 90)) {
       asked += letter;
-      const image = asked;
-      const append = () => ring.append(Buffer.from(letter), () => Buffer.from(image));
+      const snapshot = asked;
+      const append = () => ring.append(Buffer.from(letter), () => Buffer.from(snapshot));
       for (let refusal = 0; refusal < 2; refusal += 1)
         if ((await append()).isRight()) break;
         else if (refusal === 1) {
@@ -97,7 +97,7 @@
   }
 });
 
-test('a newest file whose synced image is gone is damage, not an older state', async () => {
+test('a newest file whose synced snapshot is gone is damage, not an older state', async () => {
   const memory = openMemoryFiles(2, fileBytes);
   await appendLetters(await opened(memory), '', alphabet.slice(0, 45));
   const bytes = [memory.bytesOf(0), memory.bytesOf(1)];
@@ -105,7 +105,7 @@
   assert.is(await errorOf(openMemoryFiles(2, fileBytes, bytes)), 'damaged-disk');
 });
 
-test('an image that does not fit is an error and changes nothing', async () => {
+test('a snapshot that does not fit is an error and changes nothing', async () => {
   const memory = openMemoryFiles(2, fileBytes);
   const ring = await opened(memory);
   const text = await appendLetters(ring, '', 'abc');
--- a/tests/disk/open-folder.test.ts
+++ b/tests/disk/open-folder.test.ts
@@ -15,7 +15,7 @@
     (await ring.append(Buffer.from('two'), () => Buffer.from('never'))).unsafeCoerce();
     await ring.close();
     const again = (await openRingFolder(folder, sizes).run()).unsafeCoerce();
-    assert.equal([again.recovered.image?.toString(), ...again.recovered.records.map(String)], ['one', 'two']);
+    assert.equal([again.recovered.snapshot?.toString(), ...again.recovered.records.map(String)], ['one', 'two']);
     await again.close();
     truncateSync(join(folder, 'ring-1.bin'), 4096);
     const damaged = await openRingFolder(folder, sizes).run();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -13,23 +13,23 @@
 export const mutants: readonly Mutant[] = [
   {
     name: 'a vote is not kept on disk',
-    file: 'src/control/machine/electing.ts',
-    find: "        { type: 'keep', record: { type: 'vote', term: view.term, votedFor: from } },\n        reply,",
+    file: 'src/control/machine/elections.ts',
+    find: "        { type: 'persist', record: { type: 'vote', term: replica.term, votedFor: from } },\n        reply,",
     put: '        reply,',
     by: seeds('core', 'kept-before-said'),
   },
   {
     name: 'entries are not kept on disk',
-    file: 'src/control/machine/following.ts',
-    find: "return stepped(withEntries(view, newEntries), { type: 'keep', record: { type: 'entries', entries: newEntries } });",
-    put: 'return stepped(withEntries(view, newEntries));',
+    file: 'src/control/machine/follower.ts',
+    find: "return stepOf(replaceLogSuffix(replica, newEntries), { type: 'persist', record: { type: 'entries', entries: newEntries } });",
+    put: 'return stepOf(replaceLogSuffix(replica, newEntries));',
     by: seeds('core', 'kept-before-said|was told'),
   },
   {
     name: 'word leaves before the disk has synced',
     file: 'src/process/control/control-task.ts',
-    find: '        if (!(await keepAll(records))) return;',
-    put: '        void keepAll(records);',
+    find: '        if (!(await persistAll(records))) return;',
+    put: '        void persistAll(records);',
     by: seeds('core', 'kept-before-said|was told|two leaders|was won'),
   },
   {
@@ -41,10 +41,10 @@
   },
   {
     name: 'the image of a turned file leaves the votes out',
-    file: 'src/control/keeping/recover.ts',
-    find: "    { type: 'vote', term: view.term, votedFor: view.votedFor },\n",
+    file: 'src/control/persistence/recovery.ts',
+    find: "    { type: 'vote', term: replica.term, votedFor: replica.votedFor },\n",
     put: '',
-    by: test('tests/control/keeping.test.js'),
+    by: test('tests/control/recovery.test.js'),
   },
   {
     name: 'a lost disk keeps its identity',
@@ -55,30 +55,30 @@
   },
   {
     name: 'votes without comparing logs',
-    file: 'src/control/machine/electing.ts',
-    find: '  lastTerm > lastTermOf(view) || (lastTerm === lastTermOf(view) && lastIndex >= lastIndexOf(view));',
-    put: '  lastTerm >= 0 && lastIndex >= 0 && view.term >= 0;',
+    file: 'src/control/machine/elections.ts',
+    find: '  lastTerm > lastTermOf(replica) || (lastTerm === lastTermOf(replica) && lastIndex >= lastIndexOf(replica));',
+    put: '  lastTerm >= 0 && lastIndex >= 0 && replica.term >= 0;',
     by: seeds('core', 'was told|had|was won', 20),
   },
   {
     name: 'an entry committed on one machine',
-    file: 'src/control/machine/committing.ts',
+    file: 'src/control/machine/commit.ts',
     find: 'matches[Math.floor(voters.length / 2)]',
     put: 'matches[0]',
     by: seeds('core', 'was told|had|was won', 20),
   },
   {
     name: 'an entry of a former term committed by copies',
-    file: 'src/control/machine/committing.ts',
-    find: 'termAt(view, heldIndex) === view.term ?',
+    file: 'src/control/machine/commit.ts',
+    find: 'termAt(replica, heldIndex) === replica.term ?',
     put: 'heldIndex >= 0 ?',
     by: test('tests/control/terms.test.js'),
   },
   {
     name: 'reads without a majority',
-    file: 'src/control/machine/replicating.ts',
-    find: 'view.commit >= read.index && isConfirmed(read.round)',
-    put: 'view.commit >= read.index || isConfirmed(read.round)',
+    file: 'src/control/machine/replication.ts',
+    find: 'replica.commit >= read.index && isConfirmed(read.round)',
+    put: 'replica.commit >= read.index || isConfirmed(read.round)',
     by: seeds('core', 'a read gave', 20),
   },
   {
@@ -97,7 +97,7 @@
   },
   {
     name: 'an invalid setup is taken',
-    file: 'src/process/operator/operator-desk.ts',
+    file: 'src/process/operator/operator-service.ts',
     find: "  checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults));",
     put: "  checkSetup(value).mapLeft((faults) => typedError('invalid-setup', 'the setup does not hold', faults)).alt(Right(value));",
     by: seeds('fleet', 'invalid-never-taken', 5),
@@ -307,9 +307,9 @@
   },
   {
     name: 'a bound seed never binds itself anew',
-    file: 'src/control/machine/founding.ts',
-    find: '  if (view.offer === undefined) return true;',
-    put: '  if (view.offer === undefined || view.offer !== undefined) return view.offer === undefined;',
+    file: 'src/control/machine/bootstrap.ts',
+    find: '  if (replica.offer === undefined) return true;',
+    put: '  if (replica.offer === undefined || replica.offer !== undefined) return replica.offer === undefined;',
     by: test('tests/sim/lost-core.test.js'),
   },
   {
@@ -350,8 +350,8 @@
   {
     name: 'the figures of a booking under way are forgotten',
     file: 'src/control/state/apply.ts',
-    find: 'const mostEpochs = 256;',
-    put: 'const mostEpochs = 8;',
+    find: 'const maxEpochs = 256;',
+    put: 'const maxEpochs = 8;',
     by: test('tests/decision/bookings.test.js'),
   },
   {
--- a/tests/platform/paths.test.ts
+++ b/tests/platform/paths.test.ts
@@ -7,7 +7,7 @@
 import type { CoreClient } from '../../src/process/core-client.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openHttpServer } from '../../src/process/http/http-server.js';
-import { openOperatorDesk } from '../../src/process/operator/operator-desk.js';
+import { openOperatorService } from '../../src/process/operator/operator-service.js';
 import { freePorts } from '../../src/rehearsal/launcher/free-ports.js';
 import { bareCore } from '../router/loopback.js';
 import { grownDocument, pageDocument, retryLimits, withSecondRoute } from './documents.js';
@@ -20,7 +20,7 @@
   const http = openHttpServer(`127.0.0.1:${port}`, openCounters());
   addDocumentPaths(
     http,
-    openOperatorDesk(core, () => 0),
+    openOperatorService(core, () => 0),
     retryLimits,
   );
   await http.listen();
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -6,9 +6,9 @@
 import { paused } from '../../../src/common/clock/paused.js';
 import { steadyClock } from '../../../src/common/clock/steady-clock.js';
 import { steadyNow } from '../../../src/common/micros.js';
-import type { Receipt } from '../../../src/control/machine/receipt.js';
+import type { CoreReply } from '../../../src/control/machine/core-reply.js';
 import { applyCommand } from '../../../src/control/state/apply.js';
-import { startControlState } from '../../../src/control/state/control-state.js';
+import { startReplicatedState } from '../../../src/control/state/replicated-state.js';
 import type { CoreClient } from '../../../src/process/core-client.js';
 import { openRouterNode, type RouterNode } from '../../../src/process/router/router-node.js';
 import { realSurroundings } from '../../../src/process/surroundings/real-surroundings.js';
@@ -103,8 +103,8 @@
 
 const coreWith = (document: unknown): CoreClient => {
   const { setup } = setupOfDocument(document, retryLimits).unsafeCoerce();
-  const { state } = applyCommand(startControlState, { type: 'setup', proposal: 'p', expected: 0, setup, atUs: 0 });
-  return { ask: () => Promise.resolve(Right<Receipt>({ type: 'record', record: state.record, outcome: undefined })) };
+  const { state } = applyCommand(startReplicatedState, { type: 'setup', proposal: 'p', expected: 0, setup, atUs: 0 });
+  return { ask: () => Promise.resolve(Right<CoreReply>({ type: 'record', record: state.record, outcome: undefined })) };
 };
 
 const waitUs = 8_000_000;
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -1,8 +1,8 @@
 import { Right } from 'purify-ts';
 import { request } from 'undici';
-import type { Receipt } from '../../src/control/machine/receipt.js';
+import type { CoreReply } from '../../src/control/machine/core-reply.js';
 import { applyCommand } from '../../src/control/state/apply.js';
-import { startControlState } from '../../src/control/state/control-state.js';
+import { startReplicatedState } from '../../src/control/state/replicated-state.js';
 import type { CoreClient } from '../../src/process/core-client.js';
 import { openRouterNode, type RouterNode } from '../../src/process/router/router-node.js';
 import { serveRouter } from '../../src/process/router/serve-router.js';
@@ -38,7 +38,7 @@
 
 /** A core that applies every command at once. */
 export const bareCore = (): CoreClient => {
-  let state = applyCommand(startControlState, {
+  let state = applyCommand(startReplicatedState, {
     type: 'setup',
     proposal: 'p',
     expected: 0,
@@ -49,11 +49,11 @@
     ask: (question) => {
       if (question.type === 'read') {
         const outcome = question.proposal === undefined ? undefined : state.proposals.get(question.proposal);
-        return Promise.resolve(Right<Receipt>({ type: 'record', record: state.record, outcome }));
+        return Promise.resolve(Right<CoreReply>({ type: 'record', record: state.record, outcome }));
       }
       const applied = applyCommand(state, question.command);
       state = applied.state;
-      return Promise.resolve(Right<Receipt>({ type: 'applied', outcome: applied.outcome }));
+      return Promise.resolve(Right<CoreReply>({ type: 'applied', outcome: applied.outcome }));
     },
   };
 };
--- a/tests/sim/busy-disk.test.ts
+++ b/tests/sim/busy-disk.test.ts
@@ -10,7 +10,7 @@
 ): Promise<{ readonly before: number; readonly after: number; readonly won: number }> => {
   const fleet = openCoreFleet(seed);
   await fleet.playFor(4 * second);
-  const before = fleet.leader()?.view().term ?? 0;
+  const before = fleet.leader()?.replica().term ?? 0;
   let won = 0;
   fleet.leader()?.slowDisk(syncUs);
   for (let place = 0; place < 20; place += 1)
@@ -29,7 +29,7 @@
           ),
     );
   await fleet.playFor(12 * second);
-  return { before, after: fleet.leader()?.view().term ?? 0, won };
+  return { before, after: fleet.leader()?.replica().term ?? 0, won };
 };
 
 test('a leader whose disk is slow keeps its place, one whose disk stalls loses it, and claims go on', async () => {
--- a/tests/sim/core-founding.test.ts
+++ b/tests/sim/core-founding.test.ts
@@ -11,7 +11,7 @@
     await fleet.playFor(8 * second);
     const leader = fleet.leader();
     assert.ok(leader, `seed ${seed}: no leader`);
-    const followers = fleet.machines.filter((machine) => machine.view().leader === leader?.view().identity);
+    const followers = fleet.machines.filter((machine) => machine.replica().leader === leader?.replica().identity);
     assert.is(followers.length, 3, `seed ${seed}: only ${followers.length} follow`);
   }
 });
--- a/tests/sim/core-members.test.ts
+++ b/tests/sim/core-members.test.ts
@@ -2,13 +2,13 @@
 import * as assert from 'uvu/assert';
 import { votersOf } from '../../src/control/machine/log-reading.js';
 import { openCoreFleet, type AskedCore } from '../../src/sim/core/core-fleet.js';
-import { simDesk } from '../../src/sim/core/sim-desk.js';
+import { simOperatorService } from '../../src/sim/core/sim-operator-service.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 
 const second = 1_000_000;
 
 const votersNow = (fleet: AskedCore): readonly string[] => {
-  const view = fleet.leader()?.view();
+  const view = fleet.leader()?.replica();
   return view === undefined
     ? []
     : votersOf(view)
@@ -19,7 +19,7 @@
 const addressesOf = (fleet: AskedCore): readonly string[] => fleet.machines.map((machine) => machine.address()).sort();
 
 const put = async (fleet: AskedCore, version: number, expectedVersion: number): Promise<string> => {
-  const word = simDesk(fleet).putOriginal({
+  const word = simOperatorService(fleet).putOriginal({
     setup: sampleSetup('first'),
     original: { version, text: `document ${version}` },
     expectedVersion,
@@ -31,7 +31,7 @@
 
 /** As operators do, it goes on to another machine where nobody listens. */
 const readText = async (fleet: AskedCore, tries = 8): Promise<string | undefined> => {
-  const word = simDesk(fleet).read();
+  const word = simOperatorService(fleet).read();
   await fleet.playFor(3 * second);
   const told = await word;
   if (told.type === 'refused' && tries > 1) return readText(fleet, tries - 1);
@@ -63,7 +63,7 @@
       await fleet.playFor(3 * second);
       assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}: ${machine?.name}`);
       assert.ok(
-        fleet.machines.every((other) => other.view().role !== 'learner' && other.view().role !== 'unfounded'),
+        fleet.machines.every((other) => other.replica().role !== 'learner' && other.replica().role !== 'unfounded'),
         `seed ${seed}: ${machine?.name}`,
       );
       await fleet.playFor(second / 2);
@@ -97,8 +97,8 @@
     await fleet.playFor(3 * second);
     assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}`);
     assert.ok(
-      machine?.view().role === 'follower' || machine?.view().role === 'leader',
-      `seed ${seed}: ${machine?.view().role}`,
+      machine?.replica().role === 'follower' || machine?.replica().role === 'leader',
+      `seed ${seed}: ${machine?.replica().role}`,
     );
   }
 });
@@ -110,7 +110,7 @@
   fleet.machines.forEach((machine) => machine.start());
   await fleet.playFor(20 * second);
   assert.equal(
-    fleet.machines.map((machine) => machine.view().role),
+    fleet.machines.map((machine) => machine.replica().role),
     ['unfounded', 'unfounded', 'unfounded'],
   );
 });
@@ -127,7 +127,7 @@
     assert.is(await readText(fleet), 'document 3', `seed ${seed}`);
     former?.fillDisk(false);
     await fleet.playFor(3 * second);
-    assert.is(former?.view().commit, fleet.leader()?.view().commit, `seed ${seed}: caught up`);
+    assert.is(former?.replica().commit, fleet.leader()?.replica().commit, `seed ${seed}: caught up`);
     assert.ok(fleet.leader() !== former, `seed ${seed}: another leads`);
   }
 });
@@ -136,7 +136,7 @@
   for (let seed = 1; seed <= 10; seed += 1) {
     const fleet = openCoreFleet(seed, undefined, { refounds: false });
     await fleet.playFor(5 * second);
-    const desk = simDesk(fleet);
+    const desk = simOperatorService(fleet);
     const words = [7, 9].map((version) =>
       desk.putOriginal({
         setup: sampleSetup('first'),
@@ -151,7 +151,7 @@
     assert.equal([...outcomes].sort(), ['lost-race', 'taken'], `seed ${seed}`);
     const won = outcomes[0] === 'taken' ? 7 : 9;
     assert.is(await put(fleet, won, 5), 'taken', `seed ${seed}: again`);
-    assert.is(fleet.leader()?.view().state.record?.revision, 1, `seed ${seed}: no second revision`);
+    assert.is(fleet.leader()?.replica().state.record?.revision, 1, `seed ${seed}: no second revision`);
     assert.is(await put(fleet, 9, 7), 'taken', `seed ${seed}: on top of the right one`);
     assert.is(await readText(fleet), 'document 9', `seed ${seed}`);
     assert.equal(fleet.rules.broken(), [], `seed ${seed}`);
--- a/tests/sim/lost-core.test.ts
+++ b/tests/sim/lost-core.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { setupDigestOf } from '../../src/setup/document/setup-digest.js';
 import { openCoreFleet } from '../../src/sim/core/core-fleet.js';
-import { simDesk } from '../../src/sim/core/sim-desk.js';
+import { simOperatorService } from '../../src/sim/core/sim-operator-service.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 import { readyFleet, second, type SmallFleet } from './small-fleet.js';
 
@@ -25,7 +25,7 @@
     assert.equal(shown(fleet), ['2 two', '2 two', '2 two']);
     loseAll(fleet);
     await fleet.play(10 * second);
-    const read = simDesk(fleet.core).read();
+    const read = simOperatorService(fleet.core).read();
     await fleet.play(second);
     const word = await read;
     assert.ok(
@@ -53,7 +53,7 @@
     }
   loseAll(fleet);
   await fleet.play(5 * second);
-  const desk = simDesk(fleet.core);
+  const desk = simOperatorService(fleet.core);
   const put = desk.put(sampleSetup('fresh', 3), 'put-fresh', 0);
   await fleet.play(2 * second);
   const word = await put;
@@ -72,7 +72,7 @@
       fleet.world.after(100_000, () => lost?.start());
     });
     await fleet.playFor(15 * second);
-    const put = simDesk(fleet).put(sampleSetup('first'), 'put-first', 0);
+    const put = simOperatorService(fleet).put(sampleSetup('first'), 'put-first', 0);
     await fleet.playFor(5 * second);
     const word = await put;
     assert.ok(word.type === 'decided' && word.outcome.type === 'taken', `seed ${seed}: ${word.type}`);
--- a/tests/sim/restart-in-split.test.ts
+++ b/tests/sim/restart-in-split.test.ts
@@ -1,13 +1,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { simDesk } from '../../src/sim/core/sim-desk.js';
+import { simOperatorService } from '../../src/sim/core/sim-operator-service.js';
 import { openSimFleet, type SimFleet } from '../../src/sim/fleet/sim-fleet.js';
 import { sampleSetup } from '../../src/sim/sample-setup.js';
 
 const second = 1_000_000;
 
 const take = (fleet: SimFleet, name: string, expected: number): void =>
-  void simDesk(fleet.core).put(sampleSetup(name, 4), name, expected);
+  void simOperatorService(fleet.core).put(sampleSetup(name, 4), name, expected);
 
 const revisionOf = (fleet: SimFleet, place: number): number | undefined =>
   fleet.routers[place]?.tasks()?.spread.view().record?.revision;
--- a/tests/sim/small-fleet.ts
+++ b/tests/sim/small-fleet.ts
@@ -1,5 +1,5 @@
 import { setupDigestOf } from '../../src/setup/document/setup-digest.js';
-import { simDesk } from '../../src/sim/core/sim-desk.js';
+import { simOperatorService } from '../../src/sim/core/sim-operator-service.js';
 import { openSimFleet, type SimFleet } from '../../src/sim/fleet/sim-fleet.js';
 import type { SimServer } from '../../src/sim/fleet/sim-server.js';
 import { openCaller, type CallerWish } from '../../src/sim/fleet/sim-callers.js';
@@ -30,7 +30,7 @@
   fleet.platform.start();
   const play = (span: number): Promise<void> => fleet.world.playUntil(fleet.world.now() + span);
   let revision = 0;
-  const desk = simDesk(fleet.core);
+  const desk = simOperatorService(fleet.core);
   const put = async (wanted: Setup): Promise<number | undefined> => {
     const askedUs = fleet.world.now();
     const word = await desk.put(wanted, `put-${wanted.name}`, revision);
--- a/tests/spread/restarted-partner.test.ts
+++ b/tests/spread/restarted-partner.test.ts
@@ -8,8 +8,8 @@
 import type { PartnerLinks } from '../../src/spread/link/partner-links.js';
 import { openTcpLinks } from '../../src/spread/link/tcp-links.js';
 
-const asks: Frame = { type: 'ask', ask: 'a1', question: { type: 'read' } };
-const receipt: Frame = { type: 'receipt', ask: 'a1', receipt: { type: 'not-leader', leader: undefined } };
+const asks: Frame = { type: 'request', requestId: 'a1', request: { type: 'read' } };
+const reply: Frame = { type: 'reply', requestId: 'a1', reply: { type: 'not-leader', leader: undefined } };
 const longestUs = 5_000_000;
 
 /** Ends when a dial to an address has been refused. */
@@ -27,19 +27,19 @@
     longestUs,
   );
 
-test('a partner that has just come back hears the receipt of its first word', async () => {
+test('a partner that has just come back hears the reply of its first word', async () => {
   const [corePort = 0, routerPort = 0] = await freePorts(2);
   const core = openTcpLinks(`127.0.0.1:${corePort}`);
   const router = openTcpLinks(`127.0.0.1:${routerPort}`);
   try {
     await core.listen();
-    core.events.on('frame', (from) => core.send(from, receipt));
-    core.send(`127.0.0.1:${routerPort}`, receipt);
+    core.events.on('frame', (from) => core.send(from, reply));
+    core.send(`127.0.0.1:${routerPort}`, reply);
     await refused(routerPort);
     await router.listen();
     const heard = nextFrame(router);
     router.send(`127.0.0.1:${corePort}`, asks);
-    assert.equal((await heard)?.type, 'receipt');
+    assert.equal((await heard)?.type, 'reply');
   } finally {
     core.close();
     router.close();
