Check the invariants of the replicated log in every step

Ruled out: checks of the whole log in every step (cost grows with the log), and going on after a broken rule. Change: src/control/machine/invariants.ts checks terms, votes, commit index, log shape, entries written and what is persisted, in the size of the change; stepControl runs it, so daemon, simulator and tests do. A process whose step breaks a rule logs 'invariant broken' with the typed error broken-invariant, persists and sends nothing of that batch and ends; a log that doesn't hold together at recovery is damaged-disk. The finders of two deliberate faults also accept the rule broken-invariant, which now sees these faults before kept-before-said does. Conclusion: a broken rule ends the process before anything of it is kept or said.

--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -30,6 +30,7 @@
   | 'damaged-disk'
   | 'disk-error'
   | 'disk-refusal'
+  | 'broken-invariant'
   | 'bad-message'
   | 'link-error'
   | 'link-refused'
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -10,6 +10,7 @@
   startElection,
 } from './elections.js';
 import { onAppend, onInstallSnapshot } from './follower.js';
+import { checkedStep } from './invariants.js';
 import { onProbe, findLeader, tryBootstrap } from './bootstrap.js';
 import { onAppendReply, onJoin, onLeaderTick, onRead } from './leader.js';
 import { isVoter, votersOf } from './log-reading.js';
@@ -92,8 +93,7 @@
   );
 };
 
-/** One core machine: an event in, a new replica and effects out; no clock, no chance, no I/O of its own. */
-export const stepControl = (replica: Replica, event: ControlEvent): ControlStep => {
+const dispatch = (replica: Replica, event: ControlEvent): ControlStep => {
   const nowReplica: Replica = { ...replica, atUs: Math.max(replica.atUs, event.at) };
   switch (event.type) {
     case 'tick':
@@ -116,3 +116,10 @@
       return onResign(nowReplica, event.chance);
   }
 };
+
+/**
+ * One replica: an event in, a new replica and effects out; no clock, no chance, no I/O of its own. It throws where the
+ * step would break a rule of the replicated log.
+ */
+export const stepControl = (replica: Replica, event: ControlEvent): ControlStep =>
+  checkedStep(replica, dispatch(replica, event));
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -1,8 +1,8 @@
-import { EitherAsync, type Either } from 'purify-ts';
+import { Either, EitherAsync } from 'purify-ts';
 import { paused } from '../../common/clock/paused.js';
 import { every } from '../../common/clock/every.js';
 import type { Micros } from '../../common/micros.js';
-import type { TypedError } from '../../common/typed-error.js';
+import { messageOf, typedError, type TypedError } from '../../common/typed-error.js';
 import { snapshotRecordsOf, recoverReplica } from '../../control/persistence/recovery.js';
 import type { DurableRecord } from '../../control/log/durable-record.js';
 import type { ControlEffect } from '../../control/machine/control-effect.js';
@@ -10,6 +10,7 @@
 import { startReplica, usualVoters, type Replica } from '../../control/machine/replica.js';
 import { membersOf, textCharsOf } from '../../control/machine/log-reading.js';
 import { heartbeatsOf } from '../../control/machine/replication.js';
+import { checkLogShape } from '../../control/machine/invariants.js';
 import { stepControl } from '../../control/machine/step.js';
 import { diskStallLimitUs, heartbeatIntervalUs, maxAppendTextChars } from '../../control/machine/timing.js';
 import { encodeDurableRecords, decodeDurableBatches } from '../../control/wire/durable-record-codec.js';
@@ -51,7 +52,9 @@
     settings.voters ?? usualVoters,
   );
   if (recovered.length > 0)
-    return decodeDurableBatches(recovered).map((records) => recoverReplica(freshReplica, records));
+    return decodeDurableBatches(recovered)
+      .map((records) => recoverReplica(freshReplica, records))
+      .chain(shapedReplica);
   const kept = await ring.append(new Uint8Array(0), () =>
     encodeDurableRecords([{ type: 'identity', identity: freshReplica.identity, founds: freshReplica.founds }]),
   );
@@ -70,7 +73,32 @@
 const mayPass = (kept: Either<TypedError, void>): boolean =>
   kept.caseOf({ Left: (error) => error.type === 'disk-refusal', Right: () => false });
 
-/** Opens the disk and the machine on it. `fail` is called once when the disk can no longer be written. */
+type SteppedBatch = { readonly replica: Replica; readonly effects: readonly ControlEffect[] };
+
+/** Steps a replica through events that came together; a broken invariant of the log is a typed failure. */
+const stepBatch = (start: Replica, events: readonly ControlEvent[]): Either<TypedError, SteppedBatch> =>
+  Either.encase(() => {
+    const effects: ControlEffect[] = [];
+    let replica = start;
+    for (const event of events) {
+      const step = stepControl(replica, event);
+      replica = step.replica;
+      effects.push(...step.effects);
+    }
+    return { replica, effects };
+  }).mapLeft((thrown) => typedError('broken-invariant', messageOf(thrown)));
+
+/** A replica that was recovered from disk, unless its log does not hold together. */
+const shapedReplica = (replica: Replica): Either<TypedError, Replica> =>
+  Either.encase(() => {
+    checkLogShape(replica);
+    return replica;
+  }).mapLeft((thrown) => typedError('damaged-disk', messageOf(thrown)));
+
+/**
+ * Opens the disk and the machine on it. `fail` is called once, when the disk can no longer be written or when a step
+ * broke an invariant of the log. Of that step, and of those taken with it, nothing is persisted and nothing is sent.
+ */
 export const openControlTask = (
   settings: ControlSettings,
   spread: SpreadTask,
@@ -187,14 +215,27 @@
         return [{ type: 'known', at: clock.now(), seeds, addresses: [...addresses, ...knownAddresses.values()] }];
       };
 
+      /** Nothing of a batch that broke an invariant is persisted or sent: the process ends, and recovers from its disk. */
+      const endOnBrokenInvariant = (error: TypedError): void => {
+        counters.count('control.brokenInvariants');
+        log.change('invariant broken', { error });
+        fail(error);
+      };
+
       const mailbox = openMailbox<ControlEvent>(async (events) => {
         if (hasFailed) return;
-        const effects: ControlEffect[] = [];
-        for (const event of events) {
-          const step = stepControl(replica, event);
-          replica = step.replica;
-          effects.push(...step.effects);
+        const stepped = stepBatch(replica, events);
+        if (stepped.isLeft()) {
+          hasFailed = true;
+          stepped.ifLeft(endOnBrokenInvariant);
+          return;
         }
+        const effects = stepped
+          .map((batch) => {
+            replica = batch.replica;
+            return batch.effects;
+          })
+          .orDefault([]);
         const records = effects.flatMap((effect) => (effect.type === 'persist' ? [effect.record] : []));
         if (!(await persistAll(records))) return;
         syncedReplica = replica;
--- a/src/process/run-control.ts
+++ b/src/process/run-control.ts
@@ -13,7 +13,7 @@
 export const runControl = (settings: ControlSettings): EitherAsync<TypedError, void> => {
   const log = openLog(settings.node);
   const fail = (error: TypedError): void => {
-    log.change('disk failed', { error });
+    log.change('control failed', { error });
     process.exit(3);
   };
   return openControlNode({ settings, log, surroundings: realSurroundings, fail }).chain((node) => {
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -81,6 +81,7 @@
         laterSeeds,
         logOf: (control) => rules.logOf(() => control.replica().identity),
         hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
+        hearBrokenInvariant: (what) => rules.breakRule(`broken-invariant: ${what}`),
       }),
     );
   machines.forEach((machine) => world.after(world.chance() * 300_000, machine.start));
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -1,4 +1,5 @@
 import type { Micros } from '../../common/micros.js';
+import type { TypedError } from '../../common/typed-error.js';
 import { lastIndexOf } from '../../control/machine/log-reading.js';
 import { startReplica, type Replica } from '../../control/machine/replica.js';
 import { openControlNode, type ControlNode } from '../../process/control/control-node.js';
@@ -49,6 +50,8 @@
   readonly logOf: (control: SimControl) => Log;
   /** Hears of a machine whose disk gives back something else than it said. */
   readonly hearUnkept: (what: string) => void;
+  /** Hears of a replica whose step broke an invariant of the log. */
+  readonly hearBrokenInvariant: (what: string) => void;
 };
 
 const ringFiles = 3;
@@ -67,6 +70,7 @@
   laterSeeds,
   logOf,
   hearUnkept,
+  hearBrokenInvariant,
 }: SimControlPlan): SimControl => {
   const { world } = commons;
   const node = openSimNode(world, (type, what) => commons.note(type, name, what));
@@ -127,7 +131,8 @@
           },
         };
       };
-      const fail = (): void => {
+      const fail = (error: TypedError): void => {
+        if (error.type === 'broken-invariant') hearBrokenInvariant(`${name}: ${error.message}`);
         if (!life.isOver()) control.kill();
       };
       void openControlNode({
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -16,14 +16,14 @@
     file: 'src/control/machine/elections.ts',
     find: "        { type: 'persist', record: { type: 'vote', term: replica.term, votedFor: from } },\n        reply,",
     put: '        reply,',
-    by: seeds('core', 'kept-before-said'),
+    by: seeds('core', 'kept-before-said|broken-invariant'),
   },
   {
     name: 'entries are not kept on disk',
     file: 'src/control/machine/follower.ts',
     find: "return stepOf(replaceLogSuffix(replica, newEntries), { type: 'persist', record: { type: 'entries', entries: newEntries } });",
     put: 'return stepOf(replaceLogSuffix(replica, newEntries));',
-    by: seeds('core', 'kept-before-said|was told'),
+    by: seeds('core', 'kept-before-said|broken-invariant|was told'),
   },
   {
     name: 'word leaves before the disk has synced',
