Let candidates count voters, check joins with their address, fence the founding

Cause: a machine that was a learner by its own log refused votes that the newest members needed (no leader after a second loss); a join removed whoever lived at its address, unasked; a leader that stopped handed over to whoever held most, not all; a seed wiped before the founding, which may not found, was waited for by the others for ever. Ruled out: one entry that swaps two voters (majorities of the two configurations need not meet). Change: votes by log, term and leader contact; joins.ts asks the address with a nonce and admits a learner beside all voters; membership-change.ts keeps single-server changes and removes a dead voter only with a ready learner and what is committed on a majority of those that stay; transfer.ts brings a successor up to date first, for 0.5 s at most; founding counts only the first reply to the newest question, needs a majority of seeds that may found, and treats a binding as a promise. Conclusion: the named faults are mended in the pure machine.

--- a/src/control/machine/elections.ts
+++ b/src/control/machine/elections.ts
@@ -6,6 +6,7 @@
 import { drawElectionDeadline, becomeFollower, changeRole } from './roles.js';
 import { electionTimeoutUs, heartbeatIntervalUs } from './timing.js';
 
+/** Votes are counted by the candidate's own newest members, committed or not, whatever the granting machines know of them. */
 const isMajority = (replica: Replica, votes: ReadonlySet<string>): boolean => {
   const voters = votersOf(replica);
   return voters.filter((voter) => votes.has(voter.identity)).length * 2 > voters.length;
@@ -59,7 +60,10 @@
   );
 };
 
-/** Asks first whether an election could be won, which disturbs nobody. */
+/**
+ * Pre-vote: asks first whether an election could be won, which disturbs nobody. A machine that its newest members entry
+ * doesn't name as a voter never stands: whoever holds the entry that promotes it has the longer log and stands instead.
+ */
 export const startPreVote = (replica: Replica, chance: number): ControlStep => {
   if (!isVoter(replica, replica.identity))
     return stepOf({ ...replica, electionUs: drawElectionDeadline(replica, chance) });
@@ -76,9 +80,14 @@
   );
 };
 
+/** The election restriction, from which leader completeness follows: no vote for a log that ends earlier than the own. */
 const isUpToDate = (replica: Replica, lastIndex: number, lastTerm: number): boolean =>
   lastTerm > lastTermOf(replica) || (lastTerm === lastTermOf(replica) && lastIndex >= lastIndexOf(replica));
 
+/**
+ * Pre-vote: granted by log and silence of the leader alone. Whether the granting machine is a voter is counted by the
+ * candidate, since the entry that makes this machine a voter may not have reached it yet.
+ */
 export const onPreVoteRequest = (
   replica: Replica,
   from: string,
@@ -86,10 +95,7 @@
 ): ControlStep => {
   const hearsLeader = replica.role === 'leader' || replica.atUs < replica.leaderContactUs + electionTimeoutUs;
   const granted =
-    isVoter(replica, replica.identity) &&
-    !hearsLeader &&
-    message.term > replica.term &&
-    isUpToDate(replica, message.lastIndex, message.lastTerm);
+    !hearsLeader && message.term > replica.term && isUpToDate(replica, message.lastIndex, message.lastTerm);
   return stepOf(replica, {
     type: 'send',
     to: from,
@@ -110,6 +116,7 @@
   return isMajority(replica, votes) ? startElection(replica, chance) : stepOf({ ...replica, votes });
 };
 
+/** Grants one vote a term by the log alone, also as a machine that is no voter by its own log; persisted before it is said. */
 export const onVoteRequest = (
   replica: Replica,
   from: string,
@@ -117,11 +124,7 @@
   chance: number,
 ): ControlStep => {
   const isFree = replica.votedFor === undefined || replica.votedFor === from;
-  const granted =
-    message.term === replica.term &&
-    isVoter(replica, replica.identity) &&
-    isFree &&
-    isUpToDate(replica, message.lastIndex, message.lastTerm);
+  const granted = message.term === replica.term && isFree && isUpToDate(replica, message.lastIndex, message.lastTerm);
   const reply = {
     type: 'send' as const,
     to: from,
--- a/src/control/machine/leader.ts
+++ b/src/control/machine/leader.ts
@@ -1,17 +1,20 @@
 import { withEntry } from '../../common/maps.js';
-import type { Member } from '../members/member.js';
 import { advanceCommit } from './commit.js';
 import { andThen, stepOf, type ControlStep } from './control-step.js';
 import type { Replica } from './replica.js';
-import { hasOpenChange, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
+import { continueJoins } from './joins.js';
+import { lastIndexOf, votersOf } from './log-reading.js';
+import { reconcileMembers } from './membership-change.js';
 import type { ControlMessage } from './message.js';
-import { appendCommand, newProgress, completeReads, sendAppend, broadcastAppend } from './replication.js';
+import { completeReads, sendAppend, broadcastAppend } from './replication.js';
 import { becomeFollower } from './roles.js';
-import { deadMemberTimeoutUs, electionTimeoutUs, learnerTimeoutUs, heartbeatIntervalUs } from './timing.js';
+import { continueTransfer } from './transfer.js';
+import { leaderSilenceUs, heartbeatIntervalUs } from './timing.js';
 
 type AppendBack = Extract<ControlMessage, { readonly type: 'appendReply' }>;
 
-export const onAppendReply = (replica: Replica, from: string, message: AppendBack): ControlStep => {
+/** What a member holds by its own word; may commit, answer reads, and end a transfer of the leadership. */
+export const onAppendReply = (replica: Replica, from: string, message: AppendBack, chance: number): ControlStep => {
   const progress = replica.progress.get(from);
   if (replica.role !== 'leader' || progress === undefined || message.term !== replica.term) return stepOf(replica);
   const heardProgress = {
@@ -26,11 +29,14 @@
     : Math.max(progress.match + 1, Math.min(progress.next - 1, message.index + 1));
   const hasMoved = match !== progress.match || next !== progress.next;
   const heardReplica = { ...replica, progress: withEntry(replica.progress, from, { ...heardProgress, match, next }) };
-  return andThen(andThen(advanceCommit(heardReplica), completeReads), (answeredReplica) =>
+  const committedStep = advanceCommit(heardReplica);
+  const answeredStep = andThen(committedStep, completeReads);
+  const sentStep = andThen(answeredStep, (answeredReplica) =>
     answeredReplica.role === 'leader' && hasMoved && next <= lastIndexOf(answeredReplica)
       ? sendAppend(answeredReplica, from)
       : stepOf(answeredReplica),
   );
+  return andThen(sentStep, (sentReplica) => continueTransfer(sentReplica, chance));
 };
 
 export const onRead = (replica: Replica, requestId: string, proposal: string | undefined): ControlStep => {
@@ -45,80 +51,29 @@
   return andThen(broadcastAppend(askedReplica), completeReads);
 };
 
-const proposeMembers = (replica: Replica, members: readonly Member[]): ControlStep => {
-  const progress = new Map(
-    members
-      .filter((member) => member.identity !== replica.identity)
-      .map((member) => [member.identity, replica.progress.get(member.identity) ?? newProgress(replica)] as const),
+const hearsMajority = (replica: Replica): boolean => {
+  const voters = votersOf(replica);
+  const heardVoters = voters.filter(
+    (voter) =>
+      voter.identity === replica.identity ||
+      replica.atUs - (replica.progress.get(voter.identity)?.heardUs ?? 0) < leaderSilenceUs,
   );
-  return appendCommand({ ...replica, progress }, { type: 'members', members }, undefined);
+  return heardVoters.length * 2 > voters.length;
 };
 
-export const mayChangeMembers = (replica: Replica): boolean =>
-  replica.role === 'leader' && !hasOpenChange(replica) && termAt(replica, replica.commit) === replica.term;
-
-export const onJoin = (replica: Replica, message: Extract<ControlMessage, { readonly type: 'join' }>): ControlStep => {
-  if (replica.role !== 'leader')
-    return replica.leader === undefined || replica.leader === replica.identity
-      ? stepOf(replica)
-      : stepOf(replica, { type: 'send', to: replica.leader, message });
-  const members = membersOf(replica);
-  const knownMember = members.find((member) => member.identity === message.identity);
-  if (!mayChangeMembers(replica) || knownMember?.address === message.address || message.address === replica.address)
-    return stepOf(replica);
-  const joined: Member = { identity: message.identity, address: message.address, voter: knownMember?.voter ?? false };
-  /** An identity lives and dies with its disk: whoever was at this address before is dead, however lately it was heard. */
-  const livingMembers = members.filter(
-    (member) => member.identity !== message.identity && member.address !== message.address,
-  );
-  return proposeMembers(replica, [...livingMembers, joined]);
-};
-
-/** A leader's care for the members: one safe change at a time, and never two voters in one entry. */
-const reconcileMembers = (replica: Replica): ControlStep => {
-  if (!mayChangeMembers(replica)) return stepOf(replica);
-  const members = membersOf(replica);
-  const heardUsOf = (member: Member): number => replica.progress.get(member.identity)?.heardUs ?? replica.atUs;
-  const readyLearner = members.find(
-    (member) =>
-      !member.voter &&
-      (replica.progress.get(member.identity)?.match ?? 0) >= replica.commit &&
-      replica.atUs - heardUsOf(member) < electionTimeoutUs,
-  );
-  const deadVoter = members.find(
-    (member) =>
-      member.voter && member.identity !== replica.identity && replica.atUs - heardUsOf(member) > deadMemberTimeoutUs,
-  );
-  const forgottenLearner = members.find(
-    (member) => !member.voter && replica.atUs - heardUsOf(member) > learnerTimeoutUs,
-  );
-  if (readyLearner !== undefined && votersOf(replica).length < replica.votersWanted)
-    return proposeMembers(
-      replica,
-      members.map((member) => (member === readyLearner ? { ...member, voter: true } : member)),
-    );
-  if (readyLearner !== undefined && deadVoter !== undefined)
-    return proposeMembers(
-      replica,
-      members.filter((member) => member !== deadVoter),
-    );
-  return forgottenLearner === undefined
-    ? stepOf(replica)
-    : proposeMembers(
-        replica,
-        members.filter((member) => member !== forgottenLearner),
-      );
+const beat = (replica: Replica): ControlStep => {
+  const heartbeatUs = replica.atUs + heartbeatIntervalUs;
+  const sentStep = broadcastAppend({ ...replica, round: replica.round + 1, heartbeatUs });
+  const joinedStep = andThen(sentStep, continueJoins);
+  const reconciledStep = andThen(joinedStep, reconcileMembers);
+  return andThen(reconciledStep, completeReads);
 };
 
+/** A leader's tick: it steps down without a majority in touch, and else beats, cares for members and answers reads. */
 export const onLeaderTick = (replica: Replica, chance: number): ControlStep => {
-  const voters = votersOf(replica);
-  const heardVoters = voters.filter(
-    (voter) =>
-      voter.identity === replica.identity ||
-      replica.atUs - (replica.progress.get(voter.identity)?.heardUs ?? 0) < electionTimeoutUs * 2,
-  );
-  if (heardVoters.length * 2 <= voters.length) return becomeFollower(replica, replica.term, undefined, chance);
-  if (replica.atUs < replica.heartbeatUs) return stepOf(replica);
-  const beatReplica = { ...replica, round: replica.round + 1, heartbeatUs: replica.atUs + heartbeatIntervalUs };
-  return andThen(andThen(broadcastAppend(beatReplica), reconcileMembers), completeReads);
+  if (!hearsMajority(replica)) return becomeFollower(replica, replica.term, undefined, chance);
+  const transferStep = continueTransfer(replica, chance);
+  return transferStep.replica.role !== 'leader' || replica.atUs < replica.heartbeatUs
+    ? transferStep
+    : andThen(transferStep, beat);
 };
--- a/src/control/machine/message.ts
+++ b/src/control/machine/message.ts
@@ -8,6 +8,10 @@
       readonly identity: string;
       readonly address: string;
       readonly founded: boolean;
+      /** Whether it may found a core; one that may not can still be named as a member of it. */
+      readonly founds: boolean;
+      /** Names the question, so that a reply to an older one does not count. */
+      readonly nonce: string;
       readonly offer?: string;
     }
   | {
@@ -15,9 +19,14 @@
       readonly identity: string;
       readonly address: string;
       readonly founded: boolean;
+      readonly founds: boolean;
+      readonly nonce: string;
       readonly offer?: string;
     }
   | { readonly type: 'join'; readonly identity: string; readonly address: string }
+  /** A leader's question to an address: which identity lives there now? */
+  | { readonly type: 'identify'; readonly nonce: string }
+  | { readonly type: 'identified'; readonly nonce: string; readonly identity: string; readonly address: string }
   | { readonly type: 'preVote'; readonly term: number; readonly lastIndex: number; readonly lastTerm: number }
   | { readonly type: 'preVoteReply'; readonly term: number; readonly granted: boolean; readonly forTerm: number }
   | { readonly type: 'vote'; readonly term: number; readonly lastIndex: number; readonly lastTerm: number }
--- a/src/control/machine/replica.ts
+++ b/src/control/machine/replica.ts
@@ -3,10 +3,23 @@
 import type { LogEntry } from '../log/log-entry.js';
 import type { ReplicatedState } from '../state/replicated-state.js';
 import { startReplicatedState } from '../state/replicated-state.js';
+import type { JoinCheck } from '../members/join-check.js';
 import type { PendingRead } from './pending-read.js';
 import type { Progress } from './progress.js';
 import type { Role } from './role.js';
 
+/** What a machine says of itself before a core is founded. */
+export type SeedProbe = {
+  readonly identity: string;
+  /** The members it has bound itself to, if any. */
+  readonly offer: string | undefined;
+  readonly founded: boolean;
+  /** Whether it may found a core; a machine whose disk came empty later may not. */
+  readonly founds: boolean;
+  /** The question that this answered. */
+  readonly nonce: string;
+};
+
 /** The whole replica of one core machine. */
 export type Replica = {
   readonly identity: string;
@@ -24,10 +37,10 @@
   readonly votedFor: string | undefined;
   readonly leader: string | undefined;
   readonly offer: string | undefined;
-  readonly probes: ReadonlyMap<
-    string,
-    { readonly identity: string; readonly offer: string | undefined; readonly founded: boolean }
-  >;
+  /** The newest probe of each address, while there is no core yet. */
+  readonly probes: ReadonlyMap<string, SeedProbe>;
+  /** The newest question to the other seeds. */
+  readonly probeNonce: string;
   readonly snapshot: Snapshot;
   readonly entries: readonly LogEntry[];
   readonly commit: number;
@@ -41,6 +54,10 @@
   readonly round: number;
   readonly reads: readonly PendingRead[];
   readonly pendingRequests: ReadonlyMap<number, string>;
+  /** Joins that a leader is checking with the address they name, by identity. */
+  readonly joinChecks: ReadonlyMap<string, JoinCheck>;
+  /** Until when a leader tries to hand its leadership over; it takes no commands meanwhile. */
+  readonly transferUntilUs: Micros | undefined;
 };
 
 export const usualVoters = 3;
@@ -67,6 +84,7 @@
   leader: undefined,
   offer: undefined,
   probes: new Map(),
+  probeNonce: '',
   snapshot: startSnapshot,
   entries: [],
   commit: 0,
@@ -80,4 +98,6 @@
   round: 0,
   reads: [],
   pendingRequests: new Map(),
+  joinChecks: new Map(),
+  transferUntilUs: undefined,
 });
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -26,7 +26,14 @@
   const changedReplica = { ...replica, ...change };
   const stepsDown = replica.role === 'leader' && changedReplica.role !== 'leader';
   const restedReplica: Replica = stepsDown
-    ? { ...changedReplica, pendingRequests: new Map(), reads: [], progress: new Map() }
+    ? {
+        ...changedReplica,
+        pendingRequests: new Map(),
+        reads: [],
+        progress: new Map(),
+        joinChecks: new Map(),
+        transferUntilUs: undefined,
+      }
     : changedReplica;
   return stepOf(
     restedReplica,
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -1,3 +1,4 @@
+import type { Command } from '../log/command.js';
 import type { ControlEvent } from './control-event.js';
 import { andThen, stepOf, type ControlStep } from './control-step.js';
 import type { Replica } from './replica.js';
@@ -10,13 +11,15 @@
   startElection,
 } from './elections.js';
 import { onAppend, onInstallSnapshot } from './follower.js';
-import { onProbe, findLeader, tryBootstrap } from './bootstrap.js';
-import { onAppendReply, onJoin, onLeaderTick, onRead } from './leader.js';
-import { isVoter, votersOf } from './log-reading.js';
+import { isOfRefusedCore, onProbe, findLeader, tryBootstrap } from './bootstrap.js';
+import { onAppendReply, onLeaderTick, onRead } from './leader.js';
+import { onIdentified, onIdentify, onJoin } from './joins.js';
+import { isVoter } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { appendCommand } from './replication.js';
 import { becomeFollower } from './roles.js';
-import { electionTimeoutUs, rejoinTimeoutUs } from './timing.js';
+import { onResign } from './transfer.js';
+import { rejoinTimeoutUs } from './timing.js';
 
 const onTick = (replica: Replica, chance: number): ControlStep => {
   if (replica.role === 'leader') return onLeaderTick(replica, chance);
@@ -30,7 +33,7 @@
 };
 
 const carriesTerm = (message: ControlMessage): message is Extract<ControlMessage, { readonly term: number }> =>
-  message.type !== 'probe' && message.type !== 'probeReply' && message.type !== 'join';
+  'term' in message;
 
 const onMessage = (replica: Replica, from: string, message: ControlMessage, chance: number): ControlStep => {
   switch (message.type) {
@@ -39,6 +42,10 @@
       return onProbe(replica, message, chance);
     case 'join':
       return onJoin(replica, message);
+    case 'identify':
+      return onIdentify(replica, from, message);
+    case 'identified':
+      return onIdentified(replica, from, message);
     case 'preVote':
       return onPreVoteRequest(replica, from, message);
     case 'preVoteReply':
@@ -48,9 +55,11 @@
     case 'voteReply':
       return onVoteReply(replica, from, message);
     case 'append':
-      return onAppend(replica, from, message, chance);
+      return isOfRefusedCore(replica, from, message.commit)
+        ? stepOf(replica)
+        : onAppend(replica, from, message, chance);
     case 'appendReply':
-      return onAppendReply(replica, from, message);
+      return onAppendReply(replica, from, message, chance);
     case 'installSnapshot':
       return onInstallSnapshot(replica, from, message, chance);
     case 'timeoutNow':
@@ -73,23 +82,12 @@
     : onMessage(replica, from, message, chance);
 };
 
-/** A leader that is to stop hands its place to the voter that has most. */
-const onResign = (replica: Replica, chance: number): ControlStep => {
-  if (replica.role !== 'leader') return stepOf(replica);
-  const heir = votersOf(replica)
-    .filter((voter) => voter.identity !== replica.identity)
-    .sort(
-      (left, right) =>
-        (replica.progress.get(right.identity)?.match ?? 0) - (replica.progress.get(left.identity)?.match ?? 0),
-    )[0];
-  if (heir === undefined) return stepOf(replica);
-  const resigned = becomeFollower({ ...replica, leaderContactUs: replica.atUs }, replica.term, undefined, chance);
-  return andThen(resigned, (resignedReplica) =>
-    stepOf(
-      { ...resignedReplica, electionUs: replica.atUs + electionTimeoutUs * 4 },
-      { type: 'send', to: heir.identity, message: { type: 'timeoutNow', term: replica.term } },
-    ),
-  );
+/** A leader takes a command unless it is handing its leadership over; any other machine names the leader it follows. */
+const onPropose = (replica: Replica, command: Command, requestId: string): ControlStep => {
+  if (replica.role === 'leader' && replica.transferUntilUs === undefined)
+    return appendCommand(replica, command, requestId);
+  const leader = replica.role === 'leader' ? undefined : replica.leader;
+  return stepOf(replica, { type: 'reply', requestId, reply: { type: 'not-leader', leader } });
 };
 
 /** One core machine: an event in, a new replica and effects out; no clock, no chance, no I/O of its own. */
@@ -101,13 +99,7 @@
     case 'message':
       return onTermed(nowReplica, event.from, event.message, event.chance);
     case 'propose':
-      return nowReplica.role === 'leader'
-        ? appendCommand(nowReplica, event.command, event.requestId)
-        : stepOf(nowReplica, {
-            type: 'reply',
-            requestId: event.requestId,
-            reply: { type: 'not-leader', leader: nowReplica.leader },
-          });
+      return onPropose(nowReplica, event.command, event.requestId);
     case 'read':
       return onRead(nowReplica, event.requestId, event.proposal);
     case 'known':
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -2,12 +2,21 @@
 
 export const heartbeatIntervalUs: Micros = 100_000;
 export const electionTimeoutUs: Micros = 500_000;
+/** A leader that has heard no majority of the voters for so long steps down. */
+export const leaderSilenceUs: Micros = electionTimeoutUs * 2;
 /** For so long a leader's disk may be busy with one sync before its heartbeats end. */
 export const diskStallLimitUs: Micros = 1_500_000;
 export const resendTimeoutUs: Micros = 200_000;
 export const rejoinTimeoutUs: Micros = 2_000_000;
-/** A voter unheard for so long may be replaced by a learner that has caught up. */
+/** A voter unheard for so long may be replaced by a learner that has caught up; one whose address has been taken over by that learner, earlier. */
 export const deadMemberTimeoutUs: Micros = 2_000_000;
+/** An answer of an address about the identity that lives there counts for so long after it was asked for. */
+export const identifyTimeoutUs: Micros = 1_000_000;
+/** A join that could not be confirmed or proposed for so long is dropped; its sender asks again. */
+export const joinTimeoutUs: Micros = 3_000_000;
+export const maxJoinChecks = 16;
+/** For so long a leader that is to stop tries to bring a successor up to date. */
+export const transferTimeoutUs: Micros = 500_000;
 export const learnerTimeoutUs: Micros = 60_000_000;
 export const maxEntriesPerAppend = 64;
 /** Texts of setups that go in one batch, be it to a partner or to the disk; one that is larger goes alone. */
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -11,7 +11,12 @@
 import { membersOf, textCharsOf } from '../../control/machine/log-reading.js';
 import { heartbeatsOf } from '../../control/machine/replication.js';
 import { stepControl } from '../../control/machine/step.js';
-import { diskStallLimitUs, heartbeatIntervalUs, maxAppendTextChars } from '../../control/machine/timing.js';
+import {
+  diskStallLimitUs,
+  heartbeatIntervalUs,
+  maxAppendTextChars,
+  transferTimeoutUs,
+} from '../../control/machine/timing.js';
 import { encodeDurableRecords, decodeDurableBatches } from '../../control/wire/durable-record-codec.js';
 import { messageOfPlain, plainMessageOf } from '../../control/wire/message-codec.js';
 import type { DiskRing } from '../../disk/disk-ring.js';
@@ -262,8 +267,10 @@
         },
         resign: async () => {
           isClosing = true;
+          const giveUpUs = clock.now() + transferTimeoutUs;
           mailbox.post({ type: 'resign', at: clock.now(), chance: chance() });
           await mailbox.idle();
+          while (replica.transferUntilUs !== undefined && clock.now() < giveUpUs) await paused(clock, tickUs);
         },
         close: async () => {
           endTicks();
