--- a/src/control/machine/replication.ts
+++ b/src/control/machine/replication.ts
@@ -1,6 +1,7 @@
 import { withEntry } from '../../common/maps.js';
 import type { Command } from '../log/command.js';
 import type { LogEntry } from '../log/log-entry.js';
+import { findProposalOutcome } from '../state/configuration-orders.js';
 import { advanceCommit } from './commit.js';
 import type { ControlEffect } from './control-effect.js';
 import { andThen, forEachStep, stepOf, type ControlStep } from './control-step.js';
@@ -128,7 +129,7 @@
     reply: {
       type: 'record',
       record: replica.state.record,
-      outcome: read.proposal === undefined ? undefined : replica.state.proposals.get(read.proposal),
+      outcome: read.proposal === undefined ? undefined : findProposalOutcome(replica.state, read.proposal),
     },
   }));
   return { replica: { ...replica, reads: replica.reads.filter((read) => !readyReads.includes(read)) }, effects };
--- /dev/null
+++ b/src/control/state/claims.ts
@@ -0,0 +1,59 @@
+import { withEntry } from '../../common/maps.js';
+import type { Micros } from '../../common/micros.js';
+import { positionOf } from '../../decision/ring/position.js';
+import type { Command } from '../log/command.js';
+import type { Applied } from './applied.js';
+import type { Claim } from './claim.js';
+import type { ReplicatedState } from './replicated-state.js';
+
+/** How long a claimed key stays with its exchange. */
+export const claimKeepUs: Micros = 900_000_000;
+export const mostClaims = 100_000;
+const bucketCount = 512;
+
+const bucketOf = (key: string): number => positionOf(key) % bucketCount;
+
+const withBucket = (state: ReplicatedState, bucket: number, claims: ReadonlyMap<string, Claim>): ReplicatedState => ({
+  ...state,
+  buckets: withEntry(state.buckets, bucket, claims),
+  claimCount: state.claimCount + claims.size - (state.buckets.get(bucket)?.size ?? 0),
+});
+
+const freshClaims = (state: ReplicatedState, bucket: number): ReadonlyMap<string, Claim> =>
+  new Map([...(state.buckets.get(bucket) ?? [])].filter(([, claim]) => claim.atUs + claimKeepUs > state.clockUs));
+
+/** Gives a key to the first exchange that claims it. */
+export const applyClaim = (state: ReplicatedState, command: Extract<Command, { readonly type: 'claim' }>): Applied => {
+  const bucket = bucketOf(command.key);
+  const claims = freshClaims(state, bucket);
+  const heldClaim = claims.get(command.key);
+  if (heldClaim !== undefined)
+    return {
+      state: withBucket(state, bucket, claims),
+      outcome: { type: 'claimed', won: heldClaim.exchange === command.exchange, holder: heldClaim.exchange },
+    };
+  if (state.claimCount >= mostClaims)
+    return { state: withBucket(state, bucket, claims), outcome: { type: 'claims-full' } };
+  return {
+    state: withBucket(
+      state,
+      bucket,
+      withEntry(claims, command.key, { exchange: command.exchange, atUs: state.clockUs }),
+    ),
+    outcome: { type: 'claimed', won: true, holder: command.exchange },
+  };
+};
+
+/** Gives a key back; only its holder can. */
+export const applyRelease = (
+  state: ReplicatedState,
+  command: Extract<Command, { readonly type: 'release' }>,
+): Applied => {
+  const bucket = bucketOf(command.key);
+  const keptClaims = new Map(
+    [...freshClaims(state, bucket)].filter(
+      ([key, claim]) => key !== command.key || claim.exchange !== command.exchange,
+    ),
+  );
+  return { state: withBucket(state, bucket, keptClaims), outcome: { type: 'done' } };
+};
--- /dev/null
+++ b/src/control/state/document-history.ts
@@ -0,0 +1,56 @@
+import { createHash } from 'node:crypto';
+import { emptyBoundedMap, remember, type BoundedMap } from '../../common/bounded-map.js';
+import type { Original } from '../../setup/document/original.js';
+
+/**
+ * How many committed documents are remembered. Operators commit up to 1,000 a day, so a repeated order is recognised for
+ * sixteen days; a caller repeats an order within minutes. An older one gets no definite answer, never a false conflict.
+ */
+export const maxRememberedDocuments = 16_384;
+
+/** 128 bits of SHA-256: the chance that any two of 2^14 documents share them is below 2^-100. */
+const digestHexChars = 32;
+
+/** A document that was committed under its version. */
+export type CommittedDocument = {
+  readonly digest: string;
+  readonly revision: number;
+};
+
+/** The committed documents by version, oldest first in the order of commits. */
+export type DocumentHistory = {
+  readonly committed: BoundedMap<number, CommittedDocument>;
+  /** The highest version that may have been committed and is no longer remembered. */
+  readonly forgottenVersion: number;
+};
+
+export const emptyDocumentHistory: DocumentHistory = { committed: emptyBoundedMap(), forgottenVersion: 0 };
+
+/** The digest of a document's exact text. */
+export const digestOfText = (text: string): string =>
+  createHash('sha256').update(text).digest('hex').slice(0, digestHexChars);
+
+/** The id under which a document is proposed: the same for the same version and text, at whichever machine. */
+export const proposalOfDocument = ({ version, text }: Original): string => `original-${version}-${digestOfText(text)}`;
+
+const proposalForm = /^original-(\d{1,16})-([0-9a-f]{32})$/;
+
+/** The committed document that a proposal id names, if it is remembered. */
+export const findDocumentOfProposal = (history: DocumentHistory, proposal: string): CommittedDocument | undefined => {
+  const [, version, digest] = proposalForm.exec(proposal) ?? [];
+  const document = version === undefined ? undefined : history.committed.entries.get(Number(version));
+  return document?.digest === digest ? document : undefined;
+};
+
+/** Remembers a committed document; the oldest one goes when there are too many. */
+export const rememberDocument = (
+  history: DocumentHistory,
+  version: number,
+  document: CommittedDocument,
+): DocumentHistory => {
+  const { map, evicted } = remember(history.committed, version, document, maxRememberedDocuments);
+  return {
+    committed: map,
+    forgottenVersion: Math.max(history.forgottenVersion, ...evicted.map(([evictedVersion]) => evictedVersion)),
+  };
+};
--- /dev/null
+++ b/src/control/wire/order-history-codec.ts
@@ -0,0 +1,111 @@
+import { array, number, object, string, type InferType } from 'yup';
+import { boundedMapOf, entriesInOrder } from '../../common/bounded-map.js';
+import type { CommittedDocument } from '../state/document-history.js';
+import { maxRememberedDocuments } from '../state/document-history.js';
+import { maxRememberedProposals } from '../state/proposal-history.js';
+import type { ProposalOutcome } from '../state/proposal-outcome.js';
+import { maxRefusedOrders } from '../state/refused-orders.js';
+import type { ReplicatedState } from '../state/replicated-state.js';
+
+/** One committed document: version and revision as 64-bit floating-point numbers, and a digest of 128 bits. */
+const numberBytes = 8;
+const digestBytes = 16;
+const documentBytes = 2 * numberBytes + digestBytes;
+const base64BytesOf = (bytes: number): number => Math.ceil(bytes / 3) * 4;
+
+/** Beside its text, an element of a list costs its type, its index in digits and the length of the text. */
+const listElementBytes = 1 + 6 + 4 + 1;
+/** An id of at most 128 characters, the longest type, a revision of 16 digits and two spaces. */
+const proposalBytes = listElementBytes + 128 + 'committed'.length + 16 + 2;
+/** Two versions and a time of 16 digits each, a digest of 32 hexadecimal digits and three separators. */
+const refusalBytes = listElementBytes + 3 * 16 + 32 + 3;
+
+/** The largest encoded history of orders; 43 bytes a document, 167 a proposal with an id of its own. */
+export const maxOrderHistoryBytes =
+  base64BytesOf(maxRememberedDocuments * documentBytes) +
+  maxRememberedProposals * proposalBytes +
+  maxRefusedOrders * refusalBytes +
+  256;
+
+const documentsForm = /^[A-Za-z0-9+/]*={0,2}$/;
+const proposalForm = /^(committed|conflict|cancelled) (\d+) ([^]+)$/;
+const refusalForm = /^(\d+) (\S+)$/;
+
+const isWholeDocuments = (text: string | undefined): boolean =>
+  text !== undefined && Buffer.byteLength(text, 'base64') % documentBytes === 0;
+
+/** The form of the history of orders on the wire and on disk, each list oldest first. */
+export const orderHistorySchema = object({
+  forgottenVersion: number().required().min(0),
+  forgottenRevision: number().required().integer().min(0),
+  /** All documents in one text of base64; empty for none. */
+  documents: string().defined().matches(documentsForm).test('whole documents', isWholeDocuments),
+  /** Each proposal as one text: outcome, revision and id. */
+  proposals: array(string().required().matches(proposalForm)).required(),
+  /** Each refused order as one text: time and order. */
+  refusals: array(string().required().matches(refusalForm)).required(),
+}).required();
+
+export type PlainOrderHistory = InferType<typeof orderHistorySchema>;
+
+type OrderHistory = Pick<ReplicatedState, 'documents' | 'proposals' | 'refusedOrders'>;
+
+const encodeDocuments = (documents: readonly (readonly [number, CommittedDocument])[]): string => {
+  const bytes = Buffer.alloc(documents.length * documentBytes);
+  for (const [place, [version, { digest, revision }]] of documents.entries()) {
+    const start = place * documentBytes;
+    bytes.writeDoubleBE(version, start);
+    bytes.writeDoubleBE(revision, start + numberBytes);
+    bytes.write(digest, start + 2 * numberBytes, digestBytes, 'hex');
+  }
+  return bytes.toString('base64');
+};
+
+const decodeDocuments = (text: string): readonly (readonly [number, CommittedDocument])[] => {
+  const bytes = Buffer.from(text, 'base64');
+  return Array.from({ length: bytes.length / documentBytes }, (_, place) => {
+    const start = place * documentBytes;
+    const digest = bytes.subarray(start + 2 * numberBytes, start + documentBytes).toString('hex');
+    const revision = bytes.readDoubleBE(start + numberBytes);
+    return [bytes.readDoubleBE(start), { digest, revision }] as const;
+  });
+};
+
+const decodeProposal = (line: string): readonly (readonly [string, ProposalOutcome])[] => {
+  const [, type, revisionText, proposal] = proposalForm.exec(line) ?? [];
+  const revision = Number(revisionText);
+  if (proposal === undefined) return [];
+  switch (type) {
+    case 'committed':
+    case 'conflict':
+    case 'cancelled':
+      return [[proposal, { type, revision }]];
+    default:
+      return [];
+  }
+};
+
+const decodeRefusal = (line: string): readonly (readonly [string, number])[] => {
+  const [, atText, order] = refusalForm.exec(line) ?? [];
+  return order === undefined ? [] : [[order, Number(atText)]];
+};
+
+export const encodeOrderHistory = ({ documents, proposals, refusedOrders }: OrderHistory): PlainOrderHistory => ({
+  forgottenVersion: documents.forgottenVersion,
+  forgottenRevision: proposals.forgottenRevision,
+  documents: encodeDocuments(entriesInOrder(documents.committed)),
+  proposals: entriesInOrder(proposals.outcomes).map(([id, { type, revision }]) => `${type} ${revision} ${id}`),
+  refusals: entriesInOrder(refusedOrders).map(([order, atUs]) => `${atUs} ${order}`),
+});
+
+export const decodeOrderHistory = (plain: PlainOrderHistory): OrderHistory => ({
+  documents: {
+    committed: boundedMapOf(decodeDocuments(plain.documents)),
+    forgottenVersion: plain.forgottenVersion,
+  },
+  proposals: {
+    outcomes: boundedMapOf(plain.proposals.flatMap(decodeProposal)),
+    forgottenRevision: plain.forgottenRevision,
+  },
+  refusedOrders: boundedMapOf(plain.refusals.flatMap(decodeRefusal)),
+});
--- a/src/control/wire/outcome-guard.ts
+++ b/src/control/wire/outcome-guard.ts
@@ -6,9 +6,10 @@
 const revision = () => number().required().integer().min(0);
 
 export const isProposalOutcome = unionGuard<ProposalOutcome>({
-  taken: object({ type: typed('taken'), revision: revision() }),
-  'lost-race': object({ type: typed('lost-race'), revision: revision() }),
-  void: object({ type: typed('void'), revision: revision() }),
+  committed: object({ type: typed('committed'), revision: revision() }),
+  conflict: object({ type: typed('conflict'), revision: revision() }),
+  cancelled: object({ type: typed('cancelled'), revision: revision() }),
+  forgotten: object({ type: typed('forgotten'), revision: revision() }),
 });
 
 export const isOutcome = unionGuard<Outcome>({
--- a/src/control/wire/snapshot-codec.ts
+++ b/src/control/wire/snapshot-codec.ts
@@ -2,7 +2,7 @@
 import { isSetupRecord } from '../../setup/check/setup-guard.js';
 import type { Snapshot } from '../log/snapshot.js';
 import { memberSchema } from './command-guard.js';
-import { isProposalOutcome } from './outcome-guard.js';
+import { decodeOrderHistory, encodeOrderHistory, orderHistorySchema } from './order-history-codec.js';
 
 const claimForm = /^\d+ \d+ \S+ \S+$/;
 
@@ -13,10 +13,8 @@
   members: array(memberSchema).required(),
   clockUs: number().required().integer(),
   record: mixed(isSetupRecord).optional().default(undefined),
-  proposals: array(
-    object({ proposal: string().required(), outcome: mixed(isProposalOutcome).required() }).required(),
-  ).required(),
-  /** Each claim as one text: shelf, time, exchange and key. */
+  orders: orderHistorySchema,
+  /** Each claim as one text: bucket, time, exchange and key. */
   claims: array(string().required().matches(claimForm)).required(),
 }).required();
 
@@ -31,9 +29,9 @@
     snapshot.state.record === undefined
       ? undefined
       : { ...snapshot.state.record, ...mutableRecord(snapshot.state.record) },
-  proposals: [...snapshot.state.proposals].map(([proposal, outcome]) => ({ proposal, outcome })),
-  claims: [...snapshot.state.buckets].flatMap(([shelf, claims]) =>
-    [...claims].map(([key, claim]) => `${shelf} ${claim.atUs} ${claim.exchange} ${key}`),
+  orders: encodeOrderHistory(snapshot.state),
+  claims: [...snapshot.state.buckets].flatMap(([bucket, claims]) =>
+    [...claims].map(([key, claim]) => `${bucket} ${claim.atUs} ${claim.exchange} ${key}`),
   ),
 });
 
@@ -50,11 +48,11 @@
 export const decodeSnapshot = (plain: PlainSnapshot): Snapshot => {
   const buckets = new Map<number, Map<string, { readonly exchange: string; readonly atUs: number }>>();
   for (const claim of plain.claims) {
-    const [shelfText = '', atText = '', exchange = '', key = ''] = claim.split(' ');
-    const shelf =
-      buckets.get(Number(shelfText)) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
-    shelf.set(key, { exchange, atUs: Number(atText) });
-    buckets.set(Number(shelfText), shelf);
+    const [bucketText = '', atText = '', exchange = '', key = ''] = claim.split(' ');
+    const bucket =
+      buckets.get(Number(bucketText)) ?? new Map<string, { readonly exchange: string; readonly atUs: number }>();
+    bucket.set(key, { exchange, atUs: Number(atText) });
+    buckets.set(Number(bucketText), bucket);
   }
   return {
     index: plain.index,
@@ -63,7 +61,7 @@
     state: {
       clockUs: plain.clockUs,
       record: plain.record,
-      proposals: new Map(plain.proposals.map(({ proposal, outcome }) => [proposal, outcome])),
+      ...decodeOrderHistory(plain.orders),
       buckets,
       claimCount: plain.claims.length,
     },
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -13,9 +13,13 @@
   readonly ask: (request: CoreRequest, budgetUs: Micros) => Promise<Either<TypedError, CoreReply>>;
 };
 
-const tryBudgetUs: Micros = 600_000;
+/** How long one machine is waited for before the next one is tried: half of the budget within these bounds. */
+const minTryUs: Micros = 350_000;
+const maxTryUs: Micros = 600_000;
 const pauseUs: Micros = 40_000;
 
+const tryBudgetOf = (budgetUs: Micros): Micros => Math.min(maxTryUs, Math.max(minTryUs, budgetUs / 2));
+
 const isLast = (reply: CoreReply): boolean => reply.type === 'applied' || reply.type === 'record';
 
 export const openCoreClient = (
@@ -41,6 +45,7 @@
   return {
     ask: async (request, budgetUs) => {
       const dueUs = clock.now() + budgetUs;
+      const tryBudgetUs = tryBudgetOf(budgetUs);
       const requestIds: string[] = [];
       let mayStand = false;
       let hearLast: (reply: CoreReply) => void = () => undefined;
--- a/src/process/http/operator-paths.ts
+++ b/src/process/http/operator-paths.ts
@@ -3,9 +3,8 @@
 import { Left, Right, type Either } from 'purify-ts';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
-import type { ProposalOutcome } from '../../control/state/proposal-outcome.js';
 import type { OperatorService } from '../operator/operator-service.js';
-import type { OperatorReply } from '../operator/operator-reply.js';
+import type { FinalOutcome, OperatorReply } from '../operator/operator-reply.js';
 import type { HttpServer } from './http-server.js';
 import { readJsonBody } from './read-body.js';
 import { reply, replyError } from './reply.js';
@@ -51,17 +50,17 @@
     error.type === 'unreachable' ? comeBackUs : undefined,
   );
 
-const replyOutcome = (response: ServerResponse, proposal: string, outcome: ProposalOutcome): void => {
-  if (outcome.type === 'taken') {
+const replyOutcome = (response: ServerResponse, proposal: string, outcome: FinalOutcome): void => {
+  if (outcome.type === 'committed') {
     reply(response, 200, { outcome: 'taken', proposal, revision: outcome.revision }, { etag: `"${outcome.revision}"` });
     return;
   }
   const message =
-    outcome.type === 'void'
+    outcome.type === 'cancelled'
       ? 'the proposal was withdrawn and never will be taken'
       : `revision ${outcome.revision} was the newest`;
   replyError(response, 409, typedError('lost-race', message), {
-    outcome: outcome.type,
+    outcome: outcome.type === 'cancelled' ? 'void' : 'lost-race',
     proposal,
     newest: outcome.revision,
   });
@@ -119,7 +118,7 @@
       Left: (error) => Promise.resolve(replyRefused(response, error)),
       Right: async (proposal) => {
         const word = await desk.withdraw(proposal);
-        if (word.type === 'decided' && word.outcome.type === 'void')
+        if (word.type === 'decided' && word.outcome.type === 'cancelled')
           reply(response, 200, { outcome: 'void', proposal });
         else replyWord(response, word);
       },
--- a/src/rehearsal/stand-in/http-desk.ts
+++ b/src/rehearsal/stand-in/http-desk.ts
@@ -17,13 +17,13 @@
   switch (status) {
     case 200:
       return outcome === 'void'
-        ? { type: 'decided', proposal, outcome: { type: 'void', revision: newest } }
-        : { type: 'decided', proposal, outcome: { type: 'taken', revision } };
+        ? { type: 'decided', proposal, outcome: { type: 'cancelled', revision: newest } }
+        : { type: 'decided', proposal, outcome: { type: 'committed', revision } };
     case 409:
       return {
         type: 'decided',
         proposal,
-        outcome: { type: outcome === 'void' ? 'void' : 'lost-race', revision: newest },
+        outcome: { type: outcome === 'void' ? 'cancelled' : 'conflict', revision: newest },
       };
     case 202:
       return { type: 'unknown', proposal, error: typedError('undecided', 'the core gave no last word') };
--- a/src/rehearsal/stand-in/operator.ts
+++ b/src/rehearsal/stand-in/operator.ts
@@ -22,7 +22,7 @@
 
 const outcomeOf = (word: OperatorReply): Pick<PutRecord, 'outcome' | 'revision'> => {
   if (word.type === 'decided')
-    return word.outcome.type === 'taken'
+    return word.outcome.type === 'committed'
       ? { outcome: 'taken', revision: word.outcome.revision }
       : { outcome: 'lost-race', revision: undefined };
   if (word.type === 'refused')
@@ -33,9 +33,9 @@
 const laterOf = (word: OperatorReply, toldUs: Micros): PutLater | undefined => {
   if (word.type !== 'decided') return undefined;
   const { type, revision } = word.outcome;
-  return type === 'taken'
+  return type === 'committed'
     ? { toldUs, outcome: 'taken', revision }
-    : { toldUs, outcome: type === 'void' ? 'withdrawn' : 'lost-race', revision: undefined };
+    : { toldUs, outcome: type === 'cancelled' ? 'withdrawn' : 'lost-race', revision: undefined };
 };
 
 export const openOperator = (history: History, now: () => Micros, usualDesk: RevisionService): Operator => {
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -32,7 +32,7 @@
         return;
       }
       const { outcome } = word;
-      if (outcome.type === 'taken') {
+      if (outcome.type === 'committed') {
         counts.taken += 1;
         if (outcome.revision !== expected + 1)
           rules.breakRule(`${name} was taken as ${outcome.revision} though it was for ${expected}`);
@@ -112,7 +112,7 @@
       proposals += 1;
       const name = `setup-${proposals}`;
       void desk.put(sampleSetup(name), name, revision).then((word) => {
-        if (word.type === 'decided' && word.outcome.type === 'taken') isBack = true;
+        if (word.type === 'decided' && word.outcome.type === 'committed') isBack = true;
       });
     });
   for (let attempt = 0; attempt < 5; attempt += 1) world.after(attempt * 2 * second, tryPut);
--- a/tests/control/original.test.ts
+++ b/tests/control/original.test.ts
@@ -41,28 +41,28 @@
       { version: 7, expected: 3 },
       { version: 9, expected: 3 },
     ]).outcomes,
-    ['taken', 'taken', 'lost-race'],
+    ['committed', 'committed', 'conflict'],
   );
   assert.equal(
     played([
       { version: 3, expected: 1 },
       { version: 3, expected: 0 },
     ]).outcomes,
-    ['lost-race', 'taken'],
+    ['conflict', 'committed'],
   );
   assert.equal(
     played([
       { version: 3, expected: 0 },
       { version: 3, expected: 3, text: 'other' },
     ]).outcomes,
-    ['taken', 'lost-race'],
+    ['committed', 'conflict'],
   );
   assert.equal(
     played([
       { version: 3, expected: 0 },
       { version: 2, expected: 3 },
     ]).outcomes,
-    ['taken', 'lost-race'],
+    ['committed', 'conflict'],
   );
 });
 
@@ -73,7 +73,7 @@
     { version: 7, expected: 3 },
     { version: 3, expected: 0 },
   ]);
-  assert.equal(outcomes, ['taken', 'taken', 'taken', 'taken']);
+  assert.equal(outcomes, ['committed', 'committed', 'committed', 'committed']);
   assert.is(state.record?.revision, 2);
   assert.is(state.record?.original?.version, 7);
 });
@@ -85,7 +85,7 @@
     { version: 7, expected: 3 },
     { version: 9, expected: 7 },
   ]);
-  assert.equal(outcomes, ['taken', 'lost-race', 'taken', 'taken']);
+  assert.equal(outcomes, ['committed', 'conflict', 'committed', 'committed']);
   assert.is(state.record?.original?.text, 'document 9');
 });
 
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -83,15 +83,15 @@
   },
   {
     name: 'every claim is won',
-    file: 'src/control/state/apply.ts',
+    file: 'src/control/state/claims.ts',
     find: 'won: heldClaim.exchange === command.exchange,',
     put: 'won: true,',
     by: seeds('core', 'was won by', 3),
   },
   {
     name: 'If-Match ignored',
-    file: 'src/control/state/apply.ts',
-    find: 'if (command.expected !== newestRevision)',
+    file: 'src/control/state/configuration-orders.ts',
+    find: 'if (command.expected !== revision)',
     put: 'if (command.expected < 0)',
     by: seeds('core', 'though it was for', 3),
   },
@@ -104,8 +104,8 @@
   },
   {
     name: 'a withdrawn proposal is taken all the same',
-    file: 'src/control/state/apply.ts',
-    find: "  const knownOutcome = state.proposals.get(command.proposal);\n  if (knownOutcome !== undefined) return { state, outcome: { type: 'proposal', outcome: knownOutcome } };\n",
+    file: 'src/control/state/configuration-orders.ts',
+    find: '  const knownOutcome = findProposalOutcome(state, command.proposal);\n  if (knownOutcome !== undefined) return appliedProposal(state, knownOutcome);\n',
     put: '',
     by: test('tests/control/operator.test.js'),
   },
@@ -300,7 +300,7 @@
   },
   {
     name: "nodes' older setup replaces what a new core has taken",
-    file: 'src/control/state/apply.ts',
+    file: 'src/control/state/restore.ts',
     find: 'own === undefined ? record : { ...own, revision: record.revision + 1 }',
     put: 'record',
     by: test('tests/sim/lost-core.test.js'),
@@ -349,7 +349,7 @@
   },
   {
     name: 'the figures of a booking under way are forgotten',
-    file: 'src/control/state/apply.ts',
+    file: 'src/control/state/warmup-epochs.ts',
     find: 'const maxEpochs = 256;',
     put: 'const maxEpochs = 8;',
     by: test('tests/decision/bookings.test.js'),
--- a/tests/router/loopback.ts
+++ b/tests/router/loopback.ts
@@ -2,6 +2,7 @@
 import { request } from 'undici';
 import type { CoreReply } from '../../src/control/machine/core-reply.js';
 import { applyCommand } from '../../src/control/state/apply.js';
+import { findProposalOutcome } from '../../src/control/state/configuration-orders.js';
 import { startReplicatedState } from '../../src/control/state/replicated-state.js';
 import type { CoreClient } from '../../src/process/core-client.js';
 import { openRouterNode, type RouterNode } from '../../src/process/router/router-node.js';
@@ -48,7 +49,7 @@
   return {
     ask: (question) => {
       if (question.type === 'read') {
-        const outcome = question.proposal === undefined ? undefined : state.proposals.get(question.proposal);
+        const outcome = question.proposal === undefined ? undefined : findProposalOutcome(state, question.proposal);
         return Promise.resolve(Right<CoreReply>({ type: 'record', record: state.record, outcome }));
       }
       const applied = applyCommand(state, question.command);
--- a/tests/sim/core-members.test.ts
+++ b/tests/sim/core-members.test.ts
@@ -29,6 +29,14 @@
   return told.type === 'decided' ? told.outcome.type : told.type;
 };
 
+/** As operators do, it sends the same again, to any machine, until there is a definite reply. */
+const putAgain = async (fleet: AskedCore, version: number, expectedVersion: number, tries = 4): Promise<string> => {
+  const outcome = await put(fleet, version, expectedVersion);
+  return (outcome === 'unknown' || outcome === 'refused') && tries > 1
+    ? putAgain(fleet, version, expectedVersion, tries - 1)
+    : outcome;
+};
+
 /** As operators do, it goes on to another machine where nobody listens. */
 const readText = async (fleet: AskedCore, tries = 8): Promise<string | undefined> => {
   const word = simOperatorService(fleet).read();
@@ -43,7 +51,7 @@
     const fleet = openCoreFleet(seed, undefined, { machines: 5, voters: 5, refounds: false });
     await fleet.playFor(8 * second);
     assert.equal(votersNow(fleet), addressesOf(fleet), `seed ${seed}`);
-    assert.is(await put(fleet, 4, 0), 'taken');
+    assert.is(await put(fleet, 4, 0), 'committed');
     fleet.machines.slice(0, 2).forEach((machine) => machine.kill());
     await fleet.playFor(4 * second);
     assert.is(await readText(fleet), 'document 4', `seed ${seed}`);
@@ -54,7 +62,7 @@
   for (let seed = 1; seed <= 10; seed += 1) {
     const fleet = openCoreFleet(seed, undefined, { refounds: false });
     await fleet.playFor(5 * second);
-    assert.is(await put(fleet, 3, 0), 'taken', `seed ${seed}`);
+    assert.is(await put(fleet, 3, 0), 'committed', `seed ${seed}`);
     for (const place of [seed % 3, (seed + 1) % 3, (seed + 2) % 3]) {
       const machine = fleet.machines[place];
       machine?.loseDisk();
@@ -76,7 +84,7 @@
   for (let seed = 1; seed <= 5; seed += 1) {
     const fleet = openCoreFleet(seed, undefined, { refounds: false });
     await fleet.playFor(5 * second);
-    assert.is(await put(fleet, 3, 0), 'taken', `seed ${seed}`);
+    assert.is(await put(fleet, 3, 0), 'committed', `seed ${seed}`);
     const gone = fleet.machines[seed % 3];
     gone?.loseDisk('core-x:1');
     await fleet.playFor(second / 2);
@@ -121,7 +129,7 @@
     await fleet.playFor(5 * second);
     const former = fleet.leader();
     former?.fillDisk(true);
-    assert.ok((await put(fleet, 3, 0)) !== 'lost-race');
+    assert.is(await putAgain(fleet, 3, 0), 'committed', `seed ${seed}: sent again until it is decided`);
     await fleet.playFor(3 * second);
     assert.ok(former !== undefined && former.isUp(), `seed ${seed}: still up`);
     assert.is(await readText(fleet), 'document 3', `seed ${seed}`);
@@ -148,11 +156,11 @@
     const outcomes = (await Promise.all(words)).map((word) =>
       word.type === 'decided' ? word.outcome.type : word.type,
     );
-    assert.equal([...outcomes].sort(), ['lost-race', 'taken'], `seed ${seed}`);
-    const won = outcomes[0] === 'taken' ? 7 : 9;
-    assert.is(await put(fleet, won, 5), 'taken', `seed ${seed}: again`);
+    assert.equal([...outcomes].sort(), ['committed', 'conflict'], `seed ${seed}`);
+    const won = outcomes[0] === 'committed' ? 7 : 9;
+    assert.is(await put(fleet, won, 5), 'committed', `seed ${seed}: again`);
     assert.is(fleet.leader()?.replica().state.record?.revision, 1, `seed ${seed}: no second revision`);
-    assert.is(await put(fleet, 9, 7), 'taken', `seed ${seed}: on top of the right one`);
+    assert.is(await put(fleet, 9, 7), 'committed', `seed ${seed}: on top of the right one`);
     assert.is(await readText(fleet), 'document 9', `seed ${seed}`);
     assert.equal(fleet.rules.broken(), [], `seed ${seed}`);
   }
--- a/tests/sim/lost-core.test.ts
+++ b/tests/sim/lost-core.test.ts
@@ -57,7 +57,7 @@
   const put = desk.put(sampleSetup('fresh', 3), 'put-fresh', 0);
   await fleet.play(2 * second);
   const word = await put;
-  assert.ok(word.type === 'decided' && word.outcome.type === 'taken');
+  assert.ok(word.type === 'decided' && word.outcome.type === 'committed');
   fleet.network.heal();
   await fleet.play(3 * second);
   assert.equal(shown(fleet), ['4 fresh', '4 fresh', '4 fresh']);
@@ -75,7 +75,7 @@
     const put = simOperatorService(fleet).put(sampleSetup('first'), 'put-first', 0);
     await fleet.playFor(5 * second);
     const word = await put;
-    assert.ok(word.type === 'decided' && word.outcome.type === 'taken', `seed ${seed}: ${word.type}`);
+    assert.ok(word.type === 'decided' && word.outcome.type === 'committed', `seed ${seed}: ${word.type}`);
     assert.equal(fleet.rules.broken(), [], `seed ${seed}`);
   }
 });
--- a/tests/sim/small-fleet.ts
+++ b/tests/sim/small-fleet.ts
@@ -34,7 +34,7 @@
   const put = async (wanted: Setup): Promise<number | undefined> => {
     const askedUs = fleet.world.now();
     const word = await desk.put(wanted, `put-${wanted.name}`, revision);
-    if (word.type !== 'decided' || word.outcome.type !== 'taken') return undefined;
+    if (word.type !== 'decided' || word.outcome.type !== 'committed') return undefined;
     revision = word.outcome.revision;
     fleet.history.puts.push({
       proposal: `put-${wanted.name}`,
