--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -22,6 +22,8 @@
 export type CoreFleet = SimCommons & {
   readonly machines: readonly SimControl[];
   readonly rules: CoreRules;
+  /** Adds a machine with an empty disk that may not found a core; it is not started. */
+  readonly addMachine: (address: string) => SimControl;
   readonly leader: () => SimControl | undefined;
   readonly playFor: (span: Micros) => Promise<void>;
 };
@@ -67,27 +69,32 @@
   const seeds = (): readonly string[] =>
     (machines.length === 0 ? bornAddresses : machines.map((machine) => machine.address())).slice(0, seedCount);
   const machines: SimControl[] = [];
-  for (const [place, bornAddress] of bornAddresses.entries())
-    machines.push(
-      openSimControl({
-        name: `c${place + 1}`,
-        locality: localities[place % localities.length] ?? 'a',
-        bornAddress,
-        seeds,
-        commons,
-        ringFileBytes,
-        voters,
-        refounds,
-        laterSeeds,
-        logOf: (control) => rules.logOf(() => control.replica().identity),
-        hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
-      }),
-    );
+  const addMachine = (bornAddress: string, isReplacement: boolean): SimControl => {
+    const place = machines.length;
+    const machine = openSimControl({
+      name: `c${place + 1}`,
+      locality: localities[place % localities.length] ?? 'a',
+      bornAddress,
+      seeds,
+      commons,
+      ringFileBytes,
+      voters,
+      refounds,
+      laterSeeds,
+      isReplacement,
+      logOf: (control) => rules.logOf(() => control.replica().identity),
+      hearUnkept: (what) => rules.breakRule(`kept-before-said: ${what}`),
+    });
+    machines.push(machine);
+    return machine;
+  };
+  for (const bornAddress of bornAddresses) addMachine(bornAddress, false);
   machines.forEach((machine) => world.after(world.chance() * 300_000, machine.start));
   return {
     ...commons,
     machines,
     rules,
+    addMachine: (address) => addMachine(address, true),
     leader: () =>
       machines
         .filter((machine) => machine.isUp() && machine.replica().role === 'leader')
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -26,6 +26,8 @@
   /** Ends in order, then calls back. */
   readonly terminate: (ended: () => void) => void;
   readonly loseDisk: (newAddress?: string) => void;
+  /** The seeds it is told from its next start on. */
+  readonly changeSeeds: (newSeeds: readonly string[]) => void;
   readonly slowDisk: (syncUs: Micros) => void;
   /** From now on writes fail, or do not. A machine that can not write says nothing until it can. */
   readonly fillDisk: (isFull: boolean) => void;
@@ -44,6 +46,8 @@
   readonly voters?: number;
   /** Whether it may found a core again after it has lost its disk. */
   readonly refounds?: boolean;
+  /** Whether it takes the place of a machine that is gone, so that it may not found a core even with an empty disk. */
+  readonly isReplacement?: boolean;
   /** The seeds it is told after it has lost its disk, where they are others. */
   readonly laterSeeds?: readonly string[];
   readonly logOf: (control: SimControl) => Log;
@@ -65,6 +69,7 @@
   voters,
   refounds = true,
   laterSeeds,
+  isReplacement = false,
   logOf,
   hearUnkept,
 }: SimControlPlan): SimControl => {
@@ -77,6 +82,7 @@
   let isFull = false;
   let isEmpty = true;
   let hasLostDisk = false;
+  let changedSeeds: readonly string[] | undefined;
   let tasks: ControlNode | undefined;
   let lastView = startReplica(name, address, seeds());
   const emptyFiles = () =>
@@ -87,6 +93,8 @@
     }));
   let files = emptyFiles();
 
+  const toldSeeds = (): readonly string[] => changedSeeds ?? (hasLostDisk ? laterSeeds : undefined) ?? seeds();
+
   const end = (): void => {
     lastView = control.replica();
     tasks = undefined;
@@ -136,11 +144,11 @@
           locality,
           http: `${address}/http`,
           partners: address,
-          seeds: hasLostDisk ? (laterSeeds ?? seeds()) : seeds(),
+          seeds: toldSeeds(),
           data: name,
           ringFiles,
           ringFileBytes,
-          founds: refounds || !hasLostDisk,
+          founds: refounds || !(hasLostDisk || isReplacement),
           voters,
         },
         log: logOf(control),
@@ -182,6 +190,9 @@
       hasLostDisk = true;
       address = newAddress ?? address;
     },
+    changeSeeds: (newSeeds) => {
+      changedSeeds = newSeeds;
+    },
     slowDisk: (newSyncUs) => {
       syncUs = newSyncUs;
       commons.note(newSyncUs > usualDiskUs ? 'begins' : 'ends', name, 'disk');
--- a/src/sim/process/sim-partner-links.ts
+++ b/src/sim/process/sim-partner-links.ts
@@ -5,7 +5,7 @@
 import type { SimLife } from './sim-life.js';
 import type { SimPorts } from './sim-ports.js';
 
-/** Links between processes of the virtual world: frames may be late, out of order or lost. */
+/** Links between processes of the virtual world: frames may be late, out of order, lost or doubled, also across lives. */
 export const openSimPartnerLinks = (
   address: string,
   life: SimLife,
@@ -25,7 +25,7 @@
       return Promise.resolve();
     },
     send: (target, frame) => {
-      if (!isClosed && !life.isOver()) network.send(address, target, () => ports.get(target)?.(address, frame));
+      if (!isClosed && !life.isOver()) network.sendFrame(address, target, () => ports.get(target)?.(address, frame));
     },
     close: () => {
       isClosed = true;
