Add core scenarios of long cuts, replacements, long histories and repeated orders

Cause: the core scenario cut machines off for six seconds at most, knew no replacement, a few hundred changes and no lost acknowledgement, and checked no history as a whole.

--- a/src/cli/known-scenarios.ts
+++ b/src/cli/known-scenarios.ts
@@ -39,6 +39,25 @@
     name: 'core',
     about: 'three core machines under kills, freezes, cuts, lost and stalled disks; racing operators, reads and claims',
   },
+  {
+    name: 'core-cuts',
+    about:
+      'a core machine is cut off for twenty seconds, both ways, one way or from one other; orders and reads on both sides',
+  },
+  {
+    name: 'core-replacements',
+    about:
+      'cores of three and five lose, wipe and replace one machine after another; replaced ones come back with old disks',
+  },
+  {
+    name: 'core-histories',
+    about: 'a thousand orders, some of a megabyte, through restarts and bad disks; late and empty machines catch up',
+  },
+  {
+    name: 'core-repeats',
+    about:
+      'acknowledgements are lost, orders repeated to other machines at once, after hundreds of changes and restarts of all',
+  },
   {
     name: 'claims',
     about:
--- a/src/sim/core/configuration-client.ts
+++ b/src/sim/core/configuration-client.ts
@@ -53,6 +53,9 @@
   return `${text.slice(0, end)} (${text.length - end - titleEnd.length})`;
 };
 
+/** Names of setups hold no spaces. */
+const setupNameOf = (title: string): string => title.replaceAll(' ', '-');
+
 const answerOf = (reply: OperatorReply): ToldAnswer => {
   if (reply.type === 'refused') return 'refused';
   if (reply.type !== 'decided') return 'unknown';
@@ -65,10 +68,7 @@
   return original === undefined ? undefined : { version: original.version, text: titleOf(original.text) };
 };
 
-export const openConfigurationClient = (
-  fleet: CoreFleet,
-  plan: ConfigurationClientPlan = {},
-): ConfigurationClient => {
+export const openConfigurationClient = (fleet: CoreFleet, plan: ConfigurationClientPlan = {}): ConfigurationClient => {
   const { world } = fleet;
   const sent: SentOperation[] = [];
   const openOrders = new Map<number, OrderOperation>();
@@ -100,15 +100,16 @@
       const place = orderCount;
       openOrders.set(place, unanswered);
       const reply = await serviceAt(machine).putOriginal({
-        setup: sampleSetup(order.title),
+        setup: sampleSetup(setupNameOf(order.title)),
         original: { version: order.version, text },
         expectedVersion: order.base,
       });
       const answer = answerOf(reply);
+      if (reply.type === 'refused' && reply.error.type !== 'unreachable')
+        fleet.rules.breakRule(`orders-hold: ${order.title} was refused as ${reply.error.type}`);
       openOrders.delete(place);
       noteSpan('order', machine, boot, calledUs);
-      if (answer !== 'refused')
-        sent.push({ machine, operation: { ...unanswered, answeredUs: world.now(), answer } });
+      if (answer !== 'refused') sent.push({ machine, operation: { ...unanswered, answeredUs: world.now(), answer } });
       return answer;
     },
     read: async (machine) => {
--- a/src/sim/core/configuration-load.ts
+++ b/src/sim/core/configuration-load.ts
@@ -1,6 +1,6 @@
 import { oneOf, wholeBelow } from '../../common/chance.js';
 import type { Micros } from '../../common/micros.js';
-import type { ConfigurationClient, DocumentOrder } from './configuration-client.js';
+import type { ConfigurationClient, DocumentOrder, ToldAnswer } from './configuration-client.js';
 import type { CoreFleet } from './core-fleet.js';
 import type { SimControl } from './sim-control.js';
 
@@ -20,18 +20,30 @@
 const mostRepeats = 6;
 const repeatPauseUs: Micros = 150_000;
 
-/** Sends an order, and the same again to other machines while nothing clear is answered. */
+/** Sends an order, and the same again to other machines while nothing clear is answered; gives the last answer. */
 export const orderUntilClear = async (
   fleet: CoreFleet,
   client: ConfigurationClient,
   order: DocumentOrder,
   machines: readonly SimControl[] = fleet.machines,
-): Promise<void> => {
+): Promise<ToldAnswer> => {
+  let answer: ToldAnswer = 'refused';
   for (let attempt = 0; attempt < mostRepeats; attempt += 1) {
     const machine = oneOf(fleet.world.chance, machines);
-    if (machine === undefined) return;
-    const answer = await client.order(machine, order);
-    if (answer === 'committed' || answer === 'conflict') return;
+    if (machine === undefined) return answer;
+    answer = await client.order(machine, order);
+    if (answer === 'committed' || answer === 'conflict') return answer;
+    await new Promise<void>((resolve) => fleet.world.after(repeatPauseUs, resolve));
+  }
+  return answer;
+};
+
+/** Reads at one machine after another until one gives the version in force. */
+export const readVersion = async (fleet: CoreFleet, client: ConfigurationClient): Promise<number> => {
+  for (;;) {
+    const machine = oneOf(fleet.world.chance, fleet.machines);
+    const value = machine === undefined ? undefined : await client.read(machine);
+    if (value !== undefined) return value.version;
     await new Promise<void>((resolve) => fleet.world.after(repeatPauseUs, resolve));
   }
 };
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -99,6 +99,6 @@
       machines
         .filter((machine) => machine.isUp() && machine.replica().role === 'leader')
         .sort((left, right) => right.replica().term - left.replica().term)[0],
-    playFor: (span) => world.playUntil(world.now() + span),
+    playFor: (span) => world.playUntil(world.now() + Math.round(span)),
   };
 };
--- a/src/sim/core/final-checks.ts
+++ b/src/sim/core/final-checks.ts
@@ -46,7 +46,9 @@
   for (const machine of machines) {
     const own = machine.replica();
     if (own.commit !== wanted.commit)
-      fleet.rules.breakRule(`equal-states: ${machine.name} ended at commit ${own.commit}, the leader at ${wanted.commit}`);
+      fleet.rules.breakRule(
+        `equal-states: ${machine.name} ended at commit ${own.commit}, the leader at ${wanted.commit}`,
+      );
     else if (!isDeepStrictEqual(own.state, wanted.state))
       fleet.rules.breakRule(`equal-states: ${machine.name} applied something else up to ${own.commit}`);
   }
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -44,8 +44,7 @@
   const usualDelayUs = (): Micros => (leastDelayUs + world.chance() * moreDelayUs) * delayFactor;
   const longDelayUs = (): Micros => world.chance() * redelivery.mostDelayUs;
 
-  const isPassed = (from: string, to: string): boolean =>
-    !cuts.has(`${from}>${to}`) && !(world.chance() < lossShare);
+  const isPassed = (from: string, to: string): boolean => !cuts.has(`${from}>${to}`) && !(world.chance() < lossShare);
   const deliverAfter = (span: Micros, from: string, to: string, arrive: () => void): void =>
     world.after(span, () => {
       if (!cuts.has(`${from}>${to}`)) arrive();
