--- a/src/sim/core/configuration-client.ts
+++ b/src/sim/core/configuration-client.ts
@@ -35,6 +35,8 @@
   readonly read: (machine: SimControl) => Promise<RegisterValue | undefined>;
   /** What has been told so far, with the machine that told it. */
   readonly sent: () => readonly SentOperation[];
+  /** The newest version that anyone was told. */
+  readonly newestVersion: () => number;
   /** The longest waits for an answer of machines that were up all the while. */
   readonly slowestUs: () => { readonly order: Micros; readonly read: Micros };
   /** What breaks linearizability, if anything. */
@@ -73,6 +75,7 @@
   const sent: SentOperation[] = [];
   const openOrders = new Map<number, OrderOperation>();
   let orderCount = 0;
+  let newestVersion = 0;
   let slowest = { order: 0, read: 0 };
 
   const serviceAt = (machine: SimControl) => operatorServiceOn(fleet, { ...plan, machine: () => machine });
@@ -109,6 +112,7 @@
         fleet.rules.breakRule(`orders-hold: ${order.title} was refused as ${reply.error.type}`);
       openOrders.delete(place);
       noteSpan('order', machine, boot, calledUs);
+      if (answer === 'committed') newestVersion = Math.max(newestVersion, order.version);
       if (answer !== 'refused') sent.push({ machine, operation: { ...unanswered, answeredUs: world.now(), answer } });
       return answer;
     },
@@ -117,6 +121,7 @@
       const boot = machine.node.boot();
       const value = valueOf(await serviceAt(machine).read());
       noteSpan('read', machine, boot, calledUs);
+      newestVersion = Math.max(newestVersion, value?.version ?? 0);
       if (value !== undefined)
         sent.push({
           machine,
@@ -125,6 +130,7 @@
       return value;
     },
     sent: () => sent,
+    newestVersion: () => newestVersion,
     slowestUs: () => slowest,
     violation: () => {
       const verdict = checkRegister([...sent.map(({ operation }) => operation), ...openOrders.values()]);
--- a/src/sim/core/configuration-load.ts
+++ b/src/sim/core/configuration-load.ts
@@ -85,3 +85,22 @@
     });
   });
 };
+
+const burstReadEveryUs: Micros = 50_000;
+const burstOrderEveryUs: Micros = 250_000;
+
+/** For a while, reads and orders go to every machine, so that each has some under way when something happens to it. */
+export const startBurst = (fleet: CoreFleet, client: ConfigurationClient, spanUs: Micros): void => {
+  const { world } = fleet;
+  const untilUs = world.now() + spanUs;
+  const atEachMachine = (everyUs: Micros, act: (machine: SimControl) => void): void => {
+    if (world.now() >= untilUs) return;
+    fleet.machines.forEach(act);
+    world.after(everyUs, () => atEachMachine(everyUs, act));
+  };
+  atEachMachine(burstReadEveryUs, (machine) => void client.read(machine));
+  atEachMachine(burstOrderEveryUs, (machine) => {
+    const base = client.newestVersion();
+    void client.order(machine, { base, version: base + 1, title: `burst ${world.now()} ${machine.name}` });
+  });
+};
--- a/src/sim/core/cuts-scenario.ts
+++ b/src/sim/core/cuts-scenario.ts
@@ -3,7 +3,7 @@
 import type { SimRun, SimScenario } from '../sim-run.js';
 import { noRedelivery } from '../world/network.js';
 import { openConfigurationClient, countAnswers, type ConfigurationClient } from './configuration-client.js';
-import { startLoad } from './configuration-load.js';
+import { startBurst, startLoad } from './configuration-load.js';
 import { applyCut, describeCut, drawCut, isFullCut, type CoreCut } from './core-cuts.js';
 import { openCoreFleet, type AskedCore } from './core-fleet.js';
 import { checkEqualStates, checkHistory, untilCommitted } from './final-checks.js';
@@ -17,6 +17,9 @@
 /** One second, and what the network's delays and a heartbeat add. */
 const caughtUpUs: Micros = 1_200_000;
 const unseatedUs: Micros = 3 * second;
+const burstUs: Micros = 1.6 * second;
+/** The cut falls within so long after the burst has begun. */
+const burstOrderUs: Micros = 300_000;
 const committedBoundUs: Micros = 6 * second;
 const most = { orderUs: 4_500_000, readUs: 2_500_000 };
 
@@ -69,6 +72,8 @@
     return;
   }
   tell(describeCut(fleet, cut));
+  startBurst(fleet, client, burstUs);
+  await fleet.playFor(world.chance() * burstOrderUs);
   applyCut(fleet, cut);
   const startedUs = world.now();
   if (world.chance() < 0.6) restartInCut(fleet, cut, tell);
@@ -81,6 +86,7 @@
   const leader = fleet.leader();
   const hasWorked = leader === settledLeader && leader?.replica().term === settledTerm && leader !== cut.machine;
   const healedCommit = leader?.replica().commit ?? 0;
+  startBurst(fleet, client, burstUs);
   network.heal();
   tell('heal');
   await fleet.playFor(caughtUpUs);
