--- a/src/control/machine/commit.ts
+++ b/src/control/machine/commit.ts
@@ -4,7 +4,8 @@
 import type { Replica } from './replica.js';
 import { entriesFrom, entryAt, lastIndexOf, membersOf, termAt, textCharsOf, votersOf } from './log-reading.js';
 import { passiveRoleOf, changeRole } from './roles.js';
-import { maxLogEntries, maxLogConfigurations, maxAppendTextChars } from './timing.js';
+import { holdsBackCompaction } from './snapshot-transfer.js';
+import { heldCompactionFactor, maxLogEntries, maxLogConfigurations, maxAppendTextChars } from './timing.js';
 
 const applyEntry = (replica: Replica, index: number): ControlStep => {
   const entry = entryAt(replica, index);
@@ -42,11 +43,15 @@
   };
 };
 
-/** Whether the log is to be folded: it has many entries, or many or large whole setups. */
-const needsCompaction = (replica: Replica): boolean =>
-  replica.entries.length > maxLogEntries ||
-  replica.entries.filter((entry) => entry.command.type === 'setup').length > maxLogConfigurations ||
-  replica.entries.reduce((sum, entry) => sum + textCharsOf(entry), 0) > maxAppendTextChars * 4;
+/** Whether the log is to be folded: it has many entries, or many or large configurations. */
+const needsCompaction = (replica: Replica): boolean => {
+  const factor = holdsBackCompaction(replica) ? heldCompactionFactor : 1;
+  return (
+    replica.entries.length > maxLogEntries * factor ||
+    replica.entries.filter((entry) => entry.command.type === 'setup').length > maxLogConfigurations * factor ||
+    replica.entries.reduce((sum, entry) => sum + textCharsOf(entry), 0) > maxAppendTextChars * 4 * factor
+  );
+};
 
 /** Commits up to an index: applies, answers, folds. */
 export const commitTo = (replica: Replica, index: number): ControlStep => {
--- a/src/control/machine/elections.ts
+++ b/src/control/machine/elections.ts
@@ -29,6 +29,7 @@
     leader: replica.identity,
     leadsSinceUs: replica.atUs,
     heartbeatUs: replica.atUs + heartbeatIntervalUs,
+    partialSnapshot: undefined,
     progress: new Map(otherMembersOf(replica).map((identity) => [identity, newProgress(replica)])),
     reads: [],
     pendingRequests: new Map(),
--- a/src/control/machine/follower.ts
+++ b/src/control/machine/follower.ts
@@ -1,9 +1,12 @@
 import type { LogEntry } from '../log/log-entry.js';
+import type { Snapshot } from '../log/snapshot.js';
+import { decodeSnapshotText } from '../wire/snapshot-text.js';
 import { commitTo } from './commit.js';
 import { andThen, stepOf, type ControlStep } from './control-step.js';
 import type { Replica } from './replica.js';
 import { entriesFrom, lastIndexOf, termAt } from './log-reading.js';
 import type { ControlMessage } from './message.js';
+import { isWhole, withPiece } from './partial-snapshot.js';
 import { becomeFollower, replaceLogSuffix } from './roles.js';
 
 type Append = Extract<ControlMessage, { readonly type: 'append' }>;
@@ -57,9 +60,23 @@
   });
 };
 
+const acknowledgePiece = (replica: Replica, to: string, message: InstallSnapshot, received: number): ControlStep =>
+  stepOf(replica, {
+    type: 'send',
+    to,
+    message: {
+      type: 'installSnapshotReply',
+      term: replica.term,
+      snapshotIndex: message.snapshotIndex,
+      offset: message.offset,
+      received,
+      round: message.round,
+    },
+  });
+
 /**
- * Takes a whole snapshot from the leader when its log no longer reaches back far enough. What stands behind
- * the snapshot in the same log stays: it may have been acknowledged before a late snapshot came.
+ * Takes a piece of a snapshot from the leader when its log no longer reaches back far enough, and installs the snapshot
+ * with the last piece. A whole text that differs from its digest is dropped and asked for again.
  */
 export const onInstallSnapshot = (
   replica: Replica,
@@ -69,27 +86,49 @@
 ): ControlStep => {
   if (message.term < replica.term) return replyToAppend(replica, from, false, lastIndexOf(replica), message.round);
   return andThen(recordLeaderContact(replica, from, chance), (heardReplica) => {
-    const { snapshot } = message;
-    if (snapshot.index <= heardReplica.commit)
-      return replyToAppend(heardReplica, from, true, heardReplica.commit, message.round);
-    const entries =
-      termAt(heardReplica, snapshot.index) === snapshot.term
-        ? entriesFrom(heardReplica, snapshot.index + 1, heardReplica.entries.length)
-        : [];
-    const installedReplica: Replica = {
-      ...heardReplica,
-      snapshot,
-      entries,
-      commit: snapshot.index,
-      state: snapshot.state,
-    };
-    const kept = stepOf(
-      installedReplica,
-      { type: 'persist', record: { type: 'snapshot', snapshot } },
-      ...(entries.length === 0 ? [] : [{ type: 'persist' as const, record: { type: 'entries' as const, entries } }]),
-      { type: 'members', members: snapshot.members },
-      ...(snapshot.state.record === undefined ? [] : [{ type: 'taken' as const, record: snapshot.state.record }]),
-    );
-    return andThen(kept, (keptReplica) => replyToAppend(keptReplica, from, true, snapshot.index, message.round));
+    if (message.snapshotIndex <= heardReplica.commit)
+      return replyToAppend(
+        { ...heardReplica, partialSnapshot: undefined },
+        from,
+        true,
+        heardReplica.commit,
+        message.round,
+      );
+    const partialSnapshot = withPiece(heardReplica.partialSnapshot, message);
+    if (!isWhole(partialSnapshot))
+      return acknowledgePiece(
+        { ...heardReplica, partialSnapshot },
+        from,
+        message,
+        partialSnapshot.snapshotIndex === message.snapshotIndex ? partialSnapshot.text.length : 0,
+      );
+    const emptiedReplica: Replica = { ...heardReplica, partialSnapshot: undefined };
+    return decodeSnapshotText(partialSnapshot.text, partialSnapshot.digest).caseOf({
+      Left: () => acknowledgePiece(emptiedReplica, from, message, 0),
+      Right: (snapshot) =>
+        snapshot.index === message.snapshotIndex && snapshot.term === message.snapshotTerm
+          ? installSnapshot(emptiedReplica, from, snapshot, message.round)
+          : acknowledgePiece(emptiedReplica, from, message, 0),
+    });
   });
 };
+
+/**
+ * Installs a whole snapshot. What stands behind it in the same log stays: it may have been acknowledged before a late
+ * snapshot came.
+ */
+const installSnapshot = (replica: Replica, from: string, snapshot: Snapshot, round: number): ControlStep => {
+  const entries =
+    termAt(replica, snapshot.index) === snapshot.term
+      ? entriesFrom(replica, snapshot.index + 1, replica.entries.length)
+      : [];
+  const installedReplica: Replica = { ...replica, snapshot, entries, commit: snapshot.index, state: snapshot.state };
+  const kept = stepOf(
+    installedReplica,
+    { type: 'persist', record: { type: 'snapshot', snapshot } },
+    ...(entries.length === 0 ? [] : [{ type: 'persist' as const, record: { type: 'entries' as const, entries } }]),
+    { type: 'members', members: snapshot.members },
+    ...(snapshot.state.record === undefined ? [] : [{ type: 'taken' as const, record: snapshot.state.record }]),
+  );
+  return andThen(kept, (keptReplica) => replyToAppend(keptReplica, from, true, snapshot.index, round));
+};
--- a/src/control/machine/leader.ts
+++ b/src/control/machine/leader.ts
@@ -2,33 +2,58 @@
 import type { Member } from '../members/member.js';
 import { advanceCommit } from './commit.js';
 import { andThen, stepOf, type ControlStep } from './control-step.js';
+import { withContact, withProgressMade } from './flow-control.js';
+import type { Progress } from './progress.js';
 import type { Replica } from './replica.js';
 import { hasOpenChange, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { appendCommand, newProgress, completeReads, sendAppend, broadcastAppend } from './replication.js';
 import { becomeFollower } from './roles.js';
+import {
+  needsSnapshot,
+  sendSnapshotPiece,
+  withFinishedTransfer,
+  withPieceReply,
+  withTransferMoved,
+} from './snapshot-transfer.js';
 import { deadMemberTimeoutUs, electionTimeoutUs, learnerTimeoutUs, heartbeatIntervalUs } from './timing.js';
 
 type AppendBack = Extract<ControlMessage, { readonly type: 'appendReply' }>;
 
+type PieceReply = Extract<ControlMessage, { readonly type: 'installSnapshotReply' }>;
+
+/** The next index to send: behind what matches, or further back after a rejection of entries. */
+const nextIndexAfter = (replica: Replica, progress: Progress, message: AppendBack): number => {
+  if (message.matches) return Math.max(progress.match, message.index) + 1;
+  if (needsSnapshot(replica, progress)) return progress.next;
+  return Math.max(progress.match + 1, Math.min(progress.next - 1, message.index + 1));
+};
+
 export const onAppendReply = (replica: Replica, from: string, message: AppendBack): ControlStep => {
   const progress = replica.progress.get(from);
   if (replica.role !== 'leader' || progress === undefined || message.term !== replica.term) return stepOf(replica);
-  const heardProgress = {
-    ...progress,
-    heardUs: replica.atUs,
-    heardRound: Math.max(progress.heardRound, message.round),
-    pausedUntilUs: 0,
-  };
+  const contacted = withContact(progress, message.round, replica.atUs);
   const match = message.matches ? Math.max(progress.match, message.index) : progress.match;
-  const next = message.matches
-    ? Math.max(match + 1, progress.match + 1)
-    : Math.max(progress.match + 1, Math.min(progress.next - 1, message.index + 1));
+  const next = nextIndexAfter(replica, progress, message);
   const hasMoved = match !== progress.match || next !== progress.next;
-  const heardReplica = { ...replica, progress: withEntry(replica.progress, from, { ...heardProgress, match, next }) };
-  return andThen(andThen(advanceCommit(heardReplica), completeReads), (answeredReplica) =>
-    answeredReplica.role === 'leader' && hasMoved && next <= lastIndexOf(answeredReplica)
+  const moved = hasMoved ? withTransferMoved(withProgressMade(contacted), replica.atUs) : contacted;
+  const heardReplica = { ...replica, progress: withEntry(replica.progress, from, { ...moved, match, next }) };
+  return andThen(andThen(advanceCommit(heardReplica), completeReads), (committedReplica) => {
+    const answeredReplica = withFinishedTransfer(committedReplica, from);
+    return answeredReplica.role === 'leader' && hasMoved && next <= lastIndexOf(answeredReplica)
       ? sendAppend(answeredReplica, from)
+      : stepOf(answeredReplica);
+  });
+};
+
+/** The acknowledgement of a snapshot piece asks for the next one, and counts as word from the member. */
+export const onInstallSnapshotReply = (replica: Replica, from: string, message: PieceReply): ControlStep => {
+  const heardReplica = withPieceReply(replica, from, message);
+  const progress = heardReplica.progress.get(from);
+  if (heardReplica === replica || progress === undefined) return stepOf(replica);
+  return andThen(completeReads(heardReplica), (answeredReplica) =>
+    needsSnapshot(answeredReplica, progress)
+      ? sendSnapshotPiece(answeredReplica, from, progress)
       : stepOf(answeredReplica),
   );
 };
--- a/src/control/machine/message.ts
+++ b/src/control/machine/message.ts
@@ -1,4 +1,3 @@
-import type { Snapshot } from '../log/snapshot.js';
 import type { LogEntry } from '../log/log-entry.js';
 
 /** What core machines say to each other. */
@@ -39,5 +38,25 @@
       readonly index: number;
       readonly round: number;
     }
-  | { readonly type: 'installSnapshot'; readonly term: number; readonly snapshot: Snapshot; readonly round: number }
+  /** One piece of an encoded snapshot; `total` and `digest` are of the whole. */
+  | {
+      readonly type: 'installSnapshot';
+      readonly term: number;
+      readonly snapshotIndex: number;
+      readonly snapshotTerm: number;
+      readonly offset: number;
+      readonly total: number;
+      readonly digest: string;
+      readonly piece: string;
+      readonly round: number;
+    }
+  /** Acknowledges how much of a snapshot is there without a gap, in reply to the piece at `offset`. */
+  | {
+      readonly type: 'installSnapshotReply';
+      readonly term: number;
+      readonly snapshotIndex: number;
+      readonly offset: number;
+      readonly received: number;
+      readonly round: number;
+    }
   | { readonly type: 'timeoutNow'; readonly term: number };
--- a/src/control/machine/replica.ts
+++ b/src/control/machine/replica.ts
@@ -3,6 +3,8 @@
 import type { LogEntry } from '../log/log-entry.js';
 import type { ReplicatedState } from '../state/replicated-state.js';
 import { startReplicatedState } from '../state/replicated-state.js';
+import type { EncodedSnapshot } from '../wire/snapshot-text.js';
+import type { PartialSnapshot } from './partial-snapshot.js';
 import type { PendingRead } from './pending-read.js';
 import type { Progress } from './progress.js';
 import type { Role } from './role.js';
@@ -38,6 +40,10 @@
   readonly leadsSinceUs: Micros;
   readonly votes: ReadonlySet<string>;
   readonly progress: ReadonlyMap<string, Progress>;
+  /** A leader's snapshot as it is sent, encoded once for all members that need it. */
+  readonly encodedSnapshot?: EncodedSnapshot;
+  /** What a follower has of a snapshot that is on its way. */
+  readonly partialSnapshot?: PartialSnapshot;
   readonly round: number;
   readonly reads: readonly PendingRead[];
   readonly pendingRequests: ReadonlyMap<number, string>;
--- a/src/control/machine/replication.ts
+++ b/src/control/machine/replication.ts
@@ -4,9 +4,11 @@
 import { advanceCommit } from './commit.js';
 import type { ControlEffect } from './control-effect.js';
 import { andThen, forEachStep, stepOf, type ControlStep } from './control-step.js';
+import { isPaused, withSend } from './flow-control.js';
 import type { Replica } from './replica.js';
 import { entriesFrom, lastIndexOf, membersOf, termAt, textCharsOf, votersOf } from './log-reading.js';
 import type { Progress } from './progress.js';
+import { needsSnapshot, sendSnapshotPiece } from './snapshot-transfer.js';
 import { maxEntriesPerAppend, maxAppendTextChars, resendTimeoutUs } from './timing.js';
 
 export const newProgress = (replica: Replica): Progress => ({
@@ -15,6 +17,7 @@
   heardUs: replica.atUs,
   heardRound: 0,
   pausedUntilUs: 0,
+  retransmitTimeoutUs: resendTimeoutUs,
 });
 
 /** The first entries of some, as many as their texts allow, and one at least. */
@@ -24,30 +27,34 @@
   return end < 0 ? entries : entries.slice(0, end);
 };
 
-/** Sends one machine what it lacks, or a bare heartbeat while it has word to send back. */
-export const sendAppend = (replica: Replica, identity: string): ControlStep => {
+/**
+ * A heartbeat without entries. It compares the logs where they are known to match; a member that needs a snapshot is
+ * compared at index 0, where all logs match, so that it answers with its own commit index.
+ */
+const heartbeatTo = (replica: Replica, identity: string): ControlEffect => {
   const progress = replica.progress.get(identity) ?? newProgress(replica);
-  const isPaused = replica.atUs < progress.pausedUntilUs;
-  if (progress.next <= replica.snapshot.index) {
-    if (isPaused) return stepOf(replica);
-    const pausedReplica = {
-      ...replica,
-      progress: withEntry(replica.progress, identity, {
-        ...progress,
-        pausedUntilUs: replica.atUs + resendTimeoutUs * 5,
-      }),
-    };
-    return stepOf(pausedReplica, {
-      type: 'send',
-      to: identity,
-      message: { type: 'installSnapshot', term: replica.term, snapshot: replica.snapshot, round: replica.round },
-    });
-  }
-  const previousIndex = isPaused ? Math.max(progress.match, replica.snapshot.index) : progress.next - 1;
-  const entries = isPaused ? [] : withinTextLimit(entriesFrom(replica, progress.next, maxEntriesPerAppend));
-  const pausedUntilUs = entries.length > 0 ? replica.atUs + resendTimeoutUs : progress.pausedUntilUs;
+  const previousIndex = needsSnapshot(replica, progress) ? 0 : Math.max(progress.match, replica.snapshot.index);
+  return {
+    type: 'send',
+    to: identity,
+    message: {
+      type: 'append',
+      term: replica.term,
+      previousIndex,
+      previousTerm: termAt(replica, previousIndex) ?? 0,
+      entries: [],
+      commit: replica.commit,
+      round: replica.round,
+    },
+  };
+};
+
+const sendEntries = (replica: Replica, identity: string, progress: Progress): ControlStep => {
+  const previousIndex = progress.next - 1;
+  const entries = withinTextLimit(entriesFrom(replica, progress.next, maxEntriesPerAppend));
+  const sentProgress = entries.length > 0 ? withSend(progress, replica.atUs) : progress;
   return stepOf(
-    { ...replica, progress: withEntry(replica.progress, identity, { ...progress, pausedUntilUs }) },
+    { ...replica, progress: withEntry(replica.progress, identity, sentProgress) },
     {
       type: 'send',
       to: identity,
@@ -64,6 +71,18 @@
   );
 };
 
+/** Sends one member what it lacks; a heartbeat goes in any case, also while a send is under way. */
+export const sendAppend = (replica: Replica, identity: string): ControlStep => {
+  const progress = replica.progress.get(identity) ?? newProgress(replica);
+  if (needsSnapshot(replica, progress))
+    return andThen(stepOf(replica, heartbeatTo(replica, identity)), (beatReplica) =>
+      sendSnapshotPiece(beatReplica, identity, progress),
+    );
+  return isPaused(progress, replica.atUs)
+    ? stepOf(replica, heartbeatTo(replica, identity))
+    : sendEntries(replica, identity, progress);
+};
+
 export const otherMembersOf = (replica: Replica): readonly string[] =>
   membersOf(replica)
     .map((member) => member.identity)
@@ -79,22 +98,7 @@
 export const heartbeatsOf = (syncedReplica: Replica): readonly ControlEffect[] =>
   syncedReplica.role !== 'leader'
     ? []
-    : otherMembersOf(syncedReplica).map((identity) => {
-        const previousIndex = Math.max(syncedReplica.progress.get(identity)?.match ?? 0, syncedReplica.snapshot.index);
-        return {
-          type: 'send',
-          to: identity,
-          message: {
-            type: 'append',
-            term: syncedReplica.term,
-            previousIndex,
-            previousTerm: termAt(syncedReplica, previousIndex) ?? 0,
-            entries: [],
-            commit: syncedReplica.commit,
-            round: syncedReplica.round,
-          },
-        };
-      });
+    : otherMembersOf(syncedReplica).map((identity) => heartbeatTo(syncedReplica, identity));
 
 /** A leader adds an entry, keeps it and sends it on. */
 export const appendCommand = (replica: Replica, command: Command, requestId: string | undefined): ControlStep => {
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -26,7 +26,7 @@
   const changedReplica = { ...replica, ...change };
   const stepsDown = replica.role === 'leader' && changedReplica.role !== 'leader';
   const restedReplica: Replica = stepsDown
-    ? { ...changedReplica, pendingRequests: new Map(), reads: [], progress: new Map() }
+    ? { ...changedReplica, pendingRequests: new Map(), reads: [], progress: new Map(), encodedSnapshot: undefined }
     : changedReplica;
   return stepOf(
     restedReplica,
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -11,7 +11,7 @@
 } from './elections.js';
 import { onAppend, onInstallSnapshot } from './follower.js';
 import { onProbe, findLeader, tryBootstrap } from './bootstrap.js';
-import { onAppendReply, onJoin, onLeaderTick, onRead } from './leader.js';
+import { onAppendReply, onInstallSnapshotReply, onJoin, onLeaderTick, onRead } from './leader.js';
 import { isVoter, votersOf } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { appendCommand } from './replication.js';
@@ -53,6 +53,8 @@
       return onAppendReply(replica, from, message);
     case 'installSnapshot':
       return onInstallSnapshot(replica, from, message, chance);
+    case 'installSnapshotReply':
+      return onInstallSnapshotReply(replica, from, message);
     case 'timeoutNow':
       return message.term === replica.term && isVoter(replica, replica.identity) && replica.role !== 'leader'
         ? startElection(replica, chance)
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -4,7 +4,16 @@
 export const electionTimeoutUs: Micros = 500_000;
 /** For so long a leader's disk may be busy with one sync before its heartbeats end. */
 export const diskStallLimitUs: Micros = 1_500_000;
+/** For how long a batch of entries or a snapshot piece may go without progress before it is sent again, at first. */
 export const resendTimeoutUs: Micros = 200_000;
+/** The longest retransmission timeout: it doubles up to here while there is no progress. */
+export const maxResendTimeoutUs: Micros = 800_000;
+/** A transfer that has made no progress for so long no longer holds back compaction. */
+export const stalledTransferUs: Micros = 5_000_000;
+/** How many times its usual size the log may reach while a transfer that makes progress holds back compaction. */
+export const heldCompactionFactor = 4;
+/** The most characters of an encoded snapshot that go in one message. */
+export const snapshotPieceChars = 128 << 10;
 export const rejoinTimeoutUs: Micros = 2_000_000;
 /** A voter unheard for so long may be replaced by a learner that has caught up. */
 export const deadMemberTimeoutUs: Micros = 2_000_000;
--- a/src/control/wire/message-codec.ts
+++ b/src/control/wire/message-codec.ts
@@ -1,20 +1,14 @@
 import { boolean, number, object, string } from 'yup';
 import { typed, unionGuard } from '../../common/union.js';
 import type { ControlMessage } from '../machine/message.js';
+import { snapshotPieceChars } from '../machine/timing.js';
 import { entriesSchema } from './entry-schema.js';
-import { decodeSnapshot, encodeSnapshot, snapshotSchema, type PlainSnapshot } from './snapshot-codec.js';
+import { maxSnapshotChars } from './snapshot-text.js';
 
-type InstallSnapshot = Extract<ControlMessage, { readonly type: 'installSnapshot' }>;
+/** A control message as it travels; all of its fields are plain. */
+export type PlainMessage = ControlMessage;
 
-/** A control message as it travels: snapshots in their plain form. */
-export type PlainMessage =
-  | Exclude<ControlMessage, InstallSnapshot>
-  | {
-      readonly type: 'installSnapshot';
-      readonly term: number;
-      readonly snapshot: PlainSnapshot;
-      readonly round: number;
-    };
+const digestForm = /^[0-9a-f]{64}$/;
 
 const whole = () => number().required().integer().min(0);
 const name = () => string().required();
@@ -56,12 +50,24 @@
     index: number().required().integer(),
     round: whole(),
   }),
-  installSnapshot: object({ type: typed('installSnapshot'), term: whole(), snapshot: snapshotSchema, round: whole() }),
+  installSnapshot: object({
+    type: typed('installSnapshot'),
+    term: whole(),
+    snapshotIndex: whole(),
+    snapshotTerm: whole(),
+    offset: whole(),
+    total: whole().min(1).max(maxSnapshotChars),
+    digest: string().required().matches(digestForm),
+    piece: string().required().min(1).max(snapshotPieceChars),
+    round: whole(),
+  }),
+  installSnapshotReply: object({
+    type: typed('installSnapshotReply'),
+    term: whole(),
+    snapshotIndex: whole(),
+    offset: whole(),
+    received: whole().max(maxSnapshotChars),
+    round: whole(),
+  }),
   timeoutNow: object({ type: typed('timeoutNow'), term: whole() }),
 });
-
-export const plainMessageOf = (message: ControlMessage): PlainMessage =>
-  message.type === 'installSnapshot' ? { ...message, snapshot: encodeSnapshot(message.snapshot) } : message;
-
-export const messageOfPlain = (message: PlainMessage): ControlMessage =>
-  message.type === 'installSnapshot' ? { ...message, snapshot: decodeSnapshot(message.snapshot) } : message;
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -13,7 +13,6 @@
 import { stepControl } from '../../control/machine/step.js';
 import { diskStallLimitUs, heartbeatIntervalUs, maxAppendTextChars } from '../../control/machine/timing.js';
 import { encodeDurableRecords, decodeDurableBatches } from '../../control/wire/durable-record-codec.js';
-import { messageOfPlain, plainMessageOf } from '../../control/wire/message-codec.js';
 import type { DiskRing } from '../../disk/disk-ring.js';
 import type { Counters } from '../counters.js';
 import type { Log } from '../log.js';
@@ -108,7 +107,7 @@
                 type: 'control',
                 identity: replica.identity,
                 to: effect.to,
-                message: plainMessageOf(effect.message),
+                message: effect.message,
               });
             return;
           }
@@ -116,7 +115,7 @@
             spread.send(effect.address, {
               type: 'control',
               identity: replica.identity,
-              message: plainMessageOf(effect.message),
+              message: effect.message,
             });
             return;
           case 'reply': {
@@ -209,7 +208,7 @@
           at: clock.now(),
           chance: chance(),
           from: frame.identity,
-          message: messageOfPlain(frame.message),
+          message: frame.message,
         });
       });
       /** Gives a core that founded itself anew what the nodes still hold, before it takes anything else. */
