Play long histories, lost messages, compaction and thin links against the catch-up

Cause: nothing played a member that had been down for 1,000 changes, nor a compaction or a change of leader in mid-transfer. Change: tests/control/catch-up.test.ts on a cluster of pure machines (machine-cluster.ts): 100,000 claims, texts of 1 MB, messages lost, doubled and late, an empty member, a thin link; the state at the restart is compared with the replicated state at that index.

--- /dev/null
+++ b/tests/control/catch-up.test.ts
@@ -0,0 +1,176 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Micros } from '../../src/common/micros.js';
+import type { Command } from '../../src/control/log/command.js';
+import type { Snapshot } from '../../src/control/log/snapshot.js';
+import type { Member } from '../../src/control/members/member.js';
+import type { ControlMessage } from '../../src/control/machine/message.js';
+import { startReplica, type Replica } from '../../src/control/machine/replica.js';
+import { maxAppendTextChars, snapshotPieceChars } from '../../src/control/machine/timing.js';
+import { recoverReplica } from '../../src/control/persistence/recovery.js';
+import { applyCommand, mostClaims } from '../../src/control/state/apply.js';
+import { startReplicatedState, type ReplicatedState } from '../../src/control/state/replicated-state.js';
+import { encodeSnapshotText } from '../../src/control/wire/snapshot-text.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+import { openMachineCluster, type Delivery, type MachineCluster } from './machine-cluster.js';
+
+const second: Micros = 1_000_000;
+const identities = ['a', 'b', 'c'] as const;
+const members: readonly Member[] = identities.map((identity) => ({ identity, address: `${identity}:1`, voter: true }));
+const largeTextChars = 1 << 20;
+
+const claimedState = (count: number): ReplicatedState => {
+  let state = startReplicatedState;
+  for (let place = 0; place < count; place += 1) {
+    const key = `label-copy-rewrite/00000000-0000-4000-8000-${String(place).padStart(12, '0')}`;
+    state = applyCommand(state, { type: 'claim', key, exchange: `router-9.0123abcd.c${place}`, atUs: 1 }).state;
+  }
+  return state;
+};
+
+const change = (version: number): Command => ({
+  type: 'setup',
+  proposal: `p${version}`,
+  expected: version - 1,
+  setup: sampleSetup(`change-${version}`),
+  original: { version, text: version % 40 === 0 ? 'é'.repeat(largeTextChars / 2) : `version = ${version}` },
+  atUs: 1,
+});
+
+const machineAt = (identity: string, snapshot: Snapshot): Replica => ({
+  ...startReplica(
+    identity,
+    `${identity}:1`,
+    members.map((member) => member.address),
+  ),
+  snapshot,
+  commit: snapshot.index,
+  state: snapshot.state,
+  term: 1,
+  role: 'follower',
+});
+
+const clusterWith = (seed: number, state: ReplicatedState): MachineCluster => {
+  const full: Snapshot = { index: 100, term: 1, members, state };
+  const early: Snapshot = { index: 1, term: 1, members, state: startReplicatedState };
+  return openMachineCluster(seed, [machineAt('a', full), machineAt('b', full), machineAt('c', early)]);
+};
+
+const digestOf = (state: ReplicatedState): string =>
+  encodeSnapshotText({ index: 0, term: 0, members: [], state }).digest;
+
+const troubled: Delivery = (_from, _to, _message, chance) => {
+  if (chance < 0.1) return [];
+  const delayUs = 1_000 + Math.floor(chance * 40_000);
+  return chance > 0.9 ? [delayUs, delayUs * 3] : [delayUs];
+};
+
+const sizeOf = (message: ControlMessage): number => {
+  if (message.type === 'installSnapshot') return message.piece.length;
+  if (message.type !== 'append') return 0;
+  return message.entries.reduce(
+    (sum, { command }) => sum + (command.type === 'setup' ? (command.original?.text.length ?? 0) : 0),
+    0,
+  );
+};
+
+const playChanges = (cluster: MachineCluster, count: number, spanUs: Micros): void => {
+  for (let done = 0; done < count; done += 1) {
+    const version = (cluster.leader()?.state.record?.original?.version ?? 0) + 1;
+    cluster.propose(change(version));
+    cluster.playFor(spanUs);
+  }
+};
+
+/** How long a member takes until it has what the leader had committed when this was called. */
+const catchUpUs = (cluster: MachineCluster, identity: string, boundUs: Micros): Micros => {
+  const startUs = cluster.now();
+  const target = cluster.leader()?.commit ?? Number.POSITIVE_INFINITY;
+  while (cluster.replica(identity).commit < target && cluster.now() - startUs < boundUs) cluster.playFor(50_000);
+  return cluster.now() - startUs;
+};
+
+const assertSameStates = (cluster: MachineCluster): void => {
+  const reference = cluster.leader();
+  assert.ok(reference !== undefined);
+  for (const identity of identities) {
+    const replica = cluster.replica(identity);
+    assert.is(replica.commit, reference.commit, identity);
+    assert.is(digestOf(replica.state), digestOf(reference.state), identity);
+  }
+};
+
+const assertRecoversAt = (cluster: MachineCluster, identity: string): void => {
+  const start = startReplica(identity, `${identity}:1`, []);
+  const recovered = recoverReplica(start, cluster.records(identity));
+  const reference = cluster.stateAt(recovered.commit);
+  assert.ok(reference !== undefined, `no machine was at index ${recovered.commit}`);
+  assert.is(digestOf(recovered.state), digestOf(reference), `${identity} at ${recovered.commit}`);
+};
+
+const bound: Micros = 20 * second;
+
+test('a member that was down for 1,000 changes, some of 1 MB, beside 100,000 claims, catches up through troubles', () => {
+  const cluster = clusterWith(11, claimedState(mostClaims));
+  cluster.stop('c');
+  cluster.playFor(3 * second);
+  playChanges(cluster, 1_000, 5_000);
+  assert.is(cluster.leader()?.state.record?.original?.version, 1_000);
+  cluster.restart('c');
+  cluster.deliver(troubled);
+  const tookUs = catchUpUs(cluster, 'c', bound);
+  assert.ok(tookUs < bound, `not there after ${tookUs} us`);
+  cluster.deliver(() => [1_000]);
+  cluster.playFor(second);
+  assertSameStates(cluster);
+  assertRecoversAt(cluster, 'c');
+  const pieces = cluster.sent.filter(({ message }) => message.type === 'installSnapshot');
+  assert.ok(pieces.length > 50, `${pieces.length} pieces`);
+  for (const { message } of cluster.sent)
+    assert.ok(sizeOf(message) <= (message.type === 'append' ? maxAppendTextChars : snapshotPieceChars));
+});
+
+test('an empty member catches up while changes go on, the log is compacted and the leader changes', () => {
+  for (let seed = 20; seed < 22; seed += 1) {
+    const cluster = clusterWith(seed, claimedState(20_000));
+    cluster.stop('c');
+    cluster.playFor(3 * second);
+    cluster.restart('c', true);
+    cluster.deliver(troubled);
+    playChanges(cluster, 60, 10_000);
+    const former = cluster.leader()?.identity;
+    assert.ok(former !== undefined);
+    cluster.stop(former);
+    cluster.playFor(second);
+    cluster.restart(former);
+    cluster.playFor(3 * second);
+    playChanges(cluster, 100, 10_000);
+    const tookUs = catchUpUs(cluster, 'c', bound);
+    assert.ok(tookUs < bound, `seed ${seed}: not there after ${tookUs} us`);
+    cluster.deliver(() => [1_000]);
+    cluster.playFor(2 * second);
+    assertSameStates(cluster);
+    for (const identity of ['b', 'c']) assertRecoversAt(cluster, identity);
+  }
+});
+
+test('a member on a thin link catches up while changes go on, and the leader stays', () => {
+  const cluster = clusterWith(31, claimedState(20_000));
+  cluster.stop('c');
+  cluster.playFor(3 * second);
+  const leader = cluster.leader();
+  assert.ok(leader !== undefined);
+  let freeUs = 0;
+  cluster.deliver((_from, to, message) => {
+    if (to !== 'c') return [1_000];
+    freeUs = Math.max(freeUs, cluster.now()) + sizeOf(message);
+    return [freeUs - cluster.now() + 1_000];
+  });
+  cluster.restart('c');
+  playChanges(cluster, 200, 100_000);
+  const tookUs = catchUpUs(cluster, 'c', bound);
+  assert.ok(tookUs < bound, `not there after ${tookUs} us`);
+  assert.equal([cluster.leader()?.identity, cluster.leader()?.term], [leader.identity, leader.term]);
+});
+
+test.run();
--- a/tests/control/machine-cluster.ts
+++ b/tests/control/machine-cluster.ts
@@ -1,11 +1,12 @@
 import type { Micros } from '../../src/common/micros.js';
 import { seededChance } from '../../src/common/chance.js';
-import { recoverReplica } from '../../src/control/persistence/recovery.js';
+import { recoverReplica, snapshotRecordsOf } from '../../src/control/persistence/recovery.js';
 import type { DurableRecord } from '../../src/control/log/durable-record.js';
 import type { ControlEvent } from '../../src/control/machine/control-event.js';
 import type { ControlMessage } from '../../src/control/machine/message.js';
 import { startReplica, type Replica } from '../../src/control/machine/replica.js';
 import { stepControl } from '../../src/control/machine/step.js';
+import type { ReplicatedState } from '../../src/control/state/replicated-state.js';
 
 /** What becomes of one message: after how long each of its copies arrives; none for a lost one. */
 export type Delivery = (from: string, to: string, message: ControlMessage, chance: number) => readonly Micros[];
@@ -25,6 +26,8 @@
   readonly restart: (identity: string, isEmpty?: boolean) => void;
   readonly propose: (event: Extract<ControlEvent, { readonly type: 'propose' }>['command']) => void;
   readonly leader: () => Replica | undefined;
+  /** The replicated state at an index, as the first machine that reached it had it. */
+  readonly stateAt: (index: number) => ReplicatedState | undefined;
   readonly playFor: (span: Micros) => void;
 };
 
@@ -35,13 +38,16 @@
 export const openMachineCluster = (seed: number, starts: readonly Replica[]): MachineCluster => {
   const chance = seededChance(seed);
   const replicas = new Map(starts.map((replica) => [replica.identity, replica]));
-  const kept = new Map<string, DurableRecord[]>(starts.map((replica) => [replica.identity, []]));
+  const kept = new Map<string, DurableRecord[]>(
+    starts.map((replica) => [replica.identity, [...snapshotRecordsOf(replica)]]),
+  );
   const running = new Set(replicas.keys());
   const sent: Sent[] = [];
   let waiting: Sent[] = [];
   let nowUs: Micros = Math.max(...starts.map((replica) => replica.atUs));
   let delivery = usualDelivery;
   let requests = 0;
+  const states = new Map(starts.map((replica) => [replica.commit, replica.state]));
 
   const replica = (identity: string): Replica => {
     const found = replicas.get(identity);
@@ -59,6 +65,7 @@
     if (!running.has(identity)) return;
     const step = stepControl(replica(identity), event);
     replicas.set(identity, step.replica);
+    if (!states.has(step.replica.commit)) states.set(step.replica.commit, step.replica.state);
     for (const effect of step.effects) {
       if (effect.type === 'persist') kept.get(identity)?.push(effect.record);
       if (effect.type === 'send') send(identity, effect.to, effect.message);
@@ -98,6 +105,7 @@
       if (found !== undefined) take(found.identity, { type: 'propose', at: nowUs, requestId: `r${requests}`, command });
     },
     leader,
+    stateAt: (index) => states.get(index),
     playFor: (span) => {
       const endUs = nowUs + span;
       while (nowUs < endUs) {
