Refuse at the proposal what would make the state larger than a ring file holds

Ruled out: a refusal when the entry is applied, which comes too late for the log; a bound by counts alone, since keys of 200 characters make 100,000 claims larger than the file. Change: state-limit.ts measures the state and the uncommitted entries; a leader takes a command only within three quarters of a ring file; the others get the typed reply state-full, claims claims-full, and the bucket of a refused claim is cleaned of expired ones.

--- a/src/control/machine/core-reply.ts
+++ b/src/control/machine/core-reply.ts
@@ -9,4 +9,6 @@
   /** Nothing was begun; another machine may lead. */
   | { readonly type: 'not-leader'; readonly leader?: string }
   /** The entry stands in a log and may yet be taken. */
-  | { readonly type: 'undecided' };
+  | { readonly type: 'undecided' }
+  /** Nothing was begun: the replicated state has no room for it now. */
+  | { readonly type: 'state-full' };
--- a/src/control/machine/replica.ts
+++ b/src/control/machine/replica.ts
@@ -20,6 +20,8 @@
   readonly founds: boolean;
   /** How many voters a leader brings the core to. */
   readonly votersWanted: number;
+  /** How large the replicated state may become; a leader takes nothing that would pass it. */
+  readonly stateLimitBytes: number;
   readonly atUs: Micros;
   readonly role: Role;
   readonly term: number;
@@ -50,6 +52,7 @@
 };
 
 export const usualVoters = 3;
+export const usualStateLimitBytes = 24 << 20;
 
 export const startSnapshot: Snapshot = { index: 0, term: 0, members: [], state: startReplicatedState };
 
@@ -59,6 +62,7 @@
   seeds: readonly string[],
   founds = true,
   votersWanted = usualVoters,
+  stateLimitBytes = usualStateLimitBytes,
 ): Replica => ({
   identity,
   address,
@@ -66,6 +70,7 @@
   knownAddresses: [],
   founds,
   votersWanted,
+  stateLimitBytes,
   atUs: 0,
   role: 'unfounded',
   term: 0,
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -1,3 +1,4 @@
+import type { Command } from '../log/command.js';
 import type { ControlEvent } from './control-event.js';
 import { andThen, stepOf, type ControlStep } from './control-step.js';
 import type { Replica } from './replica.js';
@@ -16,8 +17,11 @@
 import type { ControlMessage } from './message.js';
 import { appendCommand } from './replication.js';
 import { becomeFollower } from './roles.js';
+import { fitsStateLimit } from './state-limit.js';
 import { electionTimeoutUs, rejoinTimeoutUs } from './timing.js';
 
+type Claim = Extract<Command, { readonly type: 'claim' }>;
+
 const onTick = (replica: Replica, chance: number): ControlStep => {
   if (replica.role === 'leader') return onLeaderTick(replica, chance);
   if (replica.role === 'unfounded')
@@ -94,6 +98,23 @@
   );
 };
 
+/** A claim that finds no room: the holder's bucket is cleaned by a release that names no exchange. */
+const refuseClaim = (replica: Replica, command: Claim, requestId: string): ControlStep =>
+  andThen(
+    stepOf(replica, { type: 'reply', requestId, reply: { type: 'applied', outcome: { type: 'claims-full' } } }),
+    (refusedReplica) => appendCommand(refusedReplica, { ...command, type: 'release', exchange: '' }, undefined),
+  );
+
+/** A leader takes a command into its log, unless the state would then be larger than a ring file holds. */
+const onPropose = (replica: Replica, command: Command, requestId: string): ControlStep => {
+  if (replica.role !== 'leader')
+    return stepOf(replica, { type: 'reply', requestId, reply: { type: 'not-leader', leader: replica.leader } });
+  if (fitsStateLimit(replica, command)) return appendCommand(replica, command, requestId);
+  return command.type === 'claim'
+    ? refuseClaim(replica, command, requestId)
+    : stepOf(replica, { type: 'reply', requestId, reply: { type: 'state-full' } });
+};
+
 /** One core machine: an event in, a new replica and effects out; no clock, no chance, no I/O of its own. */
 export const stepControl = (replica: Replica, event: ControlEvent): ControlStep => {
   const nowReplica: Replica = { ...replica, atUs: Math.max(replica.atUs, event.at) };
@@ -103,13 +124,7 @@
     case 'message':
       return onTermed(nowReplica, event.from, event.message, event.chance);
     case 'propose':
-      return nowReplica.role === 'leader'
-        ? appendCommand(nowReplica, event.command, event.requestId)
-        : stepOf(nowReplica, {
-            type: 'reply',
-            requestId: event.requestId,
-            reply: { type: 'not-leader', leader: nowReplica.leader },
-          });
+      return onPropose(nowReplica, event.command, event.requestId);
     case 'read':
       return onRead(nowReplica, event.requestId, event.proposal);
     case 'known':
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -25,6 +25,7 @@
   }),
   'not-leader': object({ type: typed('not-leader'), leader: string().optional() }),
   undecided: object({ type: typed('undecided') }),
+  'state-full': object({ type: typed('state-full') }),
 });
 
 export const isFrame = unionGuard<Frame>({
--- /dev/null
+++ b/tests/control/state-limit.test.ts
@@ -0,0 +1,145 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Command } from '../../src/control/log/command.js';
+import type { ControlStep } from '../../src/control/machine/control-step.js';
+import { startReplica, type Replica } from '../../src/control/machine/replica.js';
+import { stateBytesOf, stateLimitOf } from '../../src/control/machine/state-limit.js';
+import { stepControl } from '../../src/control/machine/step.js';
+import { snapshotRecordsOf } from '../../src/control/persistence/recovery.js';
+import { claimKeepUs, mostClaims } from '../../src/control/state/apply.js';
+import type { ProposalOutcome } from '../../src/control/state/proposal-outcome.js';
+import { encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
+import { openDiskRing } from '../../src/disk/disk-ring.js';
+import { firstRecordOffset, paddedLength } from '../../src/disk/record-format.js';
+import { openMemoryFiles } from '../../src/sim/disk/memory-files.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+
+const ringFileBytes = 1 << 20;
+
+/** A leader of one voter, so that all it takes is committed at once. */
+const soleLeader = (fileBytes: number): Replica => {
+  const members = [{ identity: 'a', address: 'a:1', voter: true }];
+  const start = startReplica('a', 'a:1', ['a:1'], true, 1, stateLimitOf(fileBytes));
+  return { ...start, snapshot: { ...start.snapshot, members }, role: 'leader', leader: 'a', term: 1 };
+};
+
+const propose = (replica: Replica, command: Command, at = 1): ControlStep =>
+  stepControl(replica, { type: 'propose', at, requestId: 'r', command });
+
+const replyOf = ({ effects }: ControlStep): string | undefined => {
+  const reply = effects.flatMap((effect) => (effect.type === 'reply' ? [effect.reply] : []))[0];
+  return reply?.type === 'applied' ? reply.outcome.type : reply?.type;
+};
+
+const longClaim = (place: number, atUs = 1): Command => ({
+  type: 'claim',
+  key: `kind/${String(place).padStart(200, 'k')}`,
+  exchange: `router-9.0123abcd.c${place}`,
+  atUs,
+});
+
+const change = (version: number, chars: number): Command => ({
+  type: 'setup',
+  proposal: `p${version}`,
+  expected: version - 1,
+  setup: sampleSetup(`s${version}`),
+  original: { version, text: '"'.repeat(chars) },
+  atUs: 1,
+});
+
+const snapshotBytes = (replica: Replica): number => encodeDurableRecords(snapshotRecordsOf(replica)).length;
+
+const claimedUntilFull = (): { readonly replica: Replica; readonly taken: number } => {
+  let replica = soleLeader(ringFileBytes);
+  for (let taken = 0; ; taken += 1) {
+    const step = propose(replica, longClaim(taken));
+    replica = step.replica;
+    if (replyOf(step) === 'claims-full') return { replica, taken };
+  }
+};
+
+test('a state that is filled up to its bound refuses more, and its snapshot is kept by a ring', async () => {
+  const { replica, taken } = claimedUntilFull();
+  assert.ok(taken > 1_000 && taken < mostClaims, `${taken} claims`);
+  assert.ok(
+    firstRecordOffset + paddedLength(snapshotBytes(replica)) < ringFileBytes,
+    `${snapshotBytes(replica)} bytes`,
+  );
+  assert.ok(snapshotBytes(replica) <= stateBytesOf(replica.state), 'the measure is an upper bound');
+  const refused = propose(replica, change(1, 100_000));
+  assert.is(replyOf(refused), 'state-full');
+  assert.is(refused.replica.entries.length, replica.entries.length, 'nothing entered the log');
+  const memory = openMemoryFiles(2, ringFileBytes);
+  const ring = (await openDiskRing(memory.files)).unsafeCoerce();
+  for (let turn = 0; turn < 4; turn += 1)
+    assert.ok(
+      (
+        await ring.append(Buffer.alloc(ringFileBytes / 2), () => encodeDurableRecords(snapshotRecordsOf(replica)))
+      ).isRight(),
+    );
+});
+
+test('claims that expire make room again, and a known key is answered however full the state is', () => {
+  const { replica } = claimedUntilFull();
+  assert.is(replyOf(propose(replica, longClaim(0))), 'claimed');
+  let later = replica;
+  const laterUs = claimKeepUs + 10;
+  const isTaken = Array.from({ length: 2_000 }, (_, place) => {
+    const step = propose(later, longClaim(1_000_000 + place, laterUs), laterUs);
+    later = step.replica;
+    return replyOf(step) === 'claimed';
+  });
+  assert.ok(isTaken.filter(Boolean).length > 1_000, `${isTaken.filter(Boolean).length} taken`);
+  assert.ok(snapshotBytes(later) < ringFileBytes);
+});
+
+test('a change that alone is larger than the bound never enters the log', () => {
+  const replica = soleLeader(ringFileBytes);
+  const step = propose(replica, change(1, ringFileBytes));
+  assert.is(replyOf(step), 'state-full');
+  assert.equal(
+    step.effects.filter((effect) => effect.type === 'persist'),
+    [],
+  );
+});
+
+test('uncommitted changes count: eight at once never make an append or a snapshot larger than a file', () => {
+  const members = ['a', 'b', 'c'].map((identity) => ({ identity, address: `${identity}:1`, voter: true }));
+  const start = soleLeader(ringFileBytes);
+  let replica: Replica = { ...start, snapshot: { ...start.snapshot, members } };
+  const replies = Array.from({ length: 8 }, (_, place) => {
+    const step = propose(replica, change(place + 1, 150_000));
+    replica = step.replica;
+    return replyOf(step);
+  });
+  assert.ok(replies.includes('state-full') && replies.includes(undefined));
+  assert.ok(snapshotBytes(replica) < ringFileBytes, `${snapshotBytes(replica)} bytes`);
+});
+
+test('100,000 claims of a usual size, 65,536 remembered proposals and a change of 1 MB fit a file of 32 MB', () => {
+  const replica = soleLeader(32 << 20);
+  const claims = Array.from(
+    { length: mostClaims },
+    (_, place): readonly [string, { exchange: string; atUs: number }] => [
+      `label-copy-rewrite/00000000-0000-4000-8000-${String(place).padStart(12, '0')}`,
+      { exchange: `router-9.0123abcd.c${place}`, atUs: 1_700_000_000_000_000 },
+    ],
+  );
+  const proposals = Array.from({ length: 65_536 }, (_, place): readonly [string, ProposalOutcome] => [
+    `original-${place}-0123456789abcdef0123456789abcdef`,
+    { type: 'taken', revision: place },
+  ]);
+  const state = {
+    ...replica.state,
+    proposals: new Map(proposals),
+    buckets: new Map([[1, new Map(claims)]]),
+    claimCount: mostClaims,
+  };
+  const full: Replica = { ...replica, state, snapshot: { ...replica.snapshot, state } };
+  const step = propose(full, change(1, 1 << 20));
+  assert.is(replyOf(step), 'proposal');
+  const bytes = snapshotBytes(step.replica);
+  assert.ok(bytes <= stateBytesOf(step.replica.state) && bytes < 32 << 20, `${bytes} bytes`);
+});
+
+test.run();
