--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -1,7 +1,7 @@
 import { Left, Right, type Either } from 'purify-ts';
 import { typedError, type TypedError } from '../common/typed-error.js';
 import { readRingFile, type FileContent } from './read-file.js';
-import { encodeRecord, firstRecordOffset, paddedLength } from './record-format.js';
+import { encodeRecord, firstRecordOffset, paddedLength, ringHead } from './record-format.js';
 import type { RingFile } from './ring-file.js';
 import { encodeMark, markOffsetOf } from './synced-mark.js';
 
@@ -44,7 +44,7 @@
 export const openDiskRing = async (files: readonly RingFile[]): Promise<Either<TypedError, DiskRing>> => {
   const openFiles: OpenFile[] = [];
   for (const [index, file] of files.entries()) {
-    const content = readRingFile(await file.read(), `ring file ${index}`);
+    const content = readRingFile(await file.read(), file.name ?? `ring file ${index}`);
     if (content.isLeft()) return Left(content.extract());
     content.ifRight((readContent) => openFiles.push({ file, content: readContent }));
   }
@@ -64,7 +64,7 @@
         return Left(typedError('disk-error', `a snapshot of ${snapshot.length} bytes does not fit into a ring file`));
       const nextGeneration = generation + 1;
       await nextFile.write(0, Buffer.alloc(firstRecordOffset));
-      await nextFile.write(0, encodeRecord(nextGeneration, 0, Buffer.from('ledgehill')));
+      await nextFile.write(0, encodeRecord(nextGeneration, 0, ringHead));
       await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, snapshot));
       await nextFile.sync();
       await nextFile.write(markOffsetOf(0), encodeMark({ generation: nextGeneration, sequence: 0 }));
--- a/src/disk/open-folder.ts
+++ b/src/disk/open-folder.ts
@@ -26,6 +26,7 @@
 const openRingFile = async (path: string, size: number): Promise<RingFile> => {
   const handle = await open(path, 'r+');
   return {
+    name: path,
     size,
     read: async () => {
       const bytes = Buffer.alloc(size);
