Split the control task, assert the log's rules at the restart, retry the disk at the start

Cause: control-task.ts was one closure of 250 lines; recovery of a disk that refuses at the start lay in platform/; what a disk gave back was taken without a check. Mutants point at the same faults in the new files. Conclusion: behaviour is as before but for the batch that was kept twice.

--- /dev/null
+++ b/src/process/control/open-replica.ts
@@ -0,0 +1,49 @@
+import { EitherAsync, type Either } from 'purify-ts';
+import type { TypedError } from '../../common/typed-error.js';
+import { startReplica, usualVoters, type Replica } from '../../control/machine/replica.js';
+import { stateLimitOf } from '../../control/machine/state-limit.js';
+import { recoverReplica } from '../../control/persistence/recovery.js';
+import { checkDurableRecords } from '../../control/persistence/record-rules.js';
+import { decodeDurableBatches, encodeDurableRecords } from '../../control/wire/durable-record-codec.js';
+import type { DiskRing } from '../../disk/disk-ring.js';
+import type { ControlSettings } from '../settings/control-settings.js';
+
+const freshReplicaOf = (settings: ControlSettings, freshName: () => string): Replica =>
+  startReplica(
+    `${settings.node}-${freshName()}`,
+    settings.partners,
+    settings.seeds,
+    settings.founds ?? true,
+    settings.voters ?? usualVoters,
+    stateLimitOf(settings.ringFileBytes),
+  );
+
+const recoverOrCreate = async (
+  ring: DiskRing,
+  settings: ControlSettings,
+  freshName: () => string,
+): Promise<Either<TypedError, Replica>> => {
+  const { snapshot, records } = ring.recovered;
+  const recovered = [...(snapshot === undefined ? [] : [snapshot]), ...records];
+  const freshReplica = freshReplicaOf(settings, freshName);
+  if (recovered.length > 0)
+    return decodeDurableBatches(recovered)
+      .chain((decoded) => checkDurableRecords(settings.data, decoded))
+      .map((decoded) => recoverReplica(freshReplica, decoded));
+  const kept = await ring.append(new Uint8Array(0), () =>
+    encodeDurableRecords([{ type: 'identity', identity: freshReplica.identity, founds: freshReplica.founds }]),
+  );
+  return kept.map(() => freshReplica);
+};
+
+/** Recovers the replica that a ring holds, or makes one on an empty ring; the ring is closed if neither works. */
+export const openReplica = (
+  ring: DiskRing,
+  settings: ControlSettings,
+  freshName: () => string,
+): EitherAsync<TypedError, Replica> =>
+  EitherAsync(async ({ liftEither }) => {
+    const opened = await recoverOrCreate(ring, settings, freshName);
+    if (opened.isLeft()) await ring.close();
+    return liftEither(opened);
+  });
--- /dev/null
+++ b/tests/control/durable-writer.test.ts
@@ -0,0 +1,100 @@
+import { EitherAsync, Left, Right } from 'purify-ts';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { typedError } from '../../src/common/typed-error.js';
+import type { DurableRecord } from '../../src/control/log/durable-record.js';
+import type { LogEntry } from '../../src/control/log/log-entry.js';
+import { startReplica, type Replica } from '../../src/control/machine/replica.js';
+import { stepControl } from '../../src/control/machine/step.js';
+import { checkDurableRecords } from '../../src/control/persistence/record-rules.js';
+import { recoverReplica, snapshotRecordsOf } from '../../src/control/persistence/recovery.js';
+import { decodeDurableBatches } from '../../src/control/wire/durable-record-codec.js';
+import { openDiskRing } from '../../src/disk/disk-ring.js';
+import { openDurableWriter } from '../../src/process/control/durable-writer.js';
+import { openWithRetry, reopenUs } from '../../src/process/control/open-ring.js';
+import { openCounters } from '../../src/process/counters.js';
+import { openMemoryFiles } from '../../src/sim/disk/memory-files.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+import { openSimNode } from '../../src/sim/process/sim-node.js';
+import { openWorld } from '../../src/sim/world/world.js';
+
+const fileBytes = 2 << 20;
+const textChars = 600_000;
+
+const soleLeader = (): Replica => {
+  const members = [{ identity: 'a', address: 'a:1', voter: true }];
+  const start = startReplica('a', 'a:1', ['a:1'], true, 1);
+  return { ...start, snapshot: { ...start.snapshot, members }, role: 'leader', leader: 'a', term: 1 };
+};
+
+test('a file that turns between two large batches holds all of them once, and recovers without a gap', async () => {
+  let replica = soleLeader();
+  const records: DurableRecord[] = [];
+  for (const version of [1, 2]) {
+    const step = stepControl(replica, {
+      type: 'propose',
+      at: version,
+      requestId: `r${version}`,
+      command: {
+        type: 'setup',
+        proposal: `p${version}`,
+        expected: version - 1,
+        setup: sampleSetup('s'),
+        original: { version, text: 'x'.repeat(textChars) },
+        atUs: 1,
+      },
+    });
+    replica = step.replica;
+    for (const effect of step.effects) if (effect.type === 'persist') records.push(effect.record);
+  }
+  const memory = openMemoryFiles(2, fileBytes);
+  const ring = (await openDiskRing(memory.files)).unsafeCoerce();
+  (await ring.append(Buffer.alloc(0), () => Buffer.alloc(fileBytes - 4_096))).unsafeCoerce();
+  const writer = openDurableWriter({
+    ring,
+    snapshotRecords: () => snapshotRecordsOf(replica),
+    clock: openSimNode(openWorld(1)).begin().clock,
+    log: { change: () => undefined },
+    counters: openCounters(),
+    fail: (error) => assert.unreachable(error.message),
+  });
+  assert.ok(await writer.persist(records));
+  const { recovered } = (await openDiskRing(memory.files)).unsafeCoerce();
+  const batches = [...(recovered.snapshot === undefined ? [] : [recovered.snapshot]), ...recovered.records];
+  const checked = decodeDurableBatches(batches).chain((decoded) => checkDurableRecords('/data', decoded));
+  const again = recoverReplica(startReplica('none', 'a:1', []), checked.unsafeCoerce());
+  const indexes = (entries: readonly LogEntry[]): readonly number[] => entries.map((entry) => entry.index);
+  assert.equal([again.commit, indexes(again.entries)], [2, []]);
+  assert.is(again.state.record?.original?.version, 2);
+});
+
+test('a disk that refuses at the start is opened again by the product; damage is not', async () => {
+  const world = openWorld(2);
+  const { clock } = openSimNode(world).begin();
+  let tries = 0;
+  const opened = openWithRetry(
+    () => {
+      tries += 1;
+      return EitherAsync.liftEither(
+        tries < 4 ? Left(typedError(tries === 2 ? 'disk-refusal' : 'disk-error', 'ENOSPC')) : Right('open'),
+      );
+    },
+    clock,
+    { change: () => undefined },
+  ).run();
+  await world.playUntil(reopenUs * 4);
+  assert.is((await opened).unsafeCoerce(), 'open');
+  assert.is(tries, 4);
+  let damagedTries = 0;
+  const damaged = await openWithRetry<string>(
+    () => {
+      damagedTries += 1;
+      return EitherAsync.liftEither(Left(typedError('damaged-disk', 'ring-0.bin')));
+    },
+    clock,
+    { change: () => undefined },
+  ).run();
+  assert.equal([damaged.swap().toMaybe().extractNullable()?.type, damagedTries], ['damaged-disk', 1]);
+});
+
+test.run();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -28,8 +28,8 @@
   {
     name: 'word leaves before the disk has synced',
     file: 'src/process/control/control-task.ts',
-    find: '        if (!(await persistAll(records))) return;',
-    put: '        void persistAll(records);',
+    find: '    if (!(await writer.persist(records))) return;',
+    put: '    void writer.persist(records);',
     by: seeds('core', 'kept-before-said|was told|two leaders|was won'),
   },
   {
@@ -48,7 +48,7 @@
   },
   {
     name: 'a lost disk keeps its identity',
-    file: 'src/process/control/control-task.ts',
+    file: 'src/process/control/open-replica.ts',
     find: '`${settings.node}-${freshName()}`',
     put: 'settings.node',
     by: seeds('core', 'came back without its disk'),
@@ -294,8 +294,8 @@
   {
     name: 'a core that lost everything asks no node for the newest setup',
     file: 'src/process/control/control-task.ts',
-    find: "            [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);\n            restore();",
-    put: "            [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);",
+    find: "    [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);\n    restore();",
+    put: "    [...knownEvents(), { type: 'tick' as const, at: nowUs, chance: chance() }].forEach(mailbox.post);",
     by: test('tests/sim/lost-core.test.js'),
   },
   {
