--- a/src/control/machine/replica.ts
+++ b/src/control/machine/replica.ts
@@ -4,6 +4,8 @@
 import type { ReplicatedState } from '../state/replicated-state.js';
 import { startReplicatedState } from '../state/replicated-state.js';
 import type { JoinCheck } from '../members/join-check.js';
+import type { EncodedSnapshot } from '../wire/snapshot-text.js';
+import type { PartialSnapshot } from './partial-snapshot.js';
 import type { PendingRead } from './pending-read.js';
 import type { Progress } from './progress.js';
 import type { Role } from './role.js';
@@ -31,6 +33,8 @@
   readonly founds: boolean;
   /** How many voters a leader brings the core to. */
   readonly votersWanted: number;
+  /** How large the replicated state may become; a leader takes nothing that would pass it. */
+  readonly stateLimitBytes: number;
   readonly atUs: Micros;
   readonly role: Role;
   readonly term: number;
@@ -51,6 +55,10 @@
   readonly leadsSinceUs: Micros;
   readonly votes: ReadonlySet<string>;
   readonly progress: ReadonlyMap<string, Progress>;
+  /** A leader's snapshot as it is sent, encoded once for all members that need it. */
+  readonly encodedSnapshot?: EncodedSnapshot;
+  /** What a follower has of a snapshot that is on its way. */
+  readonly partialSnapshot?: PartialSnapshot;
   readonly round: number;
   readonly reads: readonly PendingRead[];
   readonly pendingRequests: ReadonlyMap<number, string>;
@@ -61,6 +69,7 @@
 };
 
 export const usualVoters = 3;
+export const usualStateLimitBytes = 24 << 20;
 
 export const startSnapshot: Snapshot = { index: 0, term: 0, members: [], state: startReplicatedState };
 
@@ -70,6 +79,7 @@
   seeds: readonly string[],
   founds = true,
   votersWanted = usualVoters,
+  stateLimitBytes = usualStateLimitBytes,
 ): Replica => ({
   identity,
   address,
@@ -77,6 +87,7 @@
   knownAddresses: [],
   founds,
   votersWanted,
+  stateLimitBytes,
   atUs: 0,
   role: 'unfounded',
   term: 0,
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -33,6 +33,7 @@
         progress: new Map(),
         joinChecks: new Map(),
         transferUntilUs: undefined,
+        encodedSnapshot: undefined,
       }
     : changedReplica;
   return stepOf(
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -13,15 +13,18 @@
 import { onAppend, onInstallSnapshot } from './follower.js';
 import { checkedStep } from './invariants.js';
 import { isOfRefusedCore, onProbe, findLeader, tryBootstrap } from './bootstrap.js';
-import { onAppendReply, onLeaderTick, onRead } from './leader.js';
+import { onAppendReply, onInstallSnapshotReply, onLeaderTick, onRead } from './leader.js';
 import { onIdentified, onIdentify, onJoin } from './joins.js';
 import { isVoter } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { appendCommand } from './replication.js';
 import { becomeFollower } from './roles.js';
+import { fitsStateLimit } from './state-limit.js';
 import { onResign } from './transfer.js';
 import { rejoinTimeoutUs } from './timing.js';
 
+type Claim = Extract<Command, { readonly type: 'claim' }>;
+
 const onTick = (replica: Replica, chance: number): ControlStep => {
   if (replica.role === 'leader') return onLeaderTick(replica, chance);
   if (replica.role === 'unfounded')
@@ -63,6 +66,8 @@
       return onAppendReply(replica, from, message, chance);
     case 'installSnapshot':
       return onInstallSnapshot(replica, from, message, chance);
+    case 'installSnapshotReply':
+      return onInstallSnapshotReply(replica, from, message);
     case 'timeoutNow':
       return message.term === replica.term && isVoter(replica, replica.identity) && replica.role !== 'leader'
         ? startElection(replica, chance)
@@ -83,12 +88,26 @@
     : onMessage(replica, from, message, chance);
 };
 
-/** A leader takes a command unless it is handing its leadership over; any other machine names the leader it follows. */
+/** A claim that finds no room: the holder's bucket is cleaned by a release that names no exchange. */
+const refuseClaim = (replica: Replica, command: Claim, requestId: string): ControlStep =>
+  andThen(
+    stepOf(replica, { type: 'reply', requestId, reply: { type: 'applied', outcome: { type: 'claims-full' } } }),
+    (refusedReplica) => appendCommand(refusedReplica, { ...command, type: 'release', exchange: '' }, undefined),
+  );
+
+/**
+ * A leader takes a command into its log, unless it is handing its leadership over or the state would then be larger than
+ * a ring file holds. Any other machine names the leader it follows.
+ */
 const onPropose = (replica: Replica, command: Command, requestId: string): ControlStep => {
-  if (replica.role === 'leader' && replica.transferUntilUs === undefined)
-    return appendCommand(replica, command, requestId);
-  const leader = replica.role === 'leader' ? undefined : replica.leader;
-  return stepOf(replica, { type: 'reply', requestId, reply: { type: 'not-leader', leader } });
+  if (replica.role !== 'leader' || replica.transferUntilUs !== undefined) {
+    const leader = replica.role === 'leader' ? undefined : replica.leader;
+    return stepOf(replica, { type: 'reply', requestId, reply: { type: 'not-leader', leader } });
+  }
+  if (fitsStateLimit(replica, command)) return appendCommand(replica, command, requestId);
+  return command.type === 'claim'
+    ? refuseClaim(replica, command, requestId)
+    : stepOf(replica, { type: 'reply', requestId, reply: { type: 'state-full' } });
 };
 
 const dispatch = (replica: Replica, event: ControlEvent): ControlStep => {
--- a/src/control/wire/order-history-codec.ts
+++ b/src/control/wire/order-history-codec.ts
@@ -27,6 +27,12 @@
   maxRefusedOrders * refusalBytes +
   256;
 
+/** An upper bound on the encoded history of orders of a state. */
+export const orderHistoryBytesOf = ({ documents, proposals, refusedOrders }: OrderHistory): number =>
+  base64BytesOf(documents.committed.order.size * documentBytes) +
+  proposals.outcomes.order.size * proposalBytes +
+  refusedOrders.order.size * refusalBytes;
+
 const documentsForm = /^[A-Za-z0-9+/]*={0,2}$/;
 const proposalForm = /^(committed|conflict|cancelled) (\d+) ([^]+)$/;
 const refusalForm = /^(\d+) (\S+)$/;
--- a/src/sim/core/configuration-client.ts
+++ b/src/sim/core/configuration-client.ts
@@ -61,7 +61,7 @@
 const answerOf = (reply: OperatorReply): ToldAnswer => {
   if (reply.type === 'refused') return 'refused';
   if (reply.type !== 'decided') return 'unknown';
-  return reply.outcome.type === 'taken' ? 'committed' : 'conflict';
+  return reply.outcome.type === 'committed' ? 'committed' : 'conflict';
 };
 
 const valueOf = (reply: OperatorReply): RegisterValue | undefined => {
--- a/tests/control/invariants.test.ts
+++ b/tests/control/invariants.test.ts
@@ -6,7 +6,6 @@
 import type { ControlMessage } from '../../src/control/machine/message.js';
 import { startReplica, type Replica } from '../../src/control/machine/replica.js';
 import { stepControl } from '../../src/control/machine/step.js';
-import { plainMessageOf } from '../../src/control/wire/message-codec.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openSpreadTask } from '../../src/process/spread-task.js';
 import { openCoreFleet } from '../../src/sim/core/core-fleet.js';
@@ -150,7 +149,7 @@
   forger.send(victim.address(), {
     type: 'control',
     identity: before.leader ?? 'none',
-    message: plainMessageOf(contradictingAppend(before.term + 1)),
+    message: contradictingAppend(before.term + 1),
   });
   await fleet.playFor(second / 2);
   assert.not.ok(victim.isUp(), 'the process has ended');
--- a/tests/model/history.ts
+++ b/tests/model/history.ts
@@ -2,6 +2,7 @@
 import { entryAt, lastIndexOf, membersOf, termAt } from '../../src/control/machine/log-reading.js';
 import type { Replica } from '../../src/control/machine/replica.js';
 import type { Member } from '../../src/control/members/member.js';
+import { encodeSnapshot } from '../../src/control/wire/snapshot-codec.js';
 import { applyCommand } from '../../src/control/state/apply.js';
 import { startReplicatedState, type ReplicatedState } from '../../src/control/state/replicated-state.js';
 
@@ -41,13 +42,7 @@
 export const stateDigestOf = (state: ReplicatedState): string => {
   const known = stateDigests.get(state);
   if (known !== undefined) return known;
-  const digest = JSON.stringify([
-    state.clockUs,
-    state.record,
-    [...state.proposals],
-    [...state.buckets].map(([bucket, claims]) => [bucket, [...claims]]),
-    state.claimCount,
-  ]);
+  const digest = JSON.stringify(encodeSnapshot({ index: 0, term: 0, members: [], state }));
   stateDigests.set(state, digest);
   return digest;
 };
