Fence frames between nodes by the lives of both ends and the fleet

Cause: a frame bore its sender's address alone. A process that restarted at an address took frames meant for the former one, and a receiver that read the buffers of a former connection late took its frames as the new process's; a reply counted whoever gave it; two fleets on one network would have mixed. Ruled out: a number of starts kept on disk (routers have no disk); wall clocks; "the newest frame wins" (bytes of two connections are read in any order). Change: a receiver greets each connection with its life, a sender waits for that and then bears both lives with each frame. So whoever sent a frame was alive after its connection was accepted, and the order of accepting is the order of lives (life-fence.ts, used by TCP and the simulator). Frames of other lives and fleets are dropped and counted (frames.otherLife, frames.otherFleet). A reply counts once, from the address that was asked. The sender's address goes once a connection. Conclusion: between nodes nothing passes from one life to another; a late claim after its release still blocks a key for callers (safe, and written down).

--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../log.js';
 import { openOperatorService, type OperatorService } from '../operator/operator-service.js';
 import type { ControlSettings } from '../settings/control-settings.js';
+import { linkOptionsOf } from '../settings/node-settings.js';
 import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
@@ -54,7 +55,7 @@
     log,
     counters,
     surroundings,
-    settings.partnersListen,
+    linkOptionsOf(settings),
   );
   return openControlTask(settings, spread, log, counters, surroundings, fail).map((control) => {
     const core = openCoreClient(spread, surroundings);
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -13,6 +13,11 @@
   readonly ask: (request: CoreRequest, budgetUs: Micros) => Promise<Either<TypedError, CoreReply>>;
 };
 
+type PendingRequest = {
+  readonly address: string;
+  readonly hear: (reply: CoreReply) => void;
+};
+
 const tryBudgetUs: Micros = 600_000;
 const pauseUs: Micros = 40_000;
 
@@ -22,10 +27,14 @@
   spread: SpreadTask,
   { clock, freshName }: Pick<Surroundings, 'clock' | 'freshName'>,
 ): CoreClient => {
-  const pending = new Map<string, (reply: CoreReply) => void>();
+  /** The replies that are waited for, by request id; each one only from the address that was asked. */
+  const pending = new Map<string, PendingRequest>();
   let leaderAddress: string | undefined;
   let turn = 0;
-  spread.events.on('reply', ({ requestId, reply }) => pending.get(requestId)?.(reply));
+  spread.events.on('reply', (from, { requestId, reply }) => {
+    const request = pending.get(requestId);
+    if (request?.address === from) request.hear(reply);
+  });
 
   const targetAddress = (): string | undefined => {
     if (leaderAddress !== undefined) return leaderAddress;
@@ -52,12 +61,14 @@
         new Promise((resolve) => {
           const requestId = freshName();
           requestIds.push(requestId);
-          pending.set(requestId, (reply) => {
+          const hear = (reply: CoreReply): void => {
+            pending.delete(requestId);
             if (isLast(reply)) {
               leaderAddress = address;
               hearLast(reply);
             } else resolve(reply);
-          });
+          };
+          pending.set(requestId, { address, hear });
           spread.send(address, { type: 'request', requestId, request });
         });
       try {
--- a/src/process/http/http-server.ts
+++ b/src/process/http/http-server.ts
@@ -2,7 +2,7 @@
 import polka from 'polka';
 import { steadyClock } from '../../common/clock/steady-clock.js';
 import type { Micros } from '../../common/micros.js';
-import { addressParts } from '../../spread/link/address-parts.js';
+import { listenAt } from '../../spread/link/listen-at.js';
 import type { Counters } from '../counters.js';
 import { replyError } from './reply.js';
 import { typedError } from '../../common/typed-error.js';
@@ -43,15 +43,7 @@
   });
   return {
     app,
-    listen: () =>
-      new Promise((resolve, reject) => {
-        const { host, port } = addressParts(address);
-        server.once('error', reject);
-        app.listen(port, host, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    listen: () => listenAt(server, address, (port, host, done) => app.listen(port, host, done)),
     close: () =>
       new Promise((resolve) => {
         isClosing = true;
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -5,7 +5,7 @@
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
 import type { Log } from '../log.js';
-import type { NodeSettings } from '../settings/node-settings.js';
+import { linkOptionsOf, type NodeSettings } from '../settings/node-settings.js';
 import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
@@ -67,7 +67,7 @@
     log,
     counters,
     surroundings,
-    settings.partnersListen,
+    linkOptionsOf(settings),
   );
   const source = openSourceTask('router', settings.node, spread, log, counters, surroundings);
   const core = coreOf(spread, surroundings);
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -25,6 +25,7 @@
   http: address(),
   partners: address(),
   partnersListen: string().optional().matches(addressForm, '${path} must be IP:port'),
+  fleet: plainName().optional(),
   seeds: array(address())
     .required()
     .min(1, 'seeds must be one to three addresses')
--- a/src/process/settings/node-settings.ts
+++ b/src/process/settings/node-settings.ts
@@ -1,3 +1,5 @@
+import type { LinkOptions } from '../../spread/link/link-options.js';
+
 /** The settings that every process has. */
 export type NodeSettings = {
   readonly node: string;
@@ -9,4 +11,12 @@
   /** Where it listens for them, if an address translation stands before it. */
   readonly partnersListen?: string;
   readonly seeds: readonly string[];
+  /** The name of its fleet; nodes of other fleets are not listened to. One name for all where it is not told. */
+  readonly fleet?: string;
 };
+
+/** What the links of a node are told. */
+export const linkOptionsOf = ({ partnersListen, fleet }: NodeSettings): LinkOptions => ({
+  ...(partnersListen === undefined ? {} : { listenAddress: partnersListen }),
+  ...(fleet === undefined ? {} : { fleet }),
+});
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -16,5 +16,5 @@
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly request: [from: string, frame: Extract<Frame, { readonly type: 'request' }>];
   readonly work: [frame: Extract<Frame, { readonly type: 'work' }>];
-  readonly reply: [frame: Extract<Frame, { readonly type: 'reply' }>];
+  readonly reply: [from: string, frame: Extract<Frame, { readonly type: 'reply' }>];
 };
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -6,6 +6,8 @@
 import type { ListReading } from '../servers/source/list-reading.js';
 import type { SetupRecord } from '../setup/document/setup-record.js';
 import type { Frame } from '../spread/frame/frame.js';
+import type { DropCause } from '../spread/link/life-fence.js';
+import type { LinkOptions } from '../spread/link/link-options.js';
 import type { SpreadEffect } from '../spread/machine/spread-effect.js';
 import type { SpreadEvent } from '../spread/machine/spread-event.js';
 import { startSpreadView, type SpreadView } from '../spread/machine/spread-view.js';
@@ -38,18 +40,24 @@
 /** More partners than this are counted in the log, and not named. */
 const mostNamed = 16;
 
+const counterOf: Readonly<Record<DropCause, string>> = {
+  'other-life': 'frames.otherLife',
+  'other-fleet': 'frames.otherFleet',
+};
+
 export const openSpreadTask = (
   self: Partner,
   seeds: readonly string[],
   log: Log,
   counters: Counters,
   { clock, openPartnerLinks }: Pick<Surroundings, 'clock' | 'openPartnerLinks'>,
-  listenAddress?: string,
+  options: LinkOptions = {},
 ): SpreadTask => {
-  const links = openPartnerLinks(self.address, listenAddress);
+  const links = openPartnerLinks(self.address, options);
   const events = new EventEmitter<SpreadTaskEvents>();
   let view = startSpreadView(self, seeds);
   let endTicks = (): void => undefined;
+  const foreignAddresses = new Set<string>();
 
   const carryOut = (effect: SpreadEffect): void => {
     switch (effect.type) {
@@ -90,6 +98,14 @@
     }
   };
 
+  /** Counts each frame that was not taken; the log names each sender of another fleet once. */
+  const countDropped = (cause: DropCause, from: string): void => {
+    counters.count(counterOf[cause]);
+    if (cause !== 'other-fleet' || foreignAddresses.has(from) || foreignAddresses.size >= mostNamed) return;
+    foreignAddresses.add(from);
+    log.change('another fleet was heard', { address: from });
+  };
+
   const take = (event: SpreadEvent): void => {
     const step = stepSpread(view, event);
     view = step.view;
@@ -98,6 +114,7 @@
 
   counters.gauge('list.version', () => view.list?.version ?? 0);
   links.events.on('badFrame', () => counters.count('frames.bad'));
+  links.events.on('dropped', countDropped);
   links.events.on('frame', (from, frame) => {
     switch (frame.type) {
       case 'control':
@@ -110,7 +127,7 @@
         events.emit('work', frame);
         return;
       case 'reply':
-        events.emit('reply', frame);
+        events.emit('reply', from, frame);
         return;
       case 'digest':
       case 'inquire':
--- a/src/scale/hollow-main.ts
+++ b/src/scale/hollow-main.ts
@@ -66,8 +66,7 @@
       for (const self of word.nodes) {
         const task = openSpreadTask(self, word.seeds, { change: () => undefined }, openCounters(), {
           clock: realSurroundings.clock,
-          openPartnerLinks: (address, listenAddress) =>
-            counted(realSurroundings.openPartnerLinks(address, listenAddress)),
+          openPartnerLinks: (address, options) => counted(realSurroundings.openPartnerLinks(address, options)),
         });
         tasks.push(task);
         void task.start();
--- a/src/sim/process/sim-surroundings.ts
+++ b/src/sim/process/sim-surroundings.ts
@@ -5,6 +5,7 @@
 import type { Surroundings } from '../../process/surroundings/surroundings.js';
 import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { SimServer } from '../fleet/sim-server.js';
+import { defaultFleet } from '../../spread/link/link-identity.js';
 import type { Network } from '../world/network.js';
 import type { World } from '../world/world.js';
 import { simDialOf } from './sim-dial.js';
@@ -39,7 +40,8 @@
       names += 1;
       return `${name}-${freshPart}-${names}`;
     },
-    openPartnerLinks: () => openSimPartnerLinks(address, life, network, ports),
+    openPartnerLinks: (_address, { fleet = defaultFleet } = {}) =>
+      openSimPartnerLinks({ address, life: `${name}-${freshPart}`, fleet }, life, network, ports),
     dial: simDialOf(address, life, world, network, serverAt),
     openRing: () =>
       EitherAsync.fromPromise(() =>
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -1,8 +1,15 @@
 import type { CutEars } from '../../rehearsal/history/cut-ears.js';
 import type { World } from './world.js';
 
+/** The process that last listened at an address. */
+export type SimEndpoint = {
+  readonly life: string;
+  acceptedConnections: number;
+};
+
 /** The virtual network: delay, loss and cuts, each direction for itself. */
 export type Network = {
+  readonly endpoints: Map<string, SimEndpoint>;
   readonly send: (from: string, to: string, arrive: () => void) => void;
   readonly cut: (from: string, to: string) => void;
   readonly isCut: (from: string, to: string) => boolean;
@@ -22,6 +29,7 @@
   let delayFactor = 1;
   let ears: CutEars | undefined;
   return {
+    endpoints: new Map(),
     send: (from, to, arrive) => {
       if (cuts.has(`${from}>${to}`) || world.chance() < lossShare) return;
       world.after((leastDelayUs + world.chance() * moreDelayUs) * delayFactor, () => {
--- /dev/null
+++ b/src/spread/link/wire-format.ts
@@ -0,0 +1,76 @@
+import { randomBytes } from 'node:crypto';
+import { deserialize, serialize } from 'bson';
+import { Either, Left, Right } from 'purify-ts';
+import { object, string } from 'yup';
+import { checked } from '../../common/checked.js';
+import { typedError, type TypedError } from '../../common/typed-error.js';
+import type { Frame } from '../frame/frame.js';
+import { isFrame } from '../frame/frame-guard.js';
+import type { LinkIdentity } from './link-identity.js';
+
+/**
+ * What goes over a connection. The receiver writes its greeting on accepting, and one byte now and then as a sign of
+ * life. The sender reads the greeting, then writes its introduction once and any number of frames, each behind the
+ * lives of its sender and its receiver.
+ */
+const lifeBytes = 6;
+export const livesBytes = 2 * lifeBytes;
+export const greetingBytes = 1 + lifeBytes;
+/** What a BSON document says of its own length. */
+const lengthBytes = 4;
+const leastDocumentBytes = 5;
+const mostDocumentBytes = 64 << 20;
+const greetingMark = 2;
+const signMark = 1;
+
+/** What a receiver writes back now and then, so that its sender knows of a link that leads nowhere. */
+export const sign = Uint8Array.of(signMark);
+
+const lifeForm = /^[0-9a-f]{12}$/;
+
+export const greetingOf = (life: string): Uint8Array =>
+  Buffer.concat([Uint8Array.of(greetingMark), Buffer.from(life, 'hex')]);
+
+/** A life for a process that starts. */
+export const freshLife = (): string => randomBytes(lifeBytes).toString('hex');
+
+/** The life that a greeting names; none where the bytes are no greeting. */
+export const lifeInGreeting = (greeting: Buffer): string | undefined =>
+  greeting[0] === greetingMark ? greeting.toString('hex', 1, greetingBytes) : undefined;
+
+export const introductionOf = (identity: LinkIdentity): Uint8Array => serialize({ ...identity });
+
+const introductionSchema = object({
+  address: string().required(),
+  life: string().required().matches(lifeForm),
+  fleet: string().required(),
+}).required();
+
+/** One length-delimited document of a buffer: its bytes, none before they are all there. */
+export const documentAt = (pending: Buffer, start: number): Either<TypedError, Buffer | undefined> => {
+  if (pending.length < start + lengthBytes) return Right(undefined);
+  const documentBytes = pending.readInt32LE(start);
+  if (documentBytes < leastDocumentBytes || documentBytes > mostDocumentBytes)
+    return Left(typedError('bad-message', `a document cannot have ${documentBytes} bytes`));
+  return Right(pending.length < start + documentBytes ? undefined : pending.subarray(start, start + documentBytes));
+};
+
+/** Reads a document; no bytes of a partner end this process, whatever they make a reader throw. */
+const parsed = <T>(bytes: Uint8Array, read: (document: unknown) => T): Either<TypedError, T> =>
+  Either.encase<Error, T>(() => read(deserialize(bytes))).mapLeft((error) => typedError('bad-message', error.message));
+
+/** Reads a sender's introduction. */
+export const readIntroduction = (bytes: Uint8Array): Either<TypedError, LinkIdentity> =>
+  parsed(bytes, (document) => checked(introductionSchema, document)).chain((introduction) =>
+    introduction.mapLeft(() => typedError('bad-message', 'this is no introduction')),
+  );
+
+/** Reads a frame; what has the form of none is left out of the answer. */
+export const readFrame = (bytes: Uint8Array): Either<TypedError, Frame | undefined> =>
+  parsed(bytes, (document) => (isFrame(document) ? document : undefined));
+
+export const frameBytesOf = (frame: Frame): Uint8Array => serialize(frame);
+
+/** The lives of both ends, as they stand before each frame. */
+export const livesOf = (senderLife: string, receiverLife: string): Uint8Array =>
+  Buffer.from(`${senderLife}${receiverLife}`, 'hex');
--- a/tests/control/core-client.test.ts
+++ b/tests/control/core-client.test.ts
@@ -15,7 +15,7 @@
 const won: CoreReply = { type: 'applied', outcome: { type: 'claimed', won: true, holder: 'x' } };
 
 /** Asks a core of which one machine answers each request after a while; what it is told, and when. */
-const askedOf = async (receiptAfterUs: number, budgetUs: number, reply: CoreReply = won) => {
+const askedOf = async (receiptAfterUs: number, budgetUs: number, reply: CoreReply = won, replier = 'core:1') => {
   const world = openWorld(1);
   const ports: SimPorts = new Map();
   const surroundings = simSurroundingsOf(
@@ -35,7 +35,7 @@
   ports.set('core:1', (from, frame) => {
     if (frame.type === 'request')
       world.after(receiptAfterUs, () =>
-        ports.get(from)?.('core:1', { type: 'reply', requestId: frame.requestId, reply }),
+        ports.get(from)?.(replier, { type: 'reply', requestId: frame.requestId, reply }),
       );
   });
   const core = openCoreClient(spread, surroundings);
@@ -72,4 +72,9 @@
   assert.ok(word?.isLeft() && word.extract().type === 'unreachable');
 });
 
+test('a reply from an address that was not asked is no answer', async () => {
+  const { word } = await askedOf(1_000, 2_000_000, won, 'core:2');
+  assert.ok(word?.isLeft() && word.extract().type === 'undecided');
+});
+
 test.run();
--- a/tests/servers/asking-group.ts
+++ b/tests/servers/asking-group.ts
@@ -92,9 +92,9 @@
     void spread.start();
     source.start();
     const listener = ports.get(address);
-    ports.set(address, (from, frame) => {
+    ports.set(address, (from, frame, envelope) => {
       frames.set(frame.type, (frames.get(frame.type) ?? 0) + 1);
-      listener?.(from, frame);
+      listener?.(from, frame, envelope);
     });
     const node = { name, address, sim, spread, source, counters, lists };
     nodes.push(node);
--- a/tests/spread/spread.test.ts
+++ b/tests/spread/spread.test.ts
@@ -53,9 +53,9 @@
     );
     void spread.start();
     const listener = ports.get(address);
-    ports.set(address, (from, frame) => {
+    ports.set(address, (from, frame, envelope) => {
       counts.set(frame.type, (counts.get(frame.type) ?? 0) + 1);
-      listener?.(from, frame);
+      listener?.(from, frame, envelope);
     });
     return spread;
   });
