Bring about what can send an answer to the wrong caller, or a request twice

Cause: of point 5 of the issue some kinds had no test: an idle connection that its server forgot, an answer later than the deadline, an address taken over, bytes that had not all left, a client that goes, a request during an answer, a repeat under another id. Ruled out: changes of the code; each of these held as it stood.

--- a/tests/platform/caller.test.ts
+++ b/tests/platform/caller.test.ts
@@ -1,73 +1,10 @@
-import type { Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { paused } from '../../src/common/clock/paused.js';
 import { steadyClock } from '../../src/common/clock/steady-clock.js';
-import { listedAt } from '../router/loopback.js';
-import { openEdge, type Edge } from './raw/open-edge.js';
-import { openRawServer, type RawServer } from './raw/raw-server.js';
-
-type Serve = (socket: Socket, request: string, place: number) => void;
-
-const idIn = (request: string): string => /ledgehill-attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
-
-const answerTo = (request: string, body: string, more: readonly string[] = [], status = '200 OK'): string =>
-  [
-    `HTTP/1.1 ${status}`,
-    `Ledgehill-Attempt-Id: ${idIn(request)}`,
-    'Ledgehill-Server-Seal: s.1',
-    ...more,
-    `Content-Length: ${body.length}`,
-    '',
-    body,
-  ].join('\r\n');
-
-const streamHead = (request: string): string =>
-  [
-    'HTTP/1.1 200 OK',
-    `Ledgehill-Attempt-Id: ${idIn(request)}`,
-    'Ledgehill-Server-Seal: s.1',
-    'Content-Type: text/event-stream',
-    'Transfer-Encoding: chunked',
-    '',
-    '',
-  ].join('\r\n');
-
-const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
-const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
-
-const post = (target: string, body = '', more: readonly string[] = [], id = 'a1'): string =>
-  [
-    `POST ${target} HTTP/1.1`,
-    'Host: a.example',
-    `Ledgehill-Attempt-Id: ${id}`,
-    'Ledgehill-Budget-Ms: 3000',
-    ...more,
-    `Content-Length: ${body.length}`,
-    '',
-    body,
-  ].join('\r\n');
-
-const withEdge = async (
-  serve: Serve,
-  use: (edge: Edge, server: RawServer, second: RawServer) => Promise<void>,
-  count = 1,
-): Promise<void> => {
-  const servers = [await openRawServer(serve), await openRawServer(serve)] as const;
-  const edge = await openEdge();
-  edge.show(servers.slice(0, count).map(({ address }, place) => ({ ...listedAt(`i-${place}`, 'web', 1), address })));
-  try {
-    await use(edge, ...servers);
-  } finally {
-    edge.close();
-    for (const server of servers) server.close();
-  }
-};
-
-const seen = async (isSo: () => boolean): Promise<void> => {
-  for (let look = 0; look < 1_000 && !isSo(); look += 1) await paused(steadyClock, 3_000);
-  assert.ok(isSo(), 'it was not seen in time');
-};
+import type { Edge } from './raw/open-edge.js';
+import type { RawServer } from './raw/raw-server.js';
+import { answerTo, chunk, event, idIn, post, seen, streamHead, withEdge, type Serve } from './raw/with-edge.js';
 
 const ok: Serve = (socket, request) => socket.write(answerTo(request, 'ok'));
 
--- a/tests/platform/server-link.test.ts
+++ b/tests/platform/server-link.test.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net';
+import { createServer, type Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { dialServer } from '../../platform/server/dial.js';
@@ -300,6 +300,28 @@
     },
   ));
 
+test('a reset before the bytes of a request have all left loses it, and it is not sent again', async () => {
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.resetAndDestroy());
+  });
+  const [port = 0] = await freePorts(1);
+  await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  const link = await dial(`127.0.0.1:${port}`);
+  try {
+    const exchange = exchangeOf('a', { headers: ['Host', 'a.example'], body: Buffer.alloc(32 << 20) });
+    assert.is((await bounded(carried(link, orderOf('a', { exchange })))).ending, 'lost');
+    assert.ok(await closed(link));
+    assert.is((await bounded(carried(link, orderOf('c')))).ending, 'lost');
+    assert.is(connections, 1);
+  } finally {
+    link.close();
+    server.close();
+  }
+});
+
 test('a dial that nobody takes is refused', async () => {
   const [port] = await freePorts(1);
   const refused = await dialServer(listedAt('i-1', 'readers', port ?? 0));
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -181,4 +181,40 @@
   assert.equal(heard, []);
 });
 
+test('what comes after a caller is gone, or after the end of a try, is given to nobody', async () => {
+  const late = (listener: CarryListener): void => {
+    listener.head(good);
+    listener.piece(bytes('2'), 2);
+    listener.end();
+  };
+  for (const streams of [true, false]) {
+    const { heard, caller } = openHeard();
+    const leaving = new AbortController();
+    let listened: CarryListener | undefined;
+    const carryOver: NonNullable<ServerLink['carry']> = (_order, listener) => {
+      listened = listener;
+      return { pause: () => undefined, resume: () => undefined, cancel: () => undefined };
+    };
+    let isClosed = false;
+    const link: ServerLink = {
+      key: 'k',
+      isOpen: () => !isClosed,
+      close: () => {
+        isClosed = true;
+      },
+      confirm: () => Promise.resolve(true),
+      deliver: () => Promise.reject(new Error('not here')),
+      carry: carryOver,
+    };
+    const order = { exchange, budgetUs: 1, afterPiece: undefined, urgency: undefined };
+    const events = { piece: () => undefined };
+    const ended = carry(continuationOf(caller, streams), link, carryOver, order, leaving.signal, events);
+    leaving.abort();
+    assert.is((await ended).type, 'gone');
+    assert.ok(isClosed, 'its link serves no other request');
+    if (listened !== undefined) late(listened);
+    assert.equal(heard, []);
+  }
+});
+
 test.run();
