--- a/src/process/http/http-server.ts
+++ b/src/process/http/http-server.ts
@@ -4,6 +4,7 @@
 import type { Micros } from '../../common/micros.js';
 import { listenAt } from '../../spread/link/listen-at.js';
 import type { Counters } from '../counters.js';
+import { openCallerTimeLimits, type CallerTimeLimits } from './caller-time-limits.js';
 import { replyError } from './reply.js';
 import { typedError } from '../../common/typed-error.js';
 
@@ -11,14 +12,21 @@
 export type HttpServer = {
   readonly app: polka.Polka;
   readonly listen: () => Promise<void>;
+  /** Takes the time limits of a newer configuration. */
+  readonly follow: CallerTimeLimits['follow'];
   /** Ends once what is under way is done, or a second later; whoever goes on asking on a kept link is let go. */
   readonly close: () => Promise<void>;
 };
 
 const closeBudgetUs: Micros = 1_000_000;
+const requestBudgetUs: Micros = 60_000_000;
+/** In force until a configuration names others. */
+const startLimits = { headUs: 10_000_000, idleUs: 30_000_000 };
 
 export const openHttpServer = (address: string, counters: Counters): HttpServer => {
-  const server = createServer({ keepAliveTimeout: 30_000, requestTimeout: 60_000, headersTimeout: 10_000 });
+  const server = createServer();
+  const timeLimits = openCallerTimeLimits(server, requestBudgetUs);
+  timeLimits.follow(startLimits);
   const openResponses = new Set<ServerResponse>();
   let isClosing = false;
   server.on('request', (_message, response) => {
@@ -43,6 +51,7 @@
   });
   return {
     app,
+    follow: timeLimits.follow,
     listen: () => listenAt(server, address, (port, host, done) => app.listen(port, host, done)),
     close: () =>
       new Promise((resolve) => {
--- a/src/process/router/serve-router.ts
+++ b/src/process/router/serve-router.ts
@@ -6,6 +6,9 @@
 /** The HTTP side of a router node: callers and the platform. */
 export const serveRouter = (node: RouterNode, address: string): HttpServer => {
   const http = openHttpServer(address, node.counters);
+  node.spread.events.on('setup', ({ setup }) => {
+    if (setup.callers !== undefined) http.follow(setup.callers);
+  });
   addPlatformPaths(http, node.spread, node.counters, node.unready);
   addExchangePaths(http, node);
   return http;
--- a/tests/platform/one-answer.test.ts
+++ b/tests/platform/one-answer.test.ts
@@ -1,7 +1,8 @@
 import type { Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { Edge } from './raw/open-edge.js';
+import type { Edge, RawClient } from './raw/open-edge.js';
+import type { RawServer } from './raw/raw-server.js';
 import { answerTo, chunk, event, idIn, post, seen, streamHead, withEdge, type Serve } from './raw/with-edge.js';
 
 /** What a client reads as a promise that its request has not run. */
@@ -10,27 +11,31 @@
 const sentTo = (received: string, id: string): number =>
   received.match(new RegExp(`attempt-id: ${id}\\r\\n`, 'gi'))?.length ?? 0;
 
+/** Earlier requests that leave a connection at rest at each server, and allow for more tries. */
+const sendEarlier = async (edge: Edge): Promise<RawClient> => {
+  const client = await edge.connect();
+  client.socket.write(Array.from({ length: 8 }, (_, place) => post('/idem/x', '', [], `e${place}`)).join(''));
+  await client.until('[e7]');
+  return client;
+};
+
 test('an idle connection that the server has forgotten: what may not be repeated is neither sent again nor promised', () => {
-  let resting: Socket | undefined;
-  return withEdge(
-    (socket, request, place) => {
-      if (place === 0) {
-        socket.write(answerTo(request, 'ok'));
-        resting = socket;
-        return;
-      }
-      assert.is(socket, resting, 'it goes over the connection that rested');
+  const used = new Set<Socket>();
+  const serve: Serve = (socket, request) => {
+    if (idIn(request) !== 'a1') socket.write(answerTo(request, `[${idIn(request)}]`));
+    else {
+      assert.ok(used.has(socket), 'it goes over a connection that rested');
       socket.resetAndDestroy();
-    },
-    async (edge, server) => {
-      const client = await edge.connect();
-      client.socket.write(post('/once/x', '', [], 'a1'));
-      await client.until('ok');
-      client.socket.write(post('/once/x', 'body', [], 'a2'));
-      await seen(() => /HTTP\/1.1 502 /.test(client.received()));
-      assert.is(sentTo(server.received(), 'a2'), 1);
-    },
-  );
+    }
+    used.add(socket);
+  };
+  const use = async (edge: Edge, first: RawServer, second: RawServer): Promise<void> => {
+    const client = await sendEarlier(edge);
+    client.socket.write(post('/care/x', 'body', [], 'a1'));
+    await seen(() => /HTTP\/1.1 502 /.test(client.received()));
+    assert.is(sentTo(first.received() + second.received(), 'a1'), 1);
+  };
+  return withEdge(serve, use, 2);
 });
 
 test('an idle connection that the server has forgotten: what may be repeated is answered by another try', () => {
@@ -42,9 +47,7 @@
     } else socket.write(answerTo(request, `[${idIn(request)}]`));
   };
   const use = async (edge: Edge): Promise<void> => {
-    const client = await edge.connect();
-    client.socket.write(Array.from({ length: 8 }, (_, place) => post('/idem/x', '', [], `e${place}`)).join(''));
-    await client.until('[e7]');
+    const client = await sendEarlier(edge);
     client.socket.write(post('/idem/x', '', [], 'a1'));
     assert.match(await client.until('[a1]'), '[a1]');
     assert.ok(hasReset);
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -59,6 +59,17 @@
       svc: 'web',
       tries: 1,
     },
+    {
+      name: 'care',
+      host: 'a.example',
+      prefix: '/care/',
+      kind: 'once',
+      timeout_ms: 3_000,
+      target_ms: 300,
+      prio: 0,
+      svc: 'web',
+      tries: 3,
+    },
     {
       name: 'brief',
       host: 'a.example',
