--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -396,6 +396,27 @@
     put: 'request?.hear(reply);',
     by: test('tests/control/core-client.test.js'),
   },
+  {
+    name: 'connections that rest keep the limit that they began with',
+    file: 'src/process/http/caller-time-limits.ts',
+    find: 'if (count === 0) socket.setTimeout(idleMillis);',
+    put: 'socket.ref();',
+    by: test('tests/platform/limits.test.js'),
+  },
+  {
+    name: 'a settings file that changes without a signal is not seen',
+    file: 'platform/settings/on-settings-change.ts',
+    find: '    knownContent = content;\n    readAgain();',
+    put: '    knownContent = content;',
+    by: test('tests/platform/settings-change.test.js'),
+  },
+  {
+    name: 'an answer to another request is given on',
+    file: 'platform/server/server-link.ts',
+    find: "exchange.name !== '' && valueOf(raw, headerWords.attempt) !== exchange.name",
+    put: "exchange.name !== '' && raw.length === 0",
+    by: test('tests/platform/one-answer.test.js'),
+  },
   {
     name: 'what a server vouches not to have run counts as run',
     file: 'src/decision/machine/step/on-delivery.ts',
