--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -4,6 +4,7 @@
   | 'unknown-kind'
   | 'unknown-place'
   | 'oversized-body'
+  | 'state-full'
   | 'not-ready'
   | 'over-pressure'
   | 'no-server'
--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -16,6 +16,12 @@
 /** How long one machine is waited for before the next one is tried: half of the budget within these bounds. */
 const minTryUs: Micros = 350_000;
 const maxTryUs: Micros = 600_000;
+
+type PendingRequest = {
+  readonly address: string;
+  readonly hear: (reply: CoreReply) => void;
+};
+
 const pauseUs: Micros = 40_000;
 
 const tryBudgetOf = (budgetUs: Micros): Micros => Math.min(maxTryUs, Math.max(minTryUs, budgetUs / 2));
@@ -26,10 +32,14 @@
   spread: SpreadTask,
   { clock, freshName }: Pick<Surroundings, 'clock' | 'freshName'>,
 ): CoreClient => {
-  const pending = new Map<string, (reply: CoreReply) => void>();
+  /** The replies that are waited for, by request id; each one only from the address that was asked. */
+  const pending = new Map<string, PendingRequest>();
   let leaderAddress: string | undefined;
   let turn = 0;
-  spread.events.on('reply', ({ requestId, reply }) => pending.get(requestId)?.(reply));
+  spread.events.on('reply', (from, { requestId, reply }) => {
+    const request = pending.get(requestId);
+    if (request?.address === from) request.hear(reply);
+  });
 
   const targetAddress = (): string | undefined => {
     if (leaderAddress !== undefined) return leaderAddress;
@@ -57,12 +67,14 @@
         new Promise((resolve) => {
           const requestId = freshName();
           requestIds.push(requestId);
-          pending.set(requestId, (reply) => {
+          const hear = (reply: CoreReply): void => {
+            pending.delete(requestId);
             if (isLast(reply)) {
               leaderAddress = address;
               hearLast(reply);
             } else resolve(reply);
-          });
+          };
+          pending.set(requestId, { address, hear });
           spread.send(address, { type: 'request', requestId, request });
         });
       try {
@@ -73,6 +85,8 @@
               ? undefined
               : await within(clock, Promise.race([lastWord, askAt(address)]), Math.min(tryBudgetUs, leftUs));
           if (reply !== undefined && isLast(reply)) return Right(reply);
+          if (reply?.type === 'state-full' && !mayStand)
+            return Left(typedError('state-full', 'the state of the core has no room for what was proposed'));
           if (address !== undefined && reply?.type !== 'not-leader') mayStand = true;
           leaderAddress = reply?.type === 'not-leader' && reply.leader !== address ? reply.leader : undefined;
           if (leaderAddress !== undefined) continue;
--- a/src/process/http/operator-paths.ts
+++ b/src/process/http/operator-paths.ts
@@ -31,6 +31,7 @@
 const statusOf = (error: TypedError): number => {
   switch (error.type) {
     case 'oversized-body':
+    case 'state-full':
       return 413;
     case 'invalid-setup':
       return 422;
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -10,8 +10,15 @@
   readonly mostDelayUs: Micros;
 };
 
+/** The process that last listened at an address. */
+export type SimEndpoint = {
+  readonly life: string;
+  acceptedConnections: number;
+};
+
 /** The virtual network: delay, loss and cuts, each direction for itself. */
 export type Network = {
+  readonly endpoints: Map<string, SimEndpoint>;
   readonly send: (from: string, to: string, arrive: () => void) => void;
   /** The same for messages between nodes, which may be delivered late and twice. */
   readonly sendFrame: (from: string, to: string, arrive: () => void) => void;
@@ -51,6 +58,7 @@
     });
 
   return {
+    endpoints: new Map(),
     send: (from, to, arrive) => {
       if (isPassed(from, to)) deliverAfter(usualDelayUs(), from, to, arrive);
     },
