Send configuration changes between nodes as deltas, and split the spread machine

Ruled out: leaving the text out for routers: a core that lost all its disks takes the operator's version and text from what nodes hold (applyRestore), so the text stays on every node and is itself sent as a difference. Change: an inquiry names the record that its sender holds (revision and digest); the answer is an edit script on it (frame setup-delta) for rules, services, tiers, epochs and text pieces, with the digest of the result. A base that is not known, or a digest that does not fit, leads to the whole record as before; inquiries of former versions, which name no base, are answered whole. Conclusion: a change costs what changed on the wire.

--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -115,6 +115,7 @@
       case 'digest':
       case 'inquire':
       case 'setup':
+      case 'setup-delta':
       case 'list':
         take({ type: 'frame', at: clock.now(), from, frame });
     }
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -1,3 +1,4 @@
+import type { RecordDelta } from '../delta/record-delta.js';
 import type { Original } from '../document/original.js';
 import type { SetupRecord } from '../document/setup-record.js';
 import type { Setup } from '../document/setup.js';
@@ -36,30 +37,40 @@
   staleUs: isFigure,
 });
 
-const hasSetupForm = hasAll({
+const hasServiceForm = hasAll({ name: isName, type: (value) => value === 'model' || value === 'web' });
+
+const hasTierForm = hasAll({ name: isName, weight: isFigure, share: isFigure });
+
+const hasRuleForm = hasAll({
+  kind: isName,
+  service: isName,
+  tier: isName,
+  repeatable: isFlag,
+  resumable: isFlag,
+  budgetUs: isFigure,
+  firstPieceUs: isFigure,
+  silenceUs: isFigure,
+});
+
+const figureChecks: Readonly<Record<string, Check>> = {
   name: isName,
   fleet: (value) => value === undefined || hasAll({ routers: isFigure })(value),
-  services: isListOf(hasAll({ name: isName, type: (value) => value === 'model' || value === 'web' })),
-  tiers: isListOf(hasAll({ name: isName, weight: isFigure, share: isFigure })),
-  rules: isListOf(
-    hasAll({
-      kind: isName,
-      service: isName,
-      tier: isName,
-      repeatable: isFlag,
-      resumable: isFlag,
-      budgetUs: isFigure,
-      firstPieceUs: isFigure,
-      silenceUs: isFigure,
-    }),
-  ),
   warmup: hasWarmupForm,
   flight: hasAll({ boundUs: isFigure }),
   pressure: hasAll({ factor: isFigure, floor: isFigure, slots: isFigure }),
   retry: hasAll({ fraction: isFigure, fleetExtra: isFigure }),
   leaving: hasAll({ graceUs: isFigure }),
+};
+
+const hasSetupForm = hasAll({
+  ...figureChecks,
+  services: isListOf(hasServiceForm),
+  tiers: isListOf(hasTierForm),
+  rules: isListOf(hasRuleForm),
 });
 
+const hasEpochForm = hasAll({ sinceUs: isFigure, warmup: hasWarmupForm });
+
 const hasOriginalForm = hasAll({ version: (value) => Number.isSafeInteger(value) && Number(value) >= 0, text: isName });
 
 const hasRecordForm = hasAll({
@@ -67,7 +78,28 @@
   takenAtUs: isFigure,
   setup: hasSetupForm,
   original: (value) => value === undefined || hasOriginalForm(value),
-  epochs: isListOf(hasAll({ sinceUs: isFigure, warmup: hasWarmupForm })),
+  epochs: isListOf(hasEpochForm),
+});
+
+const isCount: Check = (value) => Number.isSafeInteger(value) && Number(value) >= 0;
+
+const isEditsOf = (check: Check): Check => {
+  const isKeep = hasAll({ type: (type) => type === 'keep', from: isCount, count: isCount });
+  const isInsert = hasAll({ type: (type) => type === 'insert', items: isListOf(check) });
+  return isListOf((value) => isKeep(value) || isInsert(value));
+};
+
+const hasDeltaForm = hasAll({
+  base: hasAll({ revision: isCount, digest: isName }),
+  revision: isCount,
+  takenAtUs: isFigure,
+  digest: isName,
+  services: isEditsOf(hasServiceForm),
+  tiers: isEditsOf(hasTierForm),
+  rules: isEditsOf(hasRuleForm),
+  epochs: isEditsOf(hasEpochForm),
+  figures: (value) => value === undefined || hasAll(figureChecks)(value),
+  original: (value) => value === undefined || hasAll({ version: isCount, text: isEditsOf(isName) })(value),
 });
 
 /**
@@ -79,3 +111,6 @@
 export const isOriginal = (value: unknown): value is Original => hasOriginalForm(value);
 
 export const isSetupRecord = (value: unknown): value is SetupRecord => hasRecordForm(value);
+
+/** The form of a delta; what comes of it is checked by its digest. */
+export const isRecordDelta = (value: unknown): value is RecordDelta => hasDeltaForm(value);
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -5,7 +5,7 @@
 import { isPlainMessage } from '../../control/wire/message-codec.js';
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
 import { isAnyList } from '../../servers/list/check-asked-list.js';
-import { isSetupRecord } from '../../setup/check/setup-guard.js';
+import { isRecordDelta, isSetupRecord } from '../../setup/check/setup-guard.js';
 import { isDigest } from './digest-guard.js';
 import type { Frame, CoreRequest } from './frame.js';
 
@@ -35,8 +35,10 @@
     revision: whole(),
     version: whole(),
     listDigest: string(),
+    base: object({ revision: whole(), digest: string().required() }).optional().default(undefined),
   }),
   setup: object({ type: typed('setup'), record: mixed(isSetupRecord).required() }),
+  'setup-delta': object({ type: typed('setup-delta'), delta: mixed(isRecordDelta).required() }),
   list: object({ type: typed('list'), list: mixed(isAnyList).required() }),
   control: object({
     type: typed('control'),
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -5,6 +5,7 @@
 import type { AskedList } from '../../servers/list/asked-list.js';
 import type { ServerList } from '../../servers/list/server-list.js';
 import type { ReadMark } from '../../servers/source/read-mark.js';
+import type { RecordBase, RecordDelta } from '../../setup/delta/record-delta.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
 import type { PartnerNews } from '../partner/partner-news.js';
 import type { Partner } from '../partner/partner.js';
@@ -44,8 +45,12 @@
       readonly revision: number;
       readonly version: number;
       readonly listDigest?: string;
+      /** The configuration that the sender holds, on which a delta may build; none asks for the whole. */
+      readonly base?: RecordBase;
     }
   | { readonly type: 'setup'; readonly record: SetupRecord }
+  /** What makes the newest configuration of one that the receiver holds. */
+  | { readonly type: 'setup-delta'; readonly delta: RecordDelta }
   | { readonly type: 'list'; readonly list: ServerList | AskedList }
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
--- /dev/null
+++ b/src/spread/machine/announce.ts
@@ -0,0 +1,21 @@
+import { digestsTo } from './digest.js';
+import type { SpreadEffect } from './spread-effect.js';
+import type { SpreadStep } from './spread-step.js';
+import { andThen, stepped } from './spread-step.js';
+import type { SpreadView } from './spread-view.js';
+import { newsTargets } from './targets.js';
+
+/** How many hear news at once from who is first to know it, and from each that hears it. */
+const firstTellings = 8;
+
+const tellings = 3;
+
+/** Lets others know at once that there is news: all of few, or some, who go on telling it. They ask for its text. */
+export const pushed = (view: SpreadView, from?: string): SpreadStep => {
+  const { targets, view: drawnView } = newsTargets(view, from === undefined ? firstTellings : tellings, from);
+  return digestsTo(drawnView, targets);
+};
+
+/** Makes news known here and to others. */
+export const told = (view: SpreadView, news: SpreadEffect, from?: string): SpreadStep =>
+  andThen(stepped(view, news), (toldView) => pushed(toldView, from));
--- a/src/spread/machine/spread-event.ts
+++ b/src/spread/machine/spread-event.ts
@@ -5,7 +5,7 @@
 import type { Frame } from '../frame/frame.js';
 
 /** The frames that the spread itself speaks. */
-export type SpreadFrame = Extract<Frame, { readonly type: 'digest' | 'inquire' | 'setup' | 'list' }>;
+export type SpreadFrame = Extract<Frame, { readonly type: 'digest' | 'inquire' | 'setup' | 'setup-delta' | 'list' }>;
 
 /** What the spread machine hears. */
 export type SpreadEvent =
@@ -17,3 +17,6 @@
   /** A whole or partial reading of the platform's list; `begunAt` is when it was asked for. */
   | { readonly type: 'reading'; readonly at: Micros; readonly begunAt: Micros; readonly reading: ListReading }
   | { readonly type: 'refresh'; readonly at: Micros };
+
+/** What one node tells another of all it knows, in a few characters each. */
+export type Digest = Extract<SpreadFrame, { readonly type: 'digest' }>;
--- a/src/spread/machine/spread-view.ts
+++ b/src/spread/machine/spread-view.ts
@@ -19,6 +19,8 @@
   readonly seeds: readonly string[];
   readonly atUs: Micros;
   readonly record: SetupRecord | undefined;
+  /** Configurations that held just before, the last one first; who has one of them is sent only the difference. */
+  readonly formerRecords: readonly SetupRecord[];
   readonly list: ServerList | AskedList | undefined;
   /** Asked lists that held just before, the last one first; who has one of them is sent only the difference. */
   readonly formerLists: readonly AskedList[];
@@ -73,6 +75,7 @@
   seeds,
   atUs: 0,
   record: undefined,
+  formerRecords: [],
   list: undefined,
   formerLists: [],
   read: undefined,
