--- /dev/null
+++ b/tests/platform/days/draws.ts
@@ -0,0 +1,28 @@
+import { wholeBelow, type Chance } from '../../../src/common/chance.js';
+
+const hundredths = 100;
+
+/** Rounds to hundredths, as day files are written. */
+export const rounded = (value: number): number => Math.round(value * hundredths) / hundredths;
+
+/** A number from `least` up to `most`, in hundredths. */
+export const between = (chance: Chance, least: number, most: number): number =>
+  rounded(least + chance() * Math.max(0, most - least));
+
+/** A whole number from `least` to `most`, both included. */
+export const wholeBetween = (chance: Chance, least: number, most: number): number =>
+  least + wholeBelow(chance, Math.max(0, most - least) + 1);
+
+/** Whether something of this probability happens. */
+export const happens = (chance: Chance, probability: number): boolean => chance() < probability;
+
+/** One of the items, of which there must be at least one. */
+export const pick = <T>(chance: Chance, items: readonly [T, ...T[]]): T =>
+  items[wholeBelow(chance, items.length)] ?? items[0];
+
+/** Those of the words that a draw of the given probability keeps, in their order and joined by spaces. */
+export const someWords = (chance: Chance, words: readonly string[], probability: number): string =>
+  words.filter(() => happens(chance, probability)).join(' ');
+
+/** The words that are not empty, joined by spaces. */
+export const joinedWords = (...words: readonly string[]): string => words.filter((word) => word !== '').join(' ');
