--- a/tests/control/pure-core.ts
+++ b/tests/control/pure-core.ts
@@ -1,6 +1,7 @@
 /**
  * A core of pure control machines in virtual time: messages with drawn delays, lost disks, restarts from the records
- * that were persisted, and a watch over what was committed. Every run is given by its seed.
+ * that were persisted, a spread that tells machines without a leader where others
+ * are, and a watch over what was committed. Every run is given by its seed.
  */
 import type { LogEntry } from '../../src/control/log/log-entry.js';
 import type { DurableRecord } from '../../src/control/log/durable-record.js';
@@ -155,6 +156,10 @@
       deliverFrame(next);
     }
     nowUs = endUs;
+    const upAddresses = [...machines.values()].filter((machine) => machine.isUp).map((machine) => machine.address);
+    for (const address of upAddresses)
+      if (at(address).replica.leader === undefined)
+        event(address, { type: 'known', at: nowUs, seeds, addresses: upAddresses });
     for (const [address, machine] of machines)
       if (machine.isUp) event(address, { type: 'tick', at: nowUs, chance: chance() });
   };
