--- a/tests/control/membership.test.ts
+++ b/tests/control/membership.test.ts
@@ -139,6 +139,39 @@
   assert.equal(doubled.effects, [], 'a join that comes twice asks once');
 });
 
+test('a dead voter leaves only for a ready learner, and never with the only copy of what is committed', () => {
+  const members = [
+    member('a', 'a:1', true),
+    member('b', 'b:1', true),
+    member('c', 'c:1', true),
+    member('d', 'd:1', false),
+  ];
+  const claimEntry: LogEntry = { index: 2, term: 1, command: { type: 'claim', key: 'k', exchange: 'e', atUs: 0 } };
+  const at = 5 * second;
+  const bornLeader: Replica = {
+    ...startReplica('a', 'a:1', seeds),
+    role: 'leader',
+    leader: 'a',
+    term: 1,
+    entries: [membersAt(1, 1, members), claimEntry],
+    commit: 2,
+    atUs: at,
+  };
+  const votersAfter = (matchOfB: number, matchOfD: number): readonly string[] => {
+    const heard = { ...newProgress(bornLeader), heardUs: at };
+    const progress = new Map([
+      ['b', { ...heard, match: matchOfB }],
+      ['c', { ...heard, match: 2, heardUs: 0 }],
+      ['d', { ...heard, match: matchOfD }],
+    ]);
+    const ticked = stepControl({ ...bornLeader, progress }, { type: 'tick', at, chance: 0 }).replica;
+    return votersOf(ticked).map((voter) => voter.identity);
+  };
+  assert.equal(votersAfter(1, 2), ['a', 'b', 'c'], 'only the dead voter has the second copy');
+  assert.equal(votersAfter(2, 1), ['a', 'b', 'c'], 'the learner has not caught up');
+  assert.equal(votersAfter(2, 2), ['a', 'b'], 'both are there');
+});
+
 test('a founding member wiped before the founding does not block it, and no second core comes of it', () => {
   for (let seed = 1; seed <= 300; seed += 1) {
     const core = openPureCore(seed, seeds, 3, seed % 2 === 0 ? 0.2 : 0);
