Test the guard of the messages of joining and founding field by field

Cause: the new messages and the new fields of a probe passed no test of the wire guard. Ruled out: the simulator for that, since its links don't run the guard's refusals. Change: tests/control/message-codec.test.ts. Conclusion: a message that lacks a field, or has it empty, is refused.

--- /dev/null
+++ b/tests/control/message-codec.test.ts
@@ -0,0 +1,35 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { ControlMessage } from '../../src/control/machine/message.js';
+import { isPlainMessage, messageOfPlain, plainMessageOf } from '../../src/control/wire/message-codec.js';
+
+const probe: ControlMessage = {
+  type: 'probe',
+  identity: 'a',
+  address: 'a:1',
+  founded: false,
+  founds: true,
+  nonce: 'n',
+};
+
+const messages: readonly ControlMessage[] = [
+  probe,
+  { ...probe, type: 'probeReply', offer: 'a@a:1' },
+  { type: 'join', identity: 'a', address: 'a:1' },
+  { type: 'identify', nonce: '3.7' },
+  { type: 'identified', nonce: '3.7', identity: 'a', address: 'a:1' },
+];
+
+test('messages of joining and founding pass the guard whole, and none of them with a field missing or empty', () => {
+  for (const message of messages) {
+    const plain: unknown = JSON.parse(JSON.stringify(plainMessageOf(message)));
+    assert.ok(isPlainMessage(plain), message.type);
+    assert.equal(messageOfPlain(plain), message);
+    for (const field of Object.keys(message).filter((name) => name !== 'offer')) {
+      assert.not(isPlainMessage({ ...message, [field]: undefined }), `${message.type} without ${field}`);
+      assert.not(isPlainMessage({ ...message, [field]: '' }), `${message.type} with an empty ${field}`);
+    }
+  }
+});
+
+test.run();
