Bear power lost while the oldest ring file is made ready for use again

Cause: power lost in the middle of clearing the head of a reused file left one of its marks without a head, which counted as damage and ended the process, though the newer file was whole. Change: a lost head is damage only where no newer generation is whole; the error of the newest file stays. Conclusion: a torn turn of the ring falls back on the file before it, as it should.

--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -24,7 +24,12 @@
 
 type OpenFile = { readonly file: RingFile; readonly content: FileContent };
 
+/** The file to go on with; a damaged head is borne only in a file that a newer one has replaced. */
 const newestOf = (openFiles: readonly OpenFile[]): Either<TypedError, OpenFile | undefined> => {
+  const newestWhole = Math.max(0, ...openFiles.map(({ content }) => (content.complete ? content.generation : 0)));
+  for (const { content } of openFiles)
+    if (content.headFault !== undefined && content.headFault.generation >= newestWhole)
+      return Left(content.headFault.error);
   const usedFiles = openFiles.filter(({ content }) => content.generation > 0);
   const newestFirst = [...usedFiles].sort((left, right) => right.content.generation - left.content.generation);
   const [newestFile, formerFile] = newestFirst;
--- a/src/disk/read-file.ts
+++ b/src/disk/read-file.ts
@@ -18,6 +18,11 @@
   readonly complete: boolean;
   readonly payloads: readonly Buffer[];
   readonly endOffset: number;
+  /**
+   * The head does not hold though records of this generation were synced. That is damage, unless a newer generation is
+   * whole: then power was lost while this file was being made ready for the next one.
+   */
+  readonly headFault?: { readonly generation: number; readonly error: TypedError };
 };
 
 export const emptyContent: FileContent = { generation: 0, complete: false, payloads: [], endOffset: firstRecordOffset };
@@ -46,7 +51,14 @@
   const head = decodeRecord(file, 0);
   const mark = readMark(file);
   if (head === undefined) {
-    if (mark !== undefined) return Left(damaged(name, 'the head does not hold although records were synced'));
+    if (mark !== undefined)
+      return Right({
+        ...emptyContent,
+        headFault: {
+          generation: mark.generation,
+          error: damaged(name, 'the head does not hold although records were synced'),
+        },
+      });
     if (!mayBeUnfinishedHead(file)) return Left(damaged(name, 'it was not written by this program'));
     return Right(emptyContent);
   }
--- a/tests/disk/disk-ring.test.ts
+++ b/tests/disk/disk-ring.test.ts
@@ -57,6 +57,25 @@
   }
 });
 
+test('power lost at any write while files are used again loses only what was not synced', async () => {
+  for (let failing = 1; failing < 420; failing += 1) {
+    const memory = openMemoryFiles(2, fileBytes);
+    memory.failFrom(failing);
+    const ring = await opened(memory);
+    const chance = seededChance(failing);
+    let acknowledged = '';
+    let asked = '';
+    for (const letter of alphabet.slice(0, 180)) {
+      asked += letter;
+      const snapshot = asked;
+      if ((await ring.append(Buffer.from(letter), () => Buffer.from(snapshot))).isLeft()) break;
+      acknowledged = asked;
+    }
+    const left = textOf(await opened(memory.afterPowerLoss(() => chance() < 0.5)));
+    assert.ok(left === acknowledged || left === asked, `write ${failing}: ${acknowledged} was kept, ${left} came back`);
+  }
+});
+
 test('a write that is refused for a while is kept once when it is asked for again, at any write', async () => {
   for (let failing = 1; failing < 200; failing += 1) {
     const memory = openMemoryFiles(2, fileBytes);
@@ -105,6 +124,16 @@
   assert.is(await errorOf(openMemoryFiles(2, fileBytes, bytes)), 'damaged-disk');
 });
 
+test('a newest file whose head is gone is damage, and so is the only one', async () => {
+  for (const letters of [12, 45]) {
+    const memory = openMemoryFiles(2, fileBytes);
+    await appendLetters(await opened(memory), '', alphabet.slice(0, letters));
+    const bytes = [memory.bytesOf(0), memory.bytesOf(1)];
+    bytes[letters === 12 ? 0 : 1]?.fill(0, 0, 64);
+    assert.is(await errorOf(openMemoryFiles(2, fileBytes, bytes)), 'damaged-disk');
+  }
+});
+
 test('a snapshot that does not fit is an error and changes nothing', async () => {
   const memory = openMemoryFiles(2, fileBytes);
   const ring = await opened(memory);
