--- a/tests/control/durable-writer.test.ts
+++ b/tests/control/durable-writer.test.ts
@@ -8,9 +8,10 @@
 import { stepControl } from '../../src/control/machine/step.js';
 import { checkDurableRecords } from '../../src/control/persistence/record-rules.js';
 import { recoverReplica, snapshotRecordsOf } from '../../src/control/persistence/recovery.js';
-import { decodeDurableBatches } from '../../src/control/wire/durable-record-codec.js';
+import { decodeDurableBatches, encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
 import { openDiskRing } from '../../src/disk/disk-ring.js';
 import { openDurableWriter } from '../../src/process/control/durable-writer.js';
+import { openReplica } from '../../src/process/control/open-replica.js';
 import { openWithRetry, reopenUs } from '../../src/process/control/open-ring.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openMemoryFiles } from '../../src/sim/disk/memory-files.js';
@@ -68,6 +69,37 @@
   assert.is(again.state.record?.original?.version, 2);
 });
 
+test('records that break the rules of the log are not recovered, and the ring is closed', async () => {
+  const memory = openMemoryFiles(2, fileBytes);
+  const ring = (await openDiskRing(memory.files)).unsafeCoerce();
+  const append = (record: DurableRecord) => {
+    const bytes = encodeDurableRecords([record]);
+    return ring.append(bytes, () => bytes);
+  };
+  (await append({ type: 'vote', term: 5, votedFor: 'a' })).unsafeCoerce();
+  (await append({ type: 'vote', term: 4, votedFor: 'b' })).unsafeCoerce();
+  let isClosed = false;
+  const again = (await openDiskRing(memory.files)).unsafeCoerce();
+  const watched = {
+    ...again,
+    close: async () => {
+      isClosed = true;
+    },
+  };
+  const settings = {
+    node: 'a',
+    locality: 'a',
+    http: 'a:2',
+    partners: 'a:1',
+    seeds: ['a:1'],
+    data: '/data',
+    ringFiles: 2,
+    ringFileBytes: fileBytes,
+  };
+  const error = (await openReplica(watched, settings, () => 'x').run()).swap().toMaybe().extractNullable();
+  assert.equal([error?.type, error?.message.startsWith('/data:'), isClosed], ['damaged-disk', true, true]);
+});
+
 test('a disk that refuses at the start is opened again by the product; damage is not', async () => {
   const world = openWorld(2);
   const { clock } = openSimNode(world).begin();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -11,6 +11,48 @@
 
 /** Every deliberate fault that the checks must find. */
 export const mutants: readonly Mutant[] = [
+  {
+    name: 'no heartbeat while a snapshot is under way',
+    file: 'src/control/machine/replication.ts',
+    find: 'return andThen(stepOf(replica, heartbeatTo(replica, identity)), (beatReplica) =>',
+    put: 'return andThen(stepOf(replica), (beatReplica) =>',
+    by: test('tests/control/snapshot-transfer.test.js'),
+  },
+  {
+    name: 'pieces of snapshots of two terms are put together',
+    file: 'src/control/machine/partial-snapshot.ts',
+    find: '  partial.term === message.term &&\n  partial.snapshotIndex === message.snapshotIndex &&',
+    put: '  partial.snapshotIndex === message.snapshotIndex &&',
+    by: test('tests/control/partial-snapshot.test.js'),
+  },
+  {
+    name: 'a state larger than its file is taken',
+    file: 'src/control/machine/state-limit.ts',
+    find: 'if (quickBytes <= replica.stateLimitBytes || growsNothing(replica, command)) return true;',
+    put: 'if (quickBytes >= 0 || growsNothing(replica, command)) return true;',
+    by: test('tests/control/state-limit.test.js'),
+  },
+  {
+    name: 'a batch that the next file holds already is appended to it again',
+    file: 'src/process/control/durable-writer.ts',
+    find: '        if (hasTurned) return true;\n',
+    put: '',
+    by: test('tests/control/durable-writer.test.js'),
+  },
+  {
+    name: 'a foreign file counts as an empty one',
+    file: 'src/disk/read-file.ts',
+    find: 'if (!mayBeUnfinishedHead(file)) return',
+    put: 'if (file.length === 0) return',
+    by: test('tests/disk/open-folder.test.js'),
+  },
+  {
+    name: 'a damaged head of the newest file is borne',
+    file: 'src/disk/disk-ring.ts',
+    find: 'content.headFault.generation >= newestWhole',
+    put: 'content.headFault.generation < 0',
+    by: test('tests/disk/disk-ring.test.js'),
+  },
   {
     name: 'a vote is not kept on disk',
     file: 'src/control/machine/elections.ts',
