--- a/tests/control/durable-writer.test.ts
+++ b/tests/control/durable-writer.test.ts
@@ -82,8 +82,9 @@
   const again = (await openDiskRing(memory.files)).unsafeCoerce();
   const watched = {
     ...again,
-    close: async () => {
+    close: () => {
       isClosed = true;
+      return Promise.resolve();
     },
   };
   const settings = {
