--- a/src/control/persistence/recovery.ts
+++ b/src/control/persistence/recovery.ts
@@ -1,8 +1,13 @@
 import type { DurableRecord } from '../log/durable-record.js';
+import type { LogEntry } from '../log/log-entry.js';
 import type { Replica } from '../machine/replica.js';
 import { compactLog } from '../machine/commit.js';
 import { passiveRoleOf, replaceLogSuffix } from '../machine/roles.js';
 
+/** A file that was turned within a batch begins with a snapshot that may hold entries of the records after it. */
+const entriesBehindSnapshot = (replica: Replica, entries: readonly LogEntry[]): readonly LogEntry[] =>
+  entries.filter((entry) => entry.index > replica.snapshot.index);
+
 /** A replica with one more kept record folded in. */
 export const replayRecord = (replica: Replica, record: DurableRecord): Replica => {
   switch (record.type) {
@@ -13,7 +18,7 @@
     case 'vote':
       return { ...replica, term: record.term, votedFor: record.votedFor };
     case 'entries':
-      return replaceLogSuffix(replica, record.entries);
+      return replaceLogSuffix(replica, entriesBehindSnapshot(replica, record.entries));
     case 'snapshot':
       return {
         ...replica,
--- a/tests/control/recovery.test.ts
+++ b/tests/control/recovery.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { snapshotRecordsOf, recoverReplica } from '../../src/control/persistence/recovery.js';
 import type { Command } from '../../src/control/log/command.js';
+import { checkLogShape } from '../../src/control/machine/invariants.js';
 import type { DurableRecord } from '../../src/control/log/durable-record.js';
 import { startReplica, type Replica } from '../../src/control/machine/replica.js';
 import { stepControl } from '../../src/control/machine/step.js';
@@ -109,4 +110,23 @@
   assert.equal(again.state.buckets, full.state.buckets);
 });
 
+test('records that a snapshot before them holds already change nothing, those behind it are added', () => {
+  const { replica, kept } = leaderAfter([
+    { type: 'claim', key: 'record/k1', exchange: 'e1', atUs: 20 },
+    { type: 'claim', key: 'record/k2', exchange: 'e2', atUs: 30 },
+  ]);
+  const entryRecords = kept.filter((record) => record.type === 'entries');
+  const lastIndex = replica.commit;
+  assert.ok(lastIndex >= 4 && entryRecords.length >= 4);
+  const start = startReplica('none', 'a:1', ['a:1']);
+  const recovered = recoverReplica(start, [...snapshotRecordsOf(replica), ...entryRecords]);
+  checkLogShape(recovered);
+  assert.equal([recovered.commit, recovered.entries], [lastIndex, []]);
+  const next = { index: lastIndex + 1, term: replica.term, command: { type: 'start-term' as const } };
+  const overlapping = [...replica.entries.slice(-1), next];
+  const longer = recoverReplica(start, [...snapshotRecordsOf(replica), { type: 'entries', entries: overlapping }]);
+  checkLogShape(longer);
+  assert.equal(longer.entries, [next]);
+});
+
 test.run();
--- a/tests/model/cluster.ts
+++ b/tests/model/cluster.ts
@@ -304,10 +304,12 @@
 
 export const roundUs: Micros = 25_000;
 
-const tickAllOnce = (cluster: Cluster): Cluster =>
+/** One round of all clocks. */
+export const tickAllOnce = (cluster: Cluster): Cluster =>
   cluster.machines.reduce<Cluster>((reached, _, place) => tick(reached, place, roundUs), cluster);
 
-const deliverAll = (cluster: Cluster): Cluster =>
+/** Delivers all that is in flight, in order; what is sent thereupon stays in flight. */
+export const deliverAll = (cluster: Cluster): Cluster =>
   cluster.frames.reduce<Cluster>((reached, frame) => deliver(reached, frame), { ...cluster, frames: [] });
 
 /**
--- a/tests/model/random-walk.ts
+++ b/tests/model/random-walk.ts
@@ -5,6 +5,7 @@
 import {
   chanceOf,
   deliver,
+  deliverAll,
   deliverExcept,
   emptyCluster,
   fail,
@@ -17,6 +18,7 @@
   restart,
   start,
   tick,
+  tickAllOnce,
   turnFile,
   withFrames,
   withoutFrame,
@@ -191,6 +193,40 @@
   return { cluster: playFor(cluster, rounds, () => false), what: `settle for ${rounds} rounds` };
 };
 
+type Cut = 'to' | 'from' | 'both';
+const cuts: readonly Cut[] = ['to', 'from', 'both'];
+const troubledRounds: readonly number[] = [10, 30, 90];
+const roundsPerProposal = 5;
+
+const withoutCutFrames = (cluster: Cluster, address: string, cut: Cut): Cluster => ({
+  ...cluster,
+  frames: cluster.frames.filter(
+    (frame) => (cut === 'from' || frame.address !== address) && (cut === 'to' || frame.from !== address),
+  ),
+});
+
+const proposeToLeader = (cluster: Cluster): Cluster => {
+  const place = leaderPlace(cluster);
+  const at = cluster.machines[place ?? -1]?.clockUs;
+  if (place === undefined || at === undefined) return cluster;
+  const command = claimOf(cluster, cluster.steps % 3);
+  return hear(cluster, place, { type: 'propose', at, requestId: `r${cluster.steps}`, command });
+};
+
+/** Goes on with one machine cut off, one way or both, while proposals come in. */
+const settleCut: Act = (cluster, draw) => {
+  const { name, address } = cluster.machines[drawPlace(cluster, draw)] ?? {};
+  const cut = cuts[draw(cuts.length)];
+  const rounds = troubledRounds[draw(troubledRounds.length)] ?? 0;
+  if (address === undefined || cut === undefined) return { cluster, what: 'cut nothing' };
+  let reached = cluster;
+  for (let round = 0; round < rounds && reached.broken.length === 0; round += 1) {
+    const asked = round % roundsPerProposal === 0 ? proposeToLeader(reached) : reached;
+    reached = deliverAll(withoutCutFrames(tickAllOnce(asked), address, cut));
+  }
+  return { cluster: reached, what: `${rounds} rounds with proposals, ${name} cut off: ${cut}` };
+};
+
 const configurationOf = (cluster: Cluster): string =>
   JSON.stringify(cluster.machines.map(({ replica }) => (replica?.role === 'leader' ? membersOf(replica) : undefined)));
 
@@ -249,6 +285,7 @@
   [3, loseOrReplace],
   [1, resign],
   [4, settle],
+  [4, settleCut],
   [3, settleUntilChange],
   [1, sendHeartbeats],
   [1, turnOneFile],
