--- /dev/null
+++ b/src/control/state/state-digest.ts
@@ -0,0 +1,30 @@
+import { createHash } from 'node:crypto';
+import type { ReplicatedState } from './replicated-state.js';
+
+const digests = new WeakMap<ReplicatedState, string>();
+
+const sortedEntries = <Value>(map: ReadonlyMap<string | number, Value>): readonly (readonly [string, Value])[] =>
+  [...map]
+    .map(([key, value]) => [String(key), value] as const)
+    .sort(([left], [right]) => (left < right ? -1 : Number(left > right)));
+
+const textOf = (state: ReplicatedState): string =>
+  JSON.stringify([
+    state.clockUs,
+    state.record?.revision,
+    state.record?.takenAtUs,
+    state.record?.setup.name,
+    state.record?.original?.version,
+    sortedEntries(state.proposals),
+    sortedEntries(state.buckets).map(([bucket, claims]) => [bucket, sortedEntries(claims)]),
+    state.claimCount,
+  ]);
+
+/** A short text that is equal where two replicated states are; it is drawn once for each state. */
+export const stateDigestOf = (state: ReplicatedState): string => {
+  const known = digests.get(state);
+  if (known !== undefined) return known;
+  const digest = createHash('sha256').update(textOf(state)).digest('hex');
+  digests.set(state, digest);
+  return digest;
+};
--- a/src/sim/core/core-fleet.ts
+++ b/src/sim/core/core-fleet.ts
@@ -31,6 +31,7 @@
 
 export const localities = ['a', 'b', 'c'] as const;
 const seedCount = 3;
+const comparisonIntervalUs: Micros = 50_000;
 const quietLog: Log = { change: () => undefined };
 
 export const openCoreFleet = (seed: number, ringFileBytes?: number, shape: CoreShape = {}): AskedCore => {
@@ -85,6 +86,11 @@
       }),
     );
   machines.forEach((machine) => world.after(world.chance() * 300_000, machine.start));
+  const compareStates = (): void => {
+    rules.compareStates(machines.filter((machine) => machine.isUp()).map((machine) => machine.replica()));
+    world.after(comparisonIntervalUs, compareStates);
+  };
+  world.after(comparisonIntervalUs, compareStates);
   return {
     ...commons,
     machines,
--- a/src/sim/core/core-rules.ts
+++ b/src/sim/core/core-rules.ts
@@ -1,3 +1,5 @@
+import type { Replica } from '../../control/machine/replica.js';
+import { stateDigestOf } from '../../control/state/state-digest.js';
 import type { Log } from '../../process/log.js';
 import type { World } from '../world/world.js';
 
@@ -7,11 +9,13 @@
   readonly breakRule: (what: string) => void;
   /** The name of the setup that stands at a revision. */
   readonly nameAt: (revision: number) => string | undefined;
+  /** State machine safety: replicas of one leader and one commit index have applied the same state. */
+  readonly compareStates: (replicas: readonly Replica[]) => void;
   /** The log of one process, read as it is written. */
   readonly logOf: (identity: () => string) => Log;
 };
 
-/** Listens to every process: one leader a term, one setup a revision. */
+/** Listens to every process: one leader a term, one setup a revision, one state an index. */
 export const openCoreRules = (world: World): CoreRules => {
   const brokenRules: string[] = [];
   const leaderOfTerm = new Map<number, string>();
@@ -26,6 +30,17 @@
     broken: () => brokenRules,
     breakRule,
     nameAt: (revision) => nameOfRevision.get(revision),
+    compareStates: (replicas) => {
+      const digestAt = new Map<string, string>();
+      for (const { leader, term, commit, state } of replicas) {
+        if (leader === undefined) continue;
+        const place = `${leader} term ${term} entry ${commit}`;
+        const digest = stateDigestOf(state);
+        const known = digestAt.get(place);
+        if (known !== undefined && known !== digest) breakRule(`two replicas of ${place} have applied other states`);
+        digestAt.set(place, digest);
+      }
+    },
     logOf: (identity) => ({
       change: (what, facts) => {
         if (what === 'role' && facts['role'] === 'leader')
--- a/tests/control/invariants.test.ts
+++ b/tests/control/invariants.test.ts
@@ -9,7 +9,9 @@
 import { plainMessageOf } from '../../src/control/wire/message-codec.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openSpreadTask } from '../../src/process/spread-task.js';
+import { openCoreRules } from '../../src/sim/core/core-rules.js';
 import { openCoreFleet } from '../../src/sim/core/core-fleet.js';
+import { openWorld } from '../../src/sim/world/world.js';
 import { openSimNode } from '../../src/sim/process/sim-node.js';
 import { simSurroundingsOf } from '../../src/sim/process/sim-surroundings.js';
 
@@ -171,4 +173,14 @@
   assert.is(rules.broken().length, 1, rules.broken().join('\n'));
 });
 
+test('replicas of one leader at one commit index that have applied other states are found', () => {
+  const rules = openCoreRules(openWorld(1));
+  const led: Replica = { ...follower, leader: 'b' };
+  const other: Replica = { ...led, state: { ...led.state, claimCount: 1 } };
+  rules.compareStates([led, { ...led, identity: 'c' }, { ...other, commit: 3 }, { ...other, leader: undefined }]);
+  assert.equal(rules.broken(), []);
+  rules.compareStates([led, other]);
+  assert.match(rules.broken()[0] ?? '', /two replicas of b term 4 entry 2 have applied other states/);
+});
+
 test.run();
--- a/tests/model/history.ts
+++ b/tests/model/history.ts
@@ -3,6 +3,7 @@
 import type { Replica } from '../../src/control/machine/replica.js';
 import type { Member } from '../../src/control/members/member.js';
 import { applyCommand } from '../../src/control/state/apply.js';
+import { stateDigestOf } from '../../src/control/state/state-digest.js';
 import { startReplicatedState, type ReplicatedState } from '../../src/control/state/replicated-state.js';
 
 /** What no replica alone can see: who led, which entries there were, what was committed and what it came to. */
@@ -27,7 +28,6 @@
 export type Observed = { readonly history: History; readonly broken: readonly string[] };
 
 const commandDigests = new WeakMap<LogEntry, string>();
-const stateDigests = new WeakMap<ReplicatedState, string>();
 
 const commandDigestOf = (entry: LogEntry): string => {
   const known = commandDigests.get(entry);
@@ -37,21 +37,6 @@
   return digest;
 };
 
-/** A text that is equal where two replicated states are. */
-export const stateDigestOf = (state: ReplicatedState): string => {
-  const known = stateDigests.get(state);
-  if (known !== undefined) return known;
-  const digest = JSON.stringify([
-    state.clockUs,
-    state.record,
-    [...state.proposals],
-    [...state.buckets].map(([bucket, claims]) => [bucket, [...claims]]),
-    state.claimCount,
-  ]);
-  stateDigests.set(state, digest);
-  return digest;
-};
-
 /** Who was removed though its disk lives, for an identity at the same address whose disk is gone. */
 const evictedMembers = (
   former: readonly Member[],
