--- a/tests/model/history.ts
+++ b/tests/model/history.ts
@@ -2,8 +2,8 @@
 import { entryAt, lastIndexOf, membersOf, termAt } from '../../src/control/machine/log-reading.js';
 import type { Replica } from '../../src/control/machine/replica.js';
 import type { Member } from '../../src/control/members/member.js';
-import { encodeSnapshot } from '../../src/control/wire/snapshot-codec.js';
 import { applyCommand } from '../../src/control/state/apply.js';
+import { stateDigestOf } from '../../src/control/state/state-digest.js';
 import { startReplicatedState, type ReplicatedState } from '../../src/control/state/replicated-state.js';
 
 /** What no replica alone can see: who led, which entries there were, what was committed and what it came to. */
@@ -28,7 +28,6 @@
 export type Observed = { readonly history: History; readonly broken: readonly string[] };
 
 const commandDigests = new WeakMap<LogEntry, string>();
-const stateDigests = new WeakMap<ReplicatedState, string>();
 
 const commandDigestOf = (entry: LogEntry): string => {
   const known = commandDigests.get(entry);
@@ -38,15 +37,6 @@
   return digest;
 };
 
-/** A text that is equal where two replicated states are. */
-export const stateDigestOf = (state: ReplicatedState): string => {
-  const known = stateDigests.get(state);
-  if (known !== undefined) return known;
-  const digest = JSON.stringify(encodeSnapshot({ index: 0, term: 0, members: [], state }));
-  stateDigests.set(state, digest);
-  return digest;
-};
-
 /** Who was removed though its disk lives, for an identity at the same address whose disk is gone. */
 const evictedMembers = (
   former: readonly Member[],
