Test the time of operators' calls and definite answers of machines that know of no core

Cause: the bound of an operator's call was tested in the simulator only, which is slow as the finder of a deliberate fault. Ruled out: nothing. Change: unit tests of the budgets, of bad documents at a machine without a core, and of forgotten outcomes over HTTP. Conclusion: each call stays under the second that callers wait.

--- a/tests/control/operator.test.ts
+++ b/tests/control/operator.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Left } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
 import { request } from 'undici';
 import { typedError } from '../../src/common/typed-error.js';
 import type { CoreClient } from '../../src/process/core-client.js';
@@ -108,4 +108,40 @@
   });
 });
 
+operator('every call ends within the second that callers wait, and a large document gets some more', async () => {
+  const budgets: number[] = [];
+  const core: CoreClient = {
+    ask: (_question, budgetUs) => {
+      budgets.push(budgetUs);
+      return Promise.resolve(Left(typedError('unreachable', 'no leader')));
+    },
+  };
+  const service = openOperatorService(core, () => 0);
+  const setup = sampleSetup('one');
+  const putText = (text: string) => service.putOriginal({ setup, original: { version: 1, text }, expectedVersion: 0 });
+  await service.read();
+  await service.put(setup, 'p', 0);
+  await service.ask('p');
+  await service.withdraw('p');
+  await putText('x'.repeat(20_000));
+  for (const budgetUs of budgets) assert.ok(budgetUs <= 800_000, `${budgetUs} us`);
+  await putText('x'.repeat(1 << 20));
+  const largeBudgetUs = budgets[budgets.length - 1] ?? 0;
+  assert.ok(largeBudgetUs > 1_000_000 && largeBudgetUs <= 3_000_000, `${largeBudgetUs} us`);
+});
+
+operator('an outcome that may be forgotten is unknown, never a conflict', async () => {
+  const core: CoreClient = {
+    ask: () =>
+      Promise.resolve(
+        Right({ type: 'applied', outcome: { type: 'proposal', outcome: { type: 'forgotten', revision: 9 } } }),
+      ),
+  };
+  await withOperator(core, async (call) => {
+    const told = await call('PUT', '/operator/setup', sampleSetup('two'), { 'if-match': '"1"', 'proposal-id': 'p2' });
+    assert.is(told.status, 202);
+    assert.match(told.text, '"outcome":"unknown"');
+  });
+});
+
 operator.run();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -303,7 +303,7 @@
     file: 'src/process/operator/call-budgets.ts',
     find: 'export const callBudgetUs: Micros = 700_000;',
     put: 'export const callBudgetUs: Micros = 2_000_000;',
-    by: test('tests/sim/core-cut.test.js'),
+    by: test('tests/control/operator.test.js'),
   },
   {
     name: 'a client forgets an answer that comes in its last pause',
--- a/tests/platform/paths.test.ts
+++ b/tests/platform/paths.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Left } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
 import { request } from 'undici';
 import { addDocumentPaths, documentPath } from '../../platform/operator/operator-paths.js';
 import { typedError } from '../../src/common/typed-error.js';
@@ -88,4 +88,27 @@
     });
 });
 
+test('a document that can not be committed is told so at once by a machine that knows of no core', () =>
+  withPaths({ ask: () => Promise.reject(new Error('the core was asked')) }, async (call) => {
+    assert.is((await call('PUT', '{', '0')).status, 400);
+    assert.is((await call('PUT', page)).status, 400);
+    assert.is((await call('PUT', JSON.stringify(withSecondRoute({ svc: 'none' })), '0')).status, 400);
+    assert.is((await call('PUT', ' '.repeat(6 << 20), '0')).status, 413);
+  }));
+
+test('a document that may have been committed too long ago gets no definite answer', () =>
+  withPaths(
+    {
+      ask: () =>
+        Promise.resolve(
+          Right({ type: 'applied', outcome: { type: 'proposal', outcome: { type: 'forgotten', revision: 9 } } }),
+        ),
+    },
+    async (call) => {
+      const told = await call('PUT', page, '0');
+      assert.is(told.status, 503);
+      assert.ok(told.retryAfter !== undefined);
+    },
+  ));
+
 test.run();
