--- a/src/process/core-client.ts
+++ b/src/process/core-client.ts
@@ -13,12 +13,13 @@
   readonly ask: (request: CoreRequest, budgetUs: Micros) => Promise<Either<TypedError, CoreReply>>;
 };
 
-/** How long one machine is waited for before the next one is tried: half of the budget within these bounds. */
-const minTryUs: Micros = 350_000;
-const maxTryUs: Micros = 600_000;
+/** How long one machine is waited for before the next one is tried; calls of short budgets try two at least. */
+const tryUs: Micros = 600_000;
+const shortBudgetUs: Micros = 800_000;
+const shortTryUs: Micros = 350_000;
 const pauseUs: Micros = 40_000;
 
-const tryBudgetOf = (budgetUs: Micros): Micros => Math.min(maxTryUs, Math.max(minTryUs, budgetUs / 2));
+const tryBudgetOf = (budgetUs: Micros): Micros => (budgetUs > shortBudgetUs ? tryUs : shortTryUs);
 
 const isLast = (reply: CoreReply): boolean => reply.type === 'applied' || reply.type === 'record';
 
