--- a/tests/bench/figures.ts
+++ b/tests/bench/figures.ts
@@ -2,6 +2,9 @@
 import { stepDecision } from '../../src/decision/machine/step/step.js';
 import { startDecisionView, type DecisionView } from '../../src/decision/machine/view/decision-view.js';
 import type { DecisionEvent } from '../../src/decision/machine/event/decision-event.js';
+import { sharedRecord } from '../../src/setup/delta/shared-record.js';
+import type { Rule } from '../../src/setup/document/rule.js';
+import type { SetupRecord } from '../../src/setup/document/setup-record.js';
 import { listOf, recordOf, second, serverOf, setup } from '../decision/figures.js';
 
 /** What one case of the benchmark is made of. */
@@ -94,3 +97,35 @@
   run(view, changes);
   return (processorUs() - beginUs) / changes.length;
 };
+
+const benchRule = (place: number): Rule => ({
+  kind: `route-${place}`,
+  service: 'status',
+  tier: 'first',
+  repeatable: true,
+  resumable: false,
+  budgetUs: second,
+  firstPieceUs: second,
+  silenceUs: second,
+});
+
+/** Microseconds of processor that one configuration takes which differs from the one before it in its routes only. */
+export const routeChangeCost = (servers: number, routes: number): number => {
+  const recordAt = (revision: number): SetupRecord => {
+    const rules = [...benchSetup.rules, ...Array.from({ length: routes + revision }, (_, place) => benchRule(place))];
+    return { ...recordOf({ ...benchSetup, rules }), revision };
+  };
+  const firstRecord = recordAt(1);
+  const view = run(startDecisionView, [
+    { type: 'setup', at: 0, record: firstRecord },
+    { type: 'list', at: second, list: listOf(1, 60 * second, benchServers(servers, 0, 0)) },
+  ]);
+  let record = firstRecord;
+  const changes = Array.from({ length: 50 }, (_, place): DecisionEvent => {
+    record = sharedRecord(record, recordAt(2 + place));
+    return { type: 'setup', at: (2 + place) * second, record };
+  });
+  const beginUs = processorUs();
+  run(view, changes);
+  return (processorUs() - beginUs) / changes.length;
+};
--- a/tests/bench/main.ts
+++ b/tests/bench/main.ts
@@ -1,4 +1,4 @@
-import { exchangeCost, listCost } from './figures.js';
+import { exchangeCost, listCost, routeChangeCost } from './figures.js';
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
@@ -12,3 +12,5 @@
     }
 print('\n| servers | us of processor for a list that changes |\n| --- | --- |');
 for (const servers of [13, 100, 1500]) print(`| ${servers} | ${listCost(servers).toFixed(0)} |`);
+print('\n| servers | us of processor for a change of one route of 400 |\n| --- | --- |');
+for (const servers of [13, 100, 1500]) print(`| ${servers} | ${routeChangeCost(servers, 400).toFixed(0)} |`);
