Keep the lag of the list whole in varied sites

Ruled out: rounding every scaled figure (a sync time of 2.32 s is taken). Change: the scaled lag is rounded to whole milliseconds.

--- a/tests/platform/days/vary-site.test.ts
+++ b/tests/platform/days/vary-site.test.ts
@@ -17,6 +17,9 @@
 const variedSite = (changes: Partial<Variation>): Site =>
   siteOf(varySite(siteDocument(), { ...unchanged, ...changes })).unsafeCoerce();
 
+const lagOf = (discovery: unknown): unknown =>
+  typeof discovery === 'object' && discovery !== null && 'lag_ms' in discovery ? discovery.lag_ms : undefined;
+
 test('a core of five is spread over the zones that had core machines, and may lose two', () => {
   const document = varySite(siteDocument(), { ...unchanged, isCoreOfFive: true });
   const read = siteOf(document).unsafeCoerce();
@@ -47,6 +50,15 @@
   assert.equal(document.troubles, siteDocument().troubles);
 });
 
+test('the lag of the list stays whole milliseconds, as site files have it', () => {
+  fc.assert(
+    fc.property(fc.integer(), (seed) => {
+      const { discovery } = varySite(siteDocument(), drawVariation(seededChance(seed)));
+      assert.ok(Number.isInteger(lagOf(discovery)), JSON.stringify(discovery));
+    }),
+  );
+});
+
 test('every drawn variation leaves a deployment that can be read, with a majority beyond what may be lost', () => {
   fc.assert(
     fc.property(fc.integer(), (seed) => {
--- a/tests/platform/days/vary-site.ts
+++ b/tests/platform/days/vary-site.ts
@@ -42,6 +42,15 @@
   return isTable(table) ? { ...document, [section]: scaled(table, field, factor) } : document;
 };
 
+/** For fields that site files have as whole numbers. */
+const withRounded = (document: TomlTable, section: string, field: string): TomlTable => {
+  const table = document[section];
+  const value = isTable(table) ? table[field] : undefined;
+  return isTable(table) && typeof value === 'number'
+    ? { ...document, [section]: { ...table, [field]: Math.round(value) } }
+    : document;
+};
+
 const isCore = (machine: TomlTable): boolean => machine.class === coreClass;
 
 const countOf = ({ count }: TomlTable): number => (typeof count === 'number' ? count : 0);
@@ -74,5 +83,6 @@
   const withCores = withCoreMachines(document, variation);
   const withSync = withScaled(withCores, 'timing', 'catch_up_s', variation.syncFactor);
   const withListLag = withScaled(withSync, 'discovery', 'lag_ms', variation.listLagFactor);
-  return withScaled(withListLag, 'net', 'cross_zone_ms', variation.linkDelayFactor);
+  const withWholeLag = withRounded(withListLag, 'discovery', 'lag_ms');
+  return withScaled(withWholeLag, 'net', 'cross_zone_ms', variation.linkDelayFactor);
 };
