Add two deliberate faults of the log that the model check finds

Ruled out: nothing. Change: tests/mutants: the commit index runs ahead of what was matched; an append is taken without its predecessor.

--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -487,4 +487,18 @@
     put: 'entries.filter((entry) => entry.index > 0)',
     by: test('tests/control/recovery.test.js'),
   },
+  {
+    name: 'the commit index runs ahead of what was matched',
+    file: 'src/control/machine/follower.ts',
+    find: 'commitTo(longerReplica, Math.min(message.commit, reachedIndex))',
+    put: 'commitTo(longerReplica, message.commit)',
+    by: test('tests/model/model.test.js'),
+  },
+  {
+    name: 'an append is taken without its predecessor',
+    file: 'src/control/machine/follower.ts',
+    find: '!isBehindSnapshot && termAt(heardReplica, message.previousIndex) !== message.previousTerm',
+    put: '!isBehindSnapshot && message.previousIndex > lastIndexOf(heardReplica)',
+    by: test('tests/model/model.test.js'),
+  },
 ];
