Let a voter that ends in order give its vote to a learner that stands by

Ruled out: a fourth voter while the former one stands (four voters bear one loss, as three do, and here it is the second); removing on every ordered end (a restart would leave two voters without need). Change: a machine that is told to stop tells the leader (leave), the leader itself after its transfer; the leader takes it out only if a learner that has caught up stands by, and promotes that one. A notice counts for 0.5 s and only from the one that leaves. A stopping control process goes on for 0.25 s instead of 0.1 s. Conclusion: a planned replacement bears a loss the moment the former voter is gone.

--- a/src/control/machine/membership-change.ts
+++ b/src/control/machine/membership-change.ts
@@ -1,8 +1,8 @@
 /**
  * Single-server membership changes: one voter more or less at a time, so that any two majorities of neighbouring
  * configurations share a machine. The next change waits until the former one and an entry of the leader's own term are
- * committed. A newcomer is a learner until it has caught up. A dead voter leaves only when a learner stands ready, and
- * only when a majority of those that stay holds everything committed; then the learner is promoted.
+ * committed. A newcomer is a learner until it has caught up. A dead voter, or one that is about to stop, leaves only
+ * when a learner stands ready, and only when a majority of those that stay holds everything committed; then the learner is promoted.
  */
 import type { Micros } from '../../common/micros.js';
 import type { Member } from '../members/member.js';
@@ -48,6 +48,10 @@
   return silenceUs > deadMemberTimeoutUs || (isReplacedAtAddress && silenceUs >= electionTimeoutUs);
 };
 
+/** Whether a voter has just said that it is about to stop. */
+const isLeavingVoter = (replica: Replica, voter: Member): boolean =>
+  replica.atUs < (replica.leavingUntilUs.get(voter.identity) ?? 0);
+
 /** Whether a majority of the voters that stay holds all that is committed, so that the leaving one has no only copy. */
 const mayRemoveVoter = (replica: Replica, leaving: Member): boolean => {
   const stayingVoters = votersOf(replica).filter((voter) => voter !== leaving);
@@ -63,7 +67,9 @@
   const readyLearner = readyLearners[0];
   if (readyLearner !== undefined && voters.length < replica.votersWanted)
     return members.map((member) => (member === readyLearner ? { ...member, voter: true } : member));
-  const deadVoter = voters.find((voter) => isDeadVoter(replica, voter, readyLearners));
+  const deadVoter = voters.find(
+    (voter) => isDeadVoter(replica, voter, readyLearners) || isLeavingVoter(replica, voter),
+  );
   if (readyLearner !== undefined && deadVoter !== undefined && mayRemoveVoter(replica, deadVoter))
     return members.filter((member) => member !== deadVoter);
   const lostLearner = members.find((member) => !member.voter && silenceOf(replica, member) > learnerTimeoutUs);
--- a/src/control/machine/message.ts
+++ b/src/control/machine/message.ts
@@ -23,6 +23,8 @@
       readonly offer?: string;
     }
   | { readonly type: 'join'; readonly identity: string; readonly address: string }
+  /** A voter that is about to stop tells the leader. */
+  | { readonly type: 'leave'; readonly identity: string }
   /** A leader's question to an address: which identity lives there now? */
   | { readonly type: 'identify'; readonly nonce: string }
   | { readonly type: 'identified'; readonly nonce: string; readonly identity: string; readonly address: string }
--- a/src/control/machine/replica.ts
+++ b/src/control/machine/replica.ts
@@ -64,6 +64,11 @@
   readonly pendingRequests: ReadonlyMap<number, string>;
   /** Joins that a leader is checking with the address they name, by identity. */
   readonly joinChecks: ReadonlyMap<string, JoinCheck>;
+  /** Whether this machine was told to stop, and when it tells the leader next. */
+  readonly isLeaving: boolean;
+  readonly leaveAnnouncedUs: Micros;
+  /** Voters that a leader heard are about to stop, and until when that counts. */
+  readonly leavingUntilUs: ReadonlyMap<string, Micros>;
   /** Until when a leader tries to hand its leadership over; it takes no commands meanwhile. */
   readonly transferUntilUs: Micros | undefined;
 };
@@ -110,5 +115,8 @@
   reads: [],
   pendingRequests: new Map(),
   joinChecks: new Map(),
+  isLeaving: false,
+  leaveAnnouncedUs: 0,
+  leavingUntilUs: new Map(),
   transferUntilUs: undefined,
 });
--- a/src/control/machine/roles.ts
+++ b/src/control/machine/roles.ts
@@ -32,6 +32,7 @@
         reads: [],
         progress: new Map(),
         joinChecks: new Map(),
+        leavingUntilUs: new Map(),
         transferUntilUs: undefined,
         encodedSnapshot: undefined,
       }
--- a/src/control/machine/step.ts
+++ b/src/control/machine/step.ts
@@ -15,6 +15,7 @@
 import { isOfRefusedCore, onProbe, findLeader, tryBootstrap } from './bootstrap.js';
 import { onAppendReply, onInstallSnapshotReply, onLeaderTick, onRead } from './leader.js';
 import { onIdentified, onIdentify, onJoin } from './joins.js';
+import { announceLeave, onLeave } from './leave.js';
 import { isVoter } from './log-reading.js';
 import type { ControlMessage } from './message.js';
 import { appendCommand } from './replication.js';
@@ -30,10 +31,11 @@
   if (replica.role === 'unfounded')
     return replica.atUs >= replica.heartbeatUs ? tryBootstrap(replica, chance) : stepOf(replica);
   const isLost = replica.atUs > replica.leaderContactUs + rejoinTimeoutUs && replica.atUs >= replica.heartbeatUs;
-  const sought = isLost ? findLeader(replica) : stepOf(replica);
+  const soughtStep = isLost ? findLeader(replica) : stepOf(replica);
+  const announcedStep = andThen(soughtStep, announceLeave);
   return replica.atUs >= replica.electionUs
-    ? andThen(sought, (soughtReplica) => startPreVote(soughtReplica, chance))
-    : sought;
+    ? andThen(announcedStep, (announcedReplica) => startPreVote(announcedReplica, chance))
+    : announcedStep;
 };
 
 const carriesTerm = (message: ControlMessage): message is Extract<ControlMessage, { readonly term: number }> =>
@@ -46,6 +48,8 @@
       return onProbe(replica, message, chance);
     case 'join':
       return onJoin(replica, message);
+    case 'leave':
+      return onLeave(replica, from, message);
     case 'identify':
       return onIdentify(replica, from, message);
     case 'identified':
@@ -124,7 +128,7 @@
     case 'known':
       return stepOf({ ...nowReplica, knownAddresses: [...new Set([...event.seeds, ...event.addresses])] });
     case 'resign':
-      return onResign(nowReplica, event.chance);
+      return andThen(onResign({ ...nowReplica, isLeaving: true }, event.chance), announceLeave);
   }
 };
 
--- a/src/control/machine/timing.ts
+++ b/src/control/machine/timing.ts
@@ -23,6 +23,8 @@
 export const identifyTimeoutUs: Micros = 1_000_000;
 /** A join that could not be confirmed or proposed for so long is dropped; its sender asks again. */
 export const joinTimeoutUs: Micros = 3_000_000;
+/** For so long a voter's notice that it is about to stop counts. */
+export const leaveNoticeUs: Micros = 500_000;
 export const maxJoinChecks = 16;
 /** For so long a leader that is to stop tries to bring a successor up to date. */
 export const transferTimeoutUs: Micros = 500_000;
--- a/src/control/wire/message-codec.ts
+++ b/src/control/wire/message-codec.ts
@@ -34,6 +34,7 @@
     offer: offer(),
   }),
   join: object({ type: typed('join'), identity: name(), address: name() }),
+  leave: object({ type: typed('leave'), identity: name() }),
   identify: object({ type: typed('identify'), nonce: name() }),
   identified: object({ type: typed('identified'), nonce: name(), identity: name(), address: name() }),
   preVote: object({ type: typed('preVote'), term: whole(), lastIndex: whole(), lastTerm: whole() }),
--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -33,7 +33,8 @@
   readonly fail: (error: TypedError) => void;
 };
 
-const handOverUs = 100_000;
+/** For so long a machine that stops goes on, so that its successor leads and a learner that stands by has its vote. */
+const handOverUs = 250_000;
 
 /** Opens the disk of a core machine and puts its tasks together. */
 export const openControlNode = ({
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -148,14 +148,14 @@
     name: 'taken orders are forgotten at a snapshot',
     file: 'src/control/machine/commit.ts',
     find: '      state: replica.state,',
-    put: '      state: { ...replica.state, proposals: new Map() },',
+    put: '      state: { ...replica.state, documents: { ...replica.state.documents, committed: { ...replica.state.documents.committed, entries: new Map() } } },',
     by: seeds('core-repeats', 'linearizable', 2),
   },
   {
     name: 'a repeat of a former order is refused',
-    file: 'src/control/state/apply.ts',
-    find: '  if (knownOutcome !== undefined) return told(knownOutcome);',
-    put: "  if (knownOutcome?.type === 'void') return told(knownOutcome);",
+    file: 'src/control/state/configuration-orders.ts',
+    find: '  if (committed !== undefined)\n    return appliedProposal(',
+    put: '  if (committed !== undefined && committed.revision === revision)\n    return appliedProposal(',
     by: seeds('core-repeats', 'linearizable', 2),
   },
   {
