Name the committed outcome in the test of late commands

Cause: the outcomes were renamed while the test was written. Change: the expected outcome is 'committed', as the state machine now names it; the check is the same. Measured: the test file passes. Conclusion: none beyond the name.

--- a/tests/control/repeated-commands.test.ts
+++ b/tests/control/repeated-commands.test.ts
@@ -64,7 +64,7 @@
   assert.is(taken.record?.revision, 1);
   assert.equal(applyCommand(taken, cancel).outcome, {
     type: 'proposal',
-    outcome: { type: 'taken', revision: 1 },
+    outcome: { type: 'committed', revision: 1 },
   });
 });
 
