Prefer to take out a voter whose disk is gone before one that is only silent

Cause: with one voter of five down and another's disk lost, the leader could take out the one that is only down, so that a third loss left an uncommitted configuration without a majority (found by the model check as its fourth break). Ruled out: waiting for silent voters for longer; a replacement at another address would then come late. Change: a voter at whose address a caught-up learner answers goes first, then a silent one, then one that is about to stop. Conclusion: the order of removals follows the certainty of the loss.

--- a/src/control/machine/membership-change.ts
+++ b/src/control/machine/membership-change.ts
@@ -41,12 +41,12 @@
 const isCaughtUp = (replica: Replica, member: Member): boolean =>
   matchOf(replica, member) >= replica.commit && silenceOf(replica, member) < electionTimeoutUs;
 
-/** Whether a voter is taken for dead: silent for long, or silent at an address where a caught-up learner answers now. */
-const isDeadVoter = (replica: Replica, voter: Member, readyLearners: readonly Member[]): boolean => {
-  const silenceUs = silenceOf(replica, voter);
-  const isReplacedAtAddress = readyLearners.some((learner) => learner.address === voter.address);
-  return silenceUs > deadMemberTimeoutUs || (isReplacedAtAddress && silenceUs >= electionTimeoutUs);
-};
+/** Whether a voter is silent while a caught-up learner answers at its address now: its disk is gone for good. */
+const isReplacedVoter = (replica: Replica, voter: Member, readyLearners: readonly Member[]): boolean =>
+  silenceOf(replica, voter) >= electionTimeoutUs && readyLearners.some((learner) => learner.address === voter.address);
+
+/** Whether a voter has been silent for so long that it is taken for dead. */
+const isSilentVoter = (replica: Replica, voter: Member): boolean => silenceOf(replica, voter) > deadMemberTimeoutUs;
 
 /** Whether a voter has just said that it is about to stop. */
 const isLeavingVoter = (replica: Replica, voter: Member): boolean =>
@@ -59,11 +59,15 @@
   return holders.length * 2 > stayingVoters.length;
 };
 
-/** The voter that is to make room for a learner: a dead one before one that is about to stop. */
+/**
+ * The voter that is to make room for a learner: one whose disk is gone, then one that may only be down, then one that is
+ * about to stop.
+ */
 const outgoingVoterOf = (replica: Replica, readyLearners: readonly Member[]): Member | undefined => {
   const removableVoters = votersOf(replica).filter((voter) => mayRemoveVoter(replica, voter));
   return (
-    removableVoters.find((voter) => isDeadVoter(replica, voter, readyLearners)) ??
+    removableVoters.find((voter) => isReplacedVoter(replica, voter, readyLearners)) ??
+    removableVoters.find((voter) => isSilentVoter(replica, voter)) ??
     removableVoters.find((voter) => isLeavingVoter(replica, voter))
   );
 };
