Let the rehearsal's relays pass the greeting back, and read who speaks from the introduction

Cause: a sender now waits for its receiver's greeting; the relays that cut connections in process rehearsals passed nothing back, so no core founded itself ('the core did not become ready in time'). Ruled out: leaving the greeting out where a relay stands; the rehearsed processes run what ships. Change: bytes of the receiver pass back unless that way is cut; the speaker is read from the introduction. Nothing of it is in the built program. Conclusion: the rehearsal plays the new wire format.

--- a/src/rehearsal/launcher/cut-relays.ts
+++ b/src/rehearsal/launcher/cut-relays.ts
@@ -1,9 +1,9 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
-import { deserialize } from 'bson';
-import { object, string } from 'yup';
-import { checked } from '../../common/checked.js';
 import type { CutEars } from '../history/cut-ears.js';
 import { addressParts } from '../../spread/link/address-parts.js';
+import { documentAt, readIntroduction } from '../../spread/link/wire-format.js';
+
+const unknownSpeaker = 'unknown';
 
 /** Relays in front of every node's partner address, so that links can be cut each way for itself. */
 export type CutRelays = {
@@ -13,15 +13,17 @@
   readonly close: () => void;
 };
 
-const envelopeSchema = object({ from: string().required() }).required();
-
-/** Who speaks on a link, from its first frame; none while that is not whole yet. */
-const speakerIn = (bytes: Buffer): string | undefined => {
-  if (bytes.length < 4 || bytes.length < bytes.readInt32LE(0)) return undefined;
-  return checked(envelopeSchema, deserialize(bytes.subarray(0, bytes.readInt32LE(0))))
-    .map((envelope) => envelope.from)
-    .orDefault('unknown');
-};
+/** Who speaks on a connection, from its introduction; none while that is not whole yet. */
+const speakerIn = (bytes: Buffer): string | undefined =>
+  documentAt(bytes, 0).caseOf({
+    Left: () => unknownSpeaker,
+    Right: (document) =>
+      document === undefined
+        ? undefined
+        : readIntroduction(document)
+            .map((introduction) => introduction.address)
+            .orDefault(unknownSpeaker),
+  });
 
 /** `ears` hears what is cut from whom, and when all is healed. */
 export const openCutRelays = (ears: CutEars): CutRelays => {
@@ -55,6 +57,10 @@
       waiting = Buffer.concat([waiting, chunk]);
       flush();
     });
+    /** The greeting passes before anybody has spoken; signs of life pass unless the way back is cut. */
+    outbound.on('data', (chunk: Buffer) => {
+      if (speaker === undefined || !cuts.has(`${address}>${speaker}`)) inbound.write(chunk);
+    });
     for (const socket of [inbound, outbound]) {
       socket.on('error', end);
       socket.on('close', end);
