--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -620,6 +620,13 @@
     put: 'member.address !== address',
     by: test('tests/control/membership.test.js'),
   },
+  {
+    name: 'a notice of leaving counts for nothing',
+    file: 'src/control/machine/membership-change.ts',
+    find: 'replica.atUs < (replica.leavingUntilUs.get(voter.identity) ?? 0)',
+    put: 'replica.atUs < 0',
+    by: test('tests/control/leave.test.js'),
+  },
   {
     name: 'a voter is removed although it has the only second copy',
     file: 'src/control/machine/membership-change.ts',
