--- a/src/sim/process/sim-node.ts
+++ b/src/sim/process/sim-node.ts
@@ -21,6 +21,8 @@
   readonly drift: (partsPerMillion: number) => void;
   /** Lets the steady clock jump on. */
   readonly jump: (span: Micros) => void;
+  /** At how many moments timers have woken the process, over all its lives. */
+  readonly timerWakeUps: () => number;
 };
 
 type Held = { readonly source: 'timer' | 'news'; readonly act: () => void };
@@ -35,6 +37,8 @@
   let isUp = false;
   let isFrozen = false;
   let backlog: Held[] = [];
+  let timerWakeUps = 0;
+  let wokenUs: Micros | undefined;
   let rate = 1;
   let sinceUs = world.now();
   let atSinceUs = Math.round(world.chance() * mostEpochUs);
@@ -58,7 +62,10 @@
         let isTakenBack = false;
         world.after(span / rate, () =>
           run('timer', () => {
-            if (!isTakenBack) act();
+            if (isTakenBack) return;
+            if (wokenUs !== world.now()) timerWakeUps += 1;
+            wokenUs = world.now();
+            act();
           }),
         );
         return () => {
@@ -114,5 +121,6 @@
     },
     drift: (partsPerMillion) => setClock(1 + partsPerMillion / 1_000_000, 0),
     jump: (span) => setClock(rate, span),
+    timerWakeUps: () => timerWakeUps,
   };
 };
--- a/tests/spread/many.ts
+++ b/tests/spread/many.ts
@@ -27,6 +27,8 @@
   view: SpreadView;
   isUp: boolean;
   boot: number;
+  /** Until when its processor is at work on frames that it has received. */
+  busyUntilUs: Micros;
   sentFrames: number;
   sentBytes: number;
   farBytes: number;
@@ -39,13 +41,15 @@
   readonly localities: number;
   readonly regions: number;
   readonly lossShare?: number;
+  /** How long a node's processor works on a frame that it has received; none takes no time. */
+  readonly frameCostUs?: (self: Partner, frame: SpreadFrame) => Micros;
 };
 
 const tickUs: Micros = 50_000;
 const farDelayUs: Micros = 40_000;
 
 /** Spread machines in virtual time, with delays within and between regions, deaths, starts and cuts. */
-export const openMany = ({ seed, routers, controls, localities, regions, lossShare = 0 }: ManyPlan) => {
+export const openMany = ({ seed, routers, controls, localities, regions, lossShare = 0, frameCostUs }: ManyPlan) => {
   const chance = seededChance(seed);
   const slots = new Map<number, (() => void)[]>();
   let atUs = 0;
@@ -73,10 +77,22 @@
     if (isCut(from, to) || chance() < lossShare) return;
     const { boot } = to;
     after(200 + chance() * 1_500 + (from.region === to.region ? 0 : farDelayUs), () => {
-      if (to.isUp && to.boot === boot && !isCut(from, to))
-        take(to, { type: 'frame', at: atUs, from: from.address, frame });
+      if (!isCut(from, to))
+        work(to, frame, () => {
+          if (to.isUp && to.boot === boot) take(to, { type: 'frame', at: atUs, from: from.address, frame });
+        });
     });
   };
+  /** Lets a frame wait until the processor has done with it and with all that came before it. */
+  const work = (node: ManyNode, frame: SpreadFrame, act: () => void): void => {
+    const costUs = frameCostUs?.(node.view.self, frame) ?? 0;
+    if (costUs === 0) {
+      act();
+      return;
+    }
+    node.busyUntilUs = Math.max(node.busyUntilUs, atUs) + costUs;
+    after(node.busyUntilUs - atUs, act);
+  };
   const take = (node: ManyNode, event: SpreadEvent): void => {
     const step = stepSpread(node.view, event);
     const former = node.view.lost;
@@ -118,6 +134,7 @@
       view: startSpreadView(self, []),
       isUp: false,
       boot: 0,
+      busyUntilUs: 0,
       sentFrames: 0,
       sentBytes: 0,
       farBytes: 0,
