Let core machines tell routers of changes themselves, encode a record once, wake on common moments

Cause (class: work that grows with hops and with the number of nodes, on the smallest machines): a change went from the core to eight nodes, from each of these to three, and so on; each node decoded the whole record by BSON, worked out the digest of all its items and encoded it anew for every node that asked. Four periodic tasks of a router each woke it at moments of their own.

Ruled out: the cost of guards of small frames (15 to 38 us a frame on a warm process); the cost of a delta of one route.

Change: a core machine of a larger fleet tells the other core machines and its own part of the routers of each change, beside gossip. A record travels as compressed JSON, worked out once and handed on in the bytes in which it came; deltas are written out once. Items are compared and digested by their plain JSON. Periodic work falls on whole multiples of its span; the router's tick comes when a wait ends, or each 100 ms. The bundle takes only undici's client.

The test of a silent server rode on the edge of the ten seconds in which a router that has just started may make no extra tries; it now begins two seconds later, with the same assertions. Three deliberate faults of the mends are found.

Conclusion: the cost of a change to a router no longer grows with the fleet.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,4 +1,5 @@
 import { rm, writeFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
 await rm('target', { recursive: true, force: true });
@@ -14,6 +15,15 @@
   minifySyntax: true,
   legalComments: 'none',
   logLevel: 'warning',
+  plugins: [
+    {
+      name: 'undici-client',
+      setup: (build) =>
+        build.onResolve({ filter: /^undici$/ }, () => ({
+          path: fileURLToPath(new URL('undici-client.mjs', import.meta.url)),
+        })),
+    },
+  ],
   banner: {
     js: "import { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);",
   },
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -41,7 +41,9 @@
 
 const confirmBudgetUs: Micros = 1_000_000;
 const confirmPauseUs: Micros = 200_000;
-const lookSpanUs: Micros = 20_000;
+/** How often a node looks whether it stood still; far less than the shortest freeze that counts. */
+const freezeLookSpanUs: Micros = 100_000;
+const drainLookSpanUs: Micros = 20_000;
 const lameDuckUs: Micros = 1_000_000;
 /** Whoever stops a node ends it after eight seconds; what is left by then has been told so before. */
 const drainBudgetUs: Micros = 7_600_000;
@@ -139,7 +141,7 @@
       await spread.start();
       source.start();
       router.start();
-      endLooks = every(clock, lookSpanUs, gate.isShut);
+      endLooks = every(clock, freezeLookSpanUs, gate.isShut);
       log.change('started', {});
       void confirm();
     },
@@ -150,9 +152,9 @@
       await paused(clock, lameDuckUs);
       retire?.();
       isDraining = true;
-      while (admission.underWay() > 0 && clock.now() < stopDueUs) await paused(clock, lookSpanUs);
+      while (admission.underWay() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
       router.drain();
-      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, lookSpanUs);
+      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
       log.change('stopped', { cutOff: router.inFlight() });
       end();
     },
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -1,5 +1,5 @@
 import { longestStepUs } from '../../common/clock/time-bound.js';
-import { every } from '../../common/clock/every.js';
+import { untilNextMultiple } from '../../common/clock/every.js';
 import { within } from '../../common/clock/within.js';
 import { openJournal } from '../../common/journal.js';
 import type { Micros } from '../../common/micros.js';
@@ -19,10 +19,14 @@
 import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
 import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
+import { openPromiseChecks } from '../../router/promises/promise-checks.js';
+import { openTryChecks } from '../../router/promises/try-checks.js';
+import { watchCaller } from '../../router/promises/watched-caller.js';
 import { openStoryBook, type StoryBook } from '../../router/explain/story-book.js';
 import { openSlab, type Slab } from '../../router/slab/slab.js';
 import { ticketName, type Ticket } from '../../router/slab/ticket.js';
 import { openLinkPool } from '../../servers/link/link-pool.js';
+import type { ListedServer } from '../../servers/list/listed-server.js';
 import { serverKeyOf, type ServerKey } from '../../servers/list/server-key.js';
 import { openProber } from '../../servers/probe/prober.js';
 import type { Rule } from '../../setup/document/rule.js';
@@ -57,7 +61,12 @@
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
 
-const tickUs: Micros = 20_000;
+/** How often time passes for the decision machine where none of its waits ends sooner. */
+const restTickUs: Micros = 100_000;
+/** Waits that end closer together than this are looked after at once. */
+const leastTickUs: Micros = 5_000;
+/** A tick that is later than this was held up by the process itself, or by its processor. */
+const usualLatenessUs: Micros = 20_000;
 const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
@@ -98,6 +107,8 @@
   const tickets = new Map<string, Ticket>();
   const stories = openStoryBook(mostStories);
   const pool = openLinkPool(dial);
+  const promises = openPromiseChecks({ count: (name) => counters.count(name), log: log.change });
+  const tryChecks = openTryChecks(promises);
   let madeDecisions: readonly Decision[] = [];
   let exchangeCount = 0;
   const journal = openJournal<DecisionView, DecisionEvent>(
@@ -112,8 +123,9 @@
   const waitingEvents: DecisionEvent[] = [];
   let isTaking = false;
   let takenUs = clock.now();
-  let endTicks = (): void => undefined;
-  let tickedUs = clock.now();
+  let takeBackTick = (): void => undefined;
+  let plannedTickUs = Number.POSITIVE_INFINITY;
+  let isTicking = false;
 
   const tellLight = (key: ServerKey, isLight: boolean): void => {
     log.change(isLight ? 'server light' : 'server dark', { server: key });
@@ -147,6 +159,7 @@
       madeDecisions.forEach(carryOut);
     }
     isTaking = false;
+    planTick();
   };
 
   const tell = (exchange: string, what: string, facts: object): void =>
@@ -250,6 +263,10 @@
     void runTry(continuation, decision, aborter.signal);
   };
 
+  /** A server as the newest list here has it. */
+  const listedNow = (key: ServerKey): ListedServer | undefined =>
+    journal.view().list?.servers.find((listed) => serverKeyOf(listed) === key);
+
   const isAllowed = (continuation: Continuation, key: string): boolean =>
     journal.view().stage.services.get(continuation.rule.service)?.allowed.has(key) ?? false;
 
@@ -271,7 +288,7 @@
         error,
       });
     const isFresh = await gate.pass();
-    const server = journal.view().list?.servers.find((listed) => serverKeyOf(listed) === decision.server);
+    const server = listedNow(decision.server);
     if (signal.aborted) return;
     if (!isFresh || server === undefined || !isAllowed(continuation, decision.server)) {
       unsent('no-link');
@@ -297,6 +314,13 @@
       unsent('no-link');
       return;
     }
+    continuation.watch.sent();
+    tryChecks.sent({
+      exchange,
+      rule: continuation.rule,
+      server: listedNow(decision.server),
+      nowUs: spread.platformUs(),
+    });
     take({ type: 'sent', at: clock.now(), exchange, attempt });
     if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
     const { opaque } = continuation;
@@ -348,6 +372,7 @@
       case 'failed':
         tell(exchange, 'failed', { attempt, ...ending });
         counters.count(`tries.failed.${ending.error}`);
+        if (ending.notRun === true) continuation.watch.notRun();
         take({
           type: 'failed',
           at: clock.now(),
@@ -401,10 +426,7 @@
   };
 
   /** Ends the tries whose servers fell silent in the middle of a stream. Time in which this process did not run is not theirs. */
-  const endSilentTries = (): void => {
-    const nowUs = clock.now();
-    const lateUs = Math.max(0, nowUs - tickedUs - 2 * tickUs);
-    tickedUs = nowUs;
+  const endSilentTries = (nowUs: Micros, lateUs: Micros): void => {
     for (const continuation of slab.values()) {
       const { running, pieces } = continuation.stream;
       continuation.stream.dueUs += lateUs;
@@ -418,7 +440,33 @@
     }
   };
 
-  spread.events.on('setup', (record) => take({ type: 'setup', at: clock.now(), record }));
+  const tick = (): void => {
+    const nowUs = clock.now();
+    const lateUs = Math.max(0, nowUs - plannedTickUs - usualLatenessUs);
+    plannedTickUs = Number.POSITIVE_INFINITY;
+    endSilentTries(nowUs, lateUs);
+    for (const continuation of slab.values()) tryChecks.waiting(continuation, nowUs - lateUs);
+    const platformUs = spread.platformUs();
+    if (platformUs > platformUsOf(journal.view())) take({ type: 'time', at: clock.now(), platformUs });
+    take({ type: 'tick', at: clock.now() });
+  };
+
+  /** Plans the next tick: with all other periodic work of the process, or sooner where a wait ends sooner. */
+  const planTick = (): void => {
+    if (!isTicking) return;
+    const nowUs = clock.now();
+    const restUs = nowUs + untilNextMultiple(nowUs, restTickUs);
+    const dueUs = Math.min(restUs, Math.max(nowUs + leastTickUs, journal.view().wakeUs));
+    if (dueUs >= plannedTickUs) return;
+    takeBackTick();
+    plannedTickUs = dueUs;
+    takeBackTick = clock.after(dueUs - nowUs, tick);
+  };
+
+  spread.events.on('setup', (record) => {
+    tryChecks.configured(journal.view().record?.revision, record.revision);
+    take({ type: 'setup', at: clock.now(), record });
+  });
   spread.events.on('routers', (routers) => take({ type: 'fleet', at: clock.now(), routers }));
   spread.events.on('time', (platformUs) => take({ type: 'time', at: clock.now(), platformUs }));
   spread.events.on('list', (list) => {
@@ -452,24 +500,29 @@
           ? namedRule
           : { ...namedRule, service: shareOf(namedRule, opaque?.name ?? nextName()) };
       const isModel = journal.view().stage.services.get(rule.service)?.type === 'model';
-      const continuation = slab.put((ticket) => ({
-        ticket,
-        exchange: claimed?.exchange ?? `${node}.${boot}.${ticketName(ticket)}`,
-        rule,
-        isModel,
-        body,
-        opaque,
-        dueUs: clock.now() + Math.min(rule.budgetUs, body.budgetUs ?? rule.budgetUs),
-        caller,
-        claimedKey: claimed?.key,
-        stream: {
-          pieces: 0,
-          running: undefined,
-          dueUs: Number.POSITIVE_INFINITY,
-          lastPiece: opaque?.afterPiece,
-          refusal: undefined,
-        },
-      }));
+      const continuation = slab.put((ticket) => {
+        const exchange = claimed?.exchange ?? `${node}.${boot}.${ticketName(ticket)}`;
+        const watch = watchCaller(caller, { exchange, repeatable: rule.repeatable }, promises);
+        return {
+          ticket,
+          exchange,
+          rule,
+          isModel,
+          body,
+          opaque,
+          dueUs: clock.now() + Math.min(rule.budgetUs, body.budgetUs ?? rule.budgetUs),
+          caller: watch.caller,
+          watch,
+          claimedKey: claimed?.key,
+          stream: {
+            pieces: 0,
+            running: undefined,
+            dueUs: Number.POSITIVE_INFINITY,
+            lastPiece: opaque?.afterPiece,
+            refusal: undefined,
+          },
+        };
+      });
       const { exchange } = continuation;
       tickets.set(exchange, continuation.ticket);
       counters.count(`exchanges.kind.${rule.kind}`);
@@ -496,15 +549,12 @@
     start: () => {
       take({ type: 'fleet', at: clock.now(), routers: spread.view().routers });
       take({ type: 'node', at: clock.now(), node });
-      endTicks = every(clock, tickUs, () => {
-        endSilentTries();
-        const platformUs = spread.platformUs();
-        if (platformUs > platformUsOf(journal.view())) take({ type: 'time', at: clock.now(), platformUs });
-        take({ type: 'tick', at: clock.now() });
-      });
+      isTicking = true;
+      planTick();
     },
     close: () => {
-      endTicks();
+      isTicking = false;
+      takeBackTick();
       prober.close();
       pool.close();
       for (const continuation of slab.values()) {
--- a/src/process/source-task.ts
+++ b/src/process/source-task.ts
@@ -18,7 +18,7 @@
   readonly close: () => void;
 };
 
-const tickUs: Micros = 50_000;
+const tickUs: Micros = 100_000;
 const readBudgetUs: Micros = 1_000_000;
 
 /** Without a source in the surroundings the list is told, and the task does nothing. */
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -36,7 +36,8 @@
   readonly close: () => void;
 };
 
-const tickUs: Micros = 50_000;
+/** The beat of a fleet of few is a whole number of these. */
+const tickUs: Micros = 100_000;
 /** More partners than this are counted in the log, and not named. */
 const mostNamed = 16;
 
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -110,7 +110,16 @@
 
 export const isOriginal = (value: unknown): value is Original => hasOriginalForm(value);
 
-export const isSetupRecord = (value: unknown): value is SetupRecord => hasRecordForm(value);
+const formedRecords = new WeakSet<object>();
+
+/** A record never changes, so that each is looked at once. */
+export const isSetupRecord = (value: unknown): value is SetupRecord => {
+  if (typeof value !== 'object' || value === null) return false;
+  if (formedRecords.has(value)) return true;
+  if (!hasRecordForm(value)) return false;
+  formedRecords.add(value);
+  return true;
+};
 
 /** The form of a delta; what comes of it is checked by its digest. */
 export const isRecordDelta = (value: unknown): value is RecordDelta => hasDeltaForm(value);
--- a/src/setup/delta/record-delta.ts
+++ b/src/setup/delta/record-delta.ts
@@ -1,4 +1,4 @@
-import { canonicalText, orderedJson } from '../document/canonical-text.js';
+import { itemText, orderedJson } from '../document/canonical-text.js';
 import type { Rule } from '../document/rule.js';
 import type { Service } from '../document/service.js';
 import type { SetupRecord } from '../document/setup-record.js';
@@ -56,10 +56,10 @@
     revision: target.revision,
     takenAtUs: target.takenAtUs,
     digest: recordDigestOf(target),
-    services: listEditsOf(base.setup.services, target.setup.services, canonicalText),
-    tiers: listEditsOf(base.setup.tiers, target.setup.tiers, canonicalText),
-    rules: listEditsOf(base.setup.rules, target.setup.rules, canonicalText),
-    epochs: listEditsOf(base.epochs, target.epochs, canonicalText),
+    services: listEditsOf(base.setup.services, target.setup.services, itemText),
+    tiers: listEditsOf(base.setup.tiers, target.setup.tiers, itemText),
+    rules: listEditsOf(base.setup.rules, target.setup.rules, itemText),
+    epochs: listEditsOf(base.epochs, target.epochs, itemText),
     ...(hasSameFigures ? {} : { figures }),
     ...(target.original === undefined
       ? {}
--- a/src/setup/delta/record-digest.ts
+++ b/src/setup/delta/record-digest.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { canonicalText, orderedJson } from '../document/canonical-text.js';
+import { itemText, orderedJson } from '../document/canonical-text.js';
 import type { SetupRecord } from '../document/setup-record.js';
 
 const knownDigests = new WeakMap<SetupRecord, string>();
@@ -9,7 +9,7 @@
   const { services, tiers, rules, ...figures } = setup;
   return [
     `${revision} ${takenAtUs}`,
-    ...[services, tiers, rules, epochs].flatMap((items) => [`${items.length}`, ...items.map(canonicalText)]),
+    ...[services, tiers, rules, epochs].flatMap((items) => [`${items.length}`, ...items.map(itemText)]),
     orderedJson(figures),
     ...(original === undefined ? [] : [`${original.version}`, original.text]),
   ];
--- a/src/setup/delta/shared-record.ts
+++ b/src/setup/delta/shared-record.ts
@@ -1,10 +1,10 @@
-import { canonicalText } from '../document/canonical-text.js';
+import { itemText } from '../document/canonical-text.js';
 import type { SetupRecord } from '../document/setup-record.js';
 
 /** A list with the former items in place of equal ones; the former list itself where all are equal. */
 const sharedList = <T extends object>(former: readonly T[], next: readonly T[]): readonly T[] => {
-  const formerItems = new Map(former.map((item) => [canonicalText(item), item]));
-  const items = next.map((item) => formerItems.get(canonicalText(item)) ?? item);
+  const formerItems = new Map(former.map((item) => [itemText(item), item]));
+  const items = next.map((item) => formerItems.get(itemText(item)) ?? item);
   const isSame = items.length === former.length && items.every((item, place) => item === former[place]);
   return isSame ? former : items;
 };
--- a/src/spread/link/wire-format.ts
+++ b/src/spread/link/wire-format.ts
@@ -7,6 +7,7 @@
 import { typedError, type TypedError } from '../../common/typed-error.js';
 import type { Frame } from '../frame/frame.js';
 import { isFrame } from '../frame/frame-guard.js';
+import { documentOf, frameIn, hasEncodedRecord } from './frame-document.js';
 import type { LinkIdentity } from './link-identity.js';
 
 /**
@@ -56,7 +57,7 @@
   return Right(pending.length < start + documentBytes ? undefined : pending.subarray(start, start + documentBytes));
 };
 
-/** Frames of so many bytes and more travel compressed: log entries, snapshots and whole configurations. */
+/** Frames of so many bytes and more travel compressed: log entries and snapshots. */
 const leastCompressedBytes = 8 << 10;
 /** The fastest level; text of configurations still shrinks to a tenth. */
 const compression = { level: 1 };
@@ -76,7 +77,7 @@
   const deflated = deflatedIn(document);
   return deflated === undefined
     ? document
-    : deserialize(inflateRawSync(deflated, { maxOutputLength: mostDocumentBytes }));
+    : deserialize(inflateRawSync(deflated, { maxOutputLength: mostDocumentBytes }), { promoteBuffers: true });
 };
 
 /** Reads a document; no bytes of a partner end this process, whatever they make a reader throw. */
@@ -91,10 +92,14 @@
 
 /** Reads a frame; what has the form of none is left out of the answer. */
 export const readFrame = (bytes: Uint8Array): Either<TypedError, Frame | undefined> =>
-  parsed(bytes, (document) => (isFrame(document) ? document : undefined));
+  parsed(bytes, (document) => {
+    const frame = frameIn(document);
+    return isFrame(frame) ? frame : undefined;
+  });
 
 /** The bytes of a frame on the wire. */
-export const frameBytesOf = (frame: Frame): Uint8Array => compressed(serialize(frame));
+export const frameBytesOf = (frame: Frame): Uint8Array =>
+  hasEncodedRecord(frame) ? documentOf(frame) : compressed(documentOf(frame));
 
 /** The lives of both ends, as they stand before each frame. */
 export const livesOf = (senderLife: string, receiverLife: string): Uint8Array =>
--- a/src/spread/machine/targets.ts
+++ b/src/spread/machine/targets.ts
@@ -1,4 +1,4 @@
-import { someOf } from './draw.js';
+import { drawOf, someOf } from './draw.js';
 import type { SpreadView } from './spread-view.js';
 import { fewAddresses, forgottenSpanUs } from './timing.js';
 
@@ -42,3 +42,21 @@
   hasFew(view)
     ? { targets: addressesOf(view).filter((address) => address !== except), view }
     : somePartners(view, count, except);
+
+/**
+ * Whom a core machine of a larger fleet tells news itself: the other core machines, and its own part of the routers,
+ * which it shares with the core machines that it knows. Whatever gossip does beside it, a change thus reaches each
+ * router in one step from a machine that has processor time to spare, and the cost of it for a router stays the same
+ * however many there are.
+ */
+export const coreTargets = (view: SpreadView): readonly string[] => {
+  if (view.self.role !== 'control' || hasFew(view)) return [];
+  const partners = [...view.partners.values()].map(({ partner }) => partner);
+  const coreAddresses = partners.flatMap(({ role, address }) => (role === 'control' ? [address] : []));
+  const sharers = [view.self.address, ...coreAddresses].sort();
+  const ownPlace = sharers.indexOf(view.self.address);
+  const ownRouters = partners.flatMap(({ role, address }) =>
+    role === 'router' && drawOf(address) % sharers.length === ownPlace ? [address] : [],
+  );
+  return [...coreAddresses, ...ownRouters];
+};
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -11,6 +11,27 @@
 
 /** Every deliberate fault that the checks must find. */
 export const mutants: readonly Mutant[] = [
+  {
+    name: 'core machines leave news to gossip alone',
+    file: 'src/spread/machine/targets.ts',
+    find: "if (view.self.role !== 'control' || hasFew(view)) return [];",
+    put: "if (view.self.role !== 'none') return [];",
+    by: test('tests/spread/slow-processors.test.js'),
+  },
+  {
+    name: 'periodic work falls on moments of its own',
+    file: 'src/common/clock/every.ts',
+    find: 'takeBack = clock.after(untilNextMultiple(clock.now(), span), () => {',
+    put: 'takeBack = clock.after(span, () => {',
+    by: test('tests/sim/wake-ups.test.js'),
+  },
+  {
+    name: 'a received record is encoded anew',
+    file: 'src/setup/delta/encoded-record.ts',
+    find: '  knownBytes.set(record, bytes);\n',
+    put: '',
+    by: test('tests/spread/encoded-record.test.js'),
+  },
   {
     name: 'no heartbeat while a snapshot is under way',
     file: 'src/control/machine/replication.ts',
@@ -350,14 +371,14 @@
   {
     name: 'silence between pieces is not noticed',
     file: 'src/process/router/router-task.ts',
-    find: '        endSilentTries();',
+    find: '    endSilentTries(nowUs, lateUs);',
     put: '',
     by: test('tests/sim/silence.test.js'),
   },
   {
     name: 'a draining node takes new exchanges and never ends them',
     file: 'src/process/router/router-node.ts',
-    find: '      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, lookSpanUs);\n',
+    find: '      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);\n',
     put: '',
     by: seeds('rolling', 'planned-changes-cut-nothing', 2),
   },
--- a/tests/sim/silence.test.ts
+++ b/tests/sim/silence.test.ts
@@ -9,8 +9,12 @@
   return fleet.models.find((server) => server.listed.id === run?.server);
 };
 
+/** A router that has just started may make no extra tries beyond a part of its first ones. */
+const untilExtraTries = 2 * second;
+
 const midStream = async (seed: number, kind: string): Promise<SmallFleet> => {
   const fleet = await readyFleet(seed, 1, 3);
+  await fleet.play(untilExtraTries);
   fleet.call({ work: 'w', kind, key: kind === 'summary' ? 'w' : undefined, pieces: 60 });
   await fleet.play(second);
   return fleet;
--- a/tests/sim/wake-ups.test.ts
+++ b/tests/sim/wake-ups.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { every } from '../../src/common/clock/every.js';
+import { every, untilNextMultiple } from '../../src/common/clock/every.js';
 import { openSimNode } from '../../src/sim/process/sim-node.js';
 import { openSimFleet } from '../../src/sim/fleet/sim-fleet.js';
 import { openWorld } from '../../src/sim/world/world.js';
@@ -21,6 +21,12 @@
   assert.equal(first.slice(-second.length), second);
 });
 
+test('a timer that fired just before its moment does not fire again at once', () => {
+  assert.is(untilNextMultiple(1_000_000, 100_000), 100_000);
+  assert.is(untilNextMultiple(999_600, 100_000), 100_400);
+  assert.is(untilNextMultiple(1_000_400, 100_000), 99_600);
+});
+
 test('an idle router is woken by its own timers only a few times a second', async () => {
   const fleet = openSimFleet(5, 3);
   for (const machine of fleet.core.machines) machine.start();
--- /dev/null
+++ b/tests/spread/encoded-record.test.ts
@@ -0,0 +1,61 @@
+import { deserialize, serialize } from 'bson';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { encodedRecordOf } from '../../src/setup/delta/encoded-record.js';
+import type { SetupRecord } from '../../src/setup/document/setup-record.js';
+import { sampleSetup } from '../../src/sim/sample-setup.js';
+import type { Frame } from '../../src/spread/frame/frame.js';
+import { frameBytesOf, readFrame } from '../../src/spread/link/wire-format.js';
+
+const record: SetupRecord = {
+  revision: 4,
+  takenAtUs: 5,
+  setup: sampleSetup('whole'),
+  original: { version: 9, text: '{"ver":9}' },
+  epochs: [],
+};
+
+const read = (bytes: Uint8Array): Frame | undefined => readFrame(bytes).orDefault(undefined);
+
+const recordIn = (frame: Frame | undefined): SetupRecord | undefined => {
+  if (frame?.type === 'setup') return frame.record;
+  return frame?.type === 'reply' && frame.reply.type === 'record' ? frame.reply.record : undefined;
+};
+
+test('a whole configuration comes out of a frame and of a reply as it went in', () => {
+  assert.equal(recordIn(read(frameBytesOf({ type: 'setup', record }))), record);
+  const reply: Frame = { type: 'reply', requestId: 'q', reply: { type: 'record', record } };
+  assert.equal(recordIn(read(frameBytesOf(reply))), record);
+});
+
+test('a record is encoded once, and handed on in the bytes in which it came', () => {
+  assert.is(encodedRecordOf(record), encodedRecordOf(record));
+  const received = recordIn(read(frameBytesOf({ type: 'setup', record })));
+  if (received === undefined) throw new Error('nothing came');
+  assert.equal(Buffer.from(encodedRecordOf(received)), Buffer.from(encodedRecordOf(record)));
+  assert.is(encodedRecordOf(received), encodedRecordOf(received));
+});
+
+test('a reply without a record says that there is none', () => {
+  const none: Frame = { type: 'reply', requestId: 'q', reply: { type: 'record' } };
+  assert.equal(read(frameBytesOf(none)), none);
+});
+
+test('bytes that hold no record make no frame: neither one without a configuration, nor one with another', () => {
+  for (const type of ['setup', 'reply']) {
+    const whole = deserialize(
+      frameBytesOf(
+        type === 'setup' ? { type, record } : { type: 'reply', requestId: 'q', reply: { type: 'record', record } },
+      ),
+      { promoteBuffers: true },
+    );
+    const bytes = Buffer.from(encodedRecordOf(record));
+    for (const broken of [bytes.subarray(0, bytes.length - 4), Buffer.from('{}'), Buffer.alloc(0)]) {
+      const document =
+        type === 'setup' ? { ...whole, record: broken } : { ...whole, reply: { type: 'record', record: broken } };
+      assert.is(read(serialize(document)), undefined);
+    }
+  }
+});
+
+test.run();
