Check a router's promises while it runs: count and log each that is found broken

Change: seven promises (one final answer, no refusal of what may have run, run-once, the service of the rule, nothing new for a leaving server, no older configuration, an answer soon after the budget) are watched in the router task, apart from the decision machine that has to keep them. Each break is counted under promises.broken.NAME and the first eight of a kind are logged.

--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -3,6 +3,7 @@
 import type { Micros } from '../../common/micros.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { CallerLink } from '../delivery/caller-link.js';
+import type { WatchedCaller } from '../promises/watched-caller.js';
 import type { Ticket } from '../slab/ticket.js';
 import type { ExchangeBody } from './exchange-body.js';
 import type { RunningTry } from './running-try.js';
@@ -17,6 +18,8 @@
   readonly opaque: OpaqueExchange | undefined;
   readonly dueUs: Micros;
   readonly caller: CallerLink;
+  /** What looks at the answer and the tries of this exchange. */
+  readonly watch: WatchedCaller;
   /** The key that was claimed for it, if any. */
   readonly claimedKey: string | undefined;
   /** `dueUs` is when the running try counts as silent unless its next piece has come. */
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { carry } from '../../src/router/delivery/carry.js';
+import { watchCaller } from '../../src/router/promises/watched-caller.js';
 import type { CallerLink } from '../../src/router/delivery/caller-link.js';
 import type { DeliveryEnd } from '../../src/router/delivery/delivery-end.js';
 import type { Continuation } from '../../src/router/exchange/continuation.js';
@@ -73,6 +74,7 @@
     opaque: exchange,
     dueUs: 1,
     caller,
+    watch: watchCaller(caller, { exchange: 'e1', repeatable: true }, { broken: () => undefined }),
     claimedKey: undefined,
     stream: { pieces: 0, running: undefined, dueUs: 0, lastPiece: undefined, refusal: undefined },
   }));
