Add the soak: drawn troubles on real processes, two or three at a time, with the promise checks on

Rehearsals played fixed scenarios; overlapping troubles were left to the simulator.

What a node's log says of broken promises and invariants is a finding, over all its lives. A node that is started twice by two troubles is started once.

--- a/src/cli/known-scenarios.ts
+++ b/src/cli/known-scenarios.ts
@@ -31,6 +31,7 @@
     about: 'servers that answer probes are slow, err or fall silent; servers leave in a warm-up and in a carry-over',
   },
   { name: 'bursts', about: 'large setups in a fast burst, operators race, the leader is killed in between' },
+  { name: 'soak', about: 'troubles drawn by the seed, two or three at a time, on a small fleet' },
 ];
 
 /** The scenarios in virtual time. */
--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -59,6 +59,8 @@
     );
   endings.add(() => void child?.kill('SIGKILL'));
 
+  const isRunning = (): boolean => child !== undefined && child.exitCode === null && child.signalCode === null;
+
   const exited = (running: ChildProcess): Promise<number | null> =>
     new Promise((resolve) => {
       if (running.exitCode !== null || running.signalCode !== null) resolve(running.exitCode);
@@ -69,6 +71,7 @@
     node: plan.node,
     role: plan.role,
     locality: plan.locality,
+    logPath,
     get http() {
       return addresses.http;
     },
@@ -77,6 +80,7 @@
     },
     boot: () => boot,
     start: () => {
+      if (isRunning()) return;
       plan.tell('ends', 'down');
       boot += 1;
       writeSettings();
@@ -129,6 +133,6 @@
     reseed: (newSeeds) => {
       seeds = newSeeds;
     },
-    isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
+    isRunning,
   };
 };
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -12,7 +12,10 @@
 export type LaunchedNode = RehearsedNode & {
   readonly locality: string;
   readonly partners: string;
+  /** Starts a life, unless one is running: two troubles may end in the same node's start. */
   readonly start: () => void;
+  /** Where its lives write what they log. */
+  readonly logPath: string;
   readonly kill: () => Promise<void>;
   readonly terminate: () => Promise<number | null>;
   /** Waits until the process has ended by itself. */
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -15,6 +15,7 @@
 import { oneOf, seededChance } from '../../common/chance.js';
 import { checkHistory } from '../checker/check-history.js';
 import { termsOf } from '../checker/terms-of.js';
+import { brokenPromisesOf } from '../checker/broken-promises.js';
 import type { Finding } from '../checker/finding.js';
 import type { Deployment } from '../deployment/deployment.js';
 import { openTroubleNotes } from '../history/trouble-notes.js';
@@ -199,7 +200,8 @@
         const startedUs = steadyNow();
         traffic.start();
         const endReading = every(steadyClock, readSpanUs, () => void operator.read());
-        const acts = scenario.acts.map(async (act) => {
+        const drawnActs = scenario.draw?.(seededChance(seed)) ?? [];
+        const acts = [...scenario.acts, ...drawnActs].map(async (act) => {
           await pause(act.atShare * seconds * 1_000_000);
           tell(`act: ${act.name}`);
           await act.act(parts);
@@ -214,10 +216,13 @@
         await operator.read();
         return {
           history,
-          findings: checkHistory(
-            history,
-            termsOf(setup, scenario.plannedOnly, startedUs + scenario.troubleEndsShare * seconds * 1_000_000),
-          ),
+          findings: [
+            ...checkHistory(
+              history,
+              termsOf(setup, scenario.plannedOnly, startedUs + scenario.troubleEndsShare * seconds * 1_000_000),
+            ),
+            ...nodes.flatMap(brokenPromisesOf),
+          ],
           serviceOf: termsOf(setup, scenario.plannedOnly, 0).serviceOf,
           folder,
           servers: hands.servers().map((server) => ({ id: server.listed.id, coldPrefills: server.coldPrefills() })),
--- a/src/rehearsal/run/scenario.ts
+++ b/src/rehearsal/run/scenario.ts
@@ -1,3 +1,4 @@
+import type { Chance } from '../../common/chance.js';
 import type { Setup } from '../../setup/document/setup.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { RehearsalParts } from './rehearsal-parts.js';
@@ -21,4 +22,6 @@
   readonly size: (deployment: Deployment) => Deployment;
   readonly setup: (setup: Setup) => Setup;
   readonly acts: readonly ScenarioAct[];
+  /** Acts that are drawn anew for each seed, beside the others. */
+  readonly draw?: (chance: Chance) => readonly ScenarioAct[];
 };
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -11,6 +11,7 @@
 import * as setups from './acts/setup-acts.js';
 import * as traffic from './acts/traffic-acts.js';
 import type { Scenario, ScenarioAct } from './scenario.js';
+import { drawSoak } from './soak.js';
 
 const second = 1_000_000;
 
@@ -98,6 +99,17 @@
 
 /** Every scenario that `rehearse` knows. */
 export const scenarios: readonly Scenario[] = [
+  {
+    name: 'soak',
+    about: 'troubles drawn by the seed, two or three at a time, on a small fleet',
+    seconds: 60,
+    plannedOnly: false,
+    troubleEndsShare: 0.72,
+    size: smaller,
+    setup: quickWarmup,
+    acts: [],
+    draw: drawSoak,
+  },
   {
     name: 'short',
     about: 'a small fleet for a few seconds: one server joins, one leaves, the setup changes',
