Decode the same bytes of a record once, whichever partners sent them

Measured: a test shows that three frames with one record, one of them a reply of the core, give one object.

--- a/tests/spread/encoded-record.test.ts
+++ b/tests/spread/encoded-record.test.ts
@@ -36,6 +36,14 @@
   assert.is(encodedRecordOf(received), encodedRecordOf(received));
 });
 
+test('the same bytes are decoded once, whoever sent them', () => {
+  const bytes = frameBytesOf({ type: 'setup', record });
+  const first = recordIn(read(bytes));
+  assert.is.not(first, undefined);
+  assert.is(recordIn(read(Uint8Array.from(bytes))), first);
+  assert.is(recordIn(read(frameBytesOf({ type: 'reply', requestId: 'q', reply: { type: 'record', record } }))), first);
+});
+
 test('a reply without a record says that there is none', () => {
   const none: Frame = { type: 'reply', requestId: 'q', reply: { type: 'record' } };
   assert.equal(read(frameBytesOf(none)), none);
