Say in the log what failed and why, count operators' calls, and send fewer frames in a large fleet

A router's refusals and lost tries were counted and the counts ended with the process; a document that was refused left no trace on the core machine that refused it. Beside it, a quiet router of eighty sent 13.8 frames a second and received as many, most of them to hand on that the list had been read.

Change: each process logs a line with the failures since the last one, with revision, list, load and partners, at most once in five seconds and only when something failed, and once more when it ends. Operators' calls are counted by reply; each document that is not taken is logged with its cause. A reading of the list goes from the core machine that made it to the others, and from each to its part of the routers; a router hands it on to one other. The beat of a fleet of more than sixteen addresses grows to a second at eighty. The count of partners is logged once a second at most.

Ruled out: fewer readings, or a longer time after which another node asks: a leaving server must be known within the time that the rule gives, also when the asker is lost.

--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -3,7 +3,9 @@
 import type { TypedError } from '../../common/typed-error.js';
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
+import { openFailureReport } from '../failure-report.js';
 import type { Log } from '../log.js';
+import { countedOperatorService } from '../operator/counted-operator-service.js';
 import { openOperatorService, type OperatorService } from '../operator/operator-service.js';
 import type { ControlSettings } from '../settings/control-settings.js';
 import { linkOptionsOf } from '../settings/node-settings.js';
@@ -61,11 +63,16 @@
   return openControlTask(settings, spread, log, counters, surroundings, fail).map((control) => {
     const core = openCoreClient(spread, surroundings);
     const source = openSourceTask('control', settings.node, spread, log, counters, surroundings);
+    let closeReport = (): void => undefined;
+    const state = () => {
+      const { role, term, commit } = control.replica();
+      return { role, term, commit, revision: spread.view().record?.revision ?? 0 };
+    };
     return {
       spread,
       control,
       core,
-      desk: openOperatorService(core, spread.platformUs),
+      desk: countedOperatorService(openOperatorService(core, spread.platformUs), counters, log),
       counters,
       unready: () => {
         const { leader, role } = control.replica();
@@ -76,6 +83,7 @@
         await spread.start();
         source.start();
         control.start();
+        closeReport = openFailureReport(surroundings.clock, log, counters, state).close;
         log.change('started', { identity: control.replica().identity, role: control.replica().role });
       },
       stop: async () => {
@@ -83,6 +91,7 @@
         await control.resign();
         await paused(surroundings.clock, handOverUs);
         source.close();
+        closeReport();
         await control.close();
         spread.close();
       },
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -4,6 +4,7 @@
 import type { Micros } from '../../common/micros.js';
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
+import { openFailureReport } from '../failure-report.js';
 import type { Log } from '../log.js';
 import { linkOptionsOf, type NodeSettings } from '../settings/node-settings.js';
 import { openSourceTask } from '../source-task.js';
@@ -95,6 +96,7 @@
   let isStopping = false;
   let isDraining = false;
   let endLooks = (): void => undefined;
+  let closeReport = (): void => undefined;
 
   const closedBy = (): ErrorType | undefined => {
     if (isDraining) return 'draining';
@@ -114,11 +116,22 @@
     }
   };
 
+  /** What the node knows and does, for the report of its failures. */
+  const state = () => ({
+    revision: router.view().record?.revision ?? 0,
+    list: router.view().list?.version ?? 0,
+    inFlight: router.inFlight(),
+    darkServers: router.view().dark.size,
+    partners: spread.view().partners.size,
+    isolated: spread.view().isolated,
+  });
+
   const end = (): void => {
     isStopping = true;
     endLooks();
     source.close();
     router.close();
+    closeReport();
     spread.close();
   };
 
@@ -142,6 +155,7 @@
       source.start();
       router.start();
       endLooks = every(clock, freezeLookSpanUs, gate.isShut);
+      closeReport = openFailureReport(clock, log, counters, state).close;
       log.change('started', {});
       void confirm();
     },
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -40,6 +40,8 @@
 const tickUs: Micros = 100_000;
 /** More partners than this are counted in the log, and not named. */
 const mostNamed = 16;
+/** Their count is logged at most once in so long. */
+const partnersToldSpanUs: Micros = 1_000_000;
 
 const counterOf: Readonly<Record<DropCause, string>> = {
   'other-life': 'frames.otherLife',
@@ -58,8 +60,22 @@
   const events = new EventEmitter<SpreadTaskEvents>();
   let view = startSpreadView(self, seeds);
   let endTicks = (): void => undefined;
+  let partnersToldUs = Number.NEGATIVE_INFINITY;
   const foreignAddresses = new Set<string>();
 
+  /** Many partners become known one by one when a large fleet begins; their count is logged once in a while. */
+  const tellPartners = (): void => {
+    const { size } = view.partners;
+    if (size <= mostNamed) {
+      log.change('partners known', { nodes: [...view.partners.values()].map(({ partner }) => partner.node).sort() });
+      return;
+    }
+    const nowUs = clock.now();
+    if (nowUs < partnersToldUs + partnersToldSpanUs) return;
+    partnersToldUs = nowUs;
+    log.change('partners known', { count: size });
+  };
+
   const carryOut = (effect: SpreadEffect): void => {
     switch (effect.type) {
       case 'send':
@@ -80,12 +96,7 @@
         events.emit('time', effect.platformUs);
         return;
       case 'partners':
-        log.change(
-          'partners known',
-          view.partners.size > mostNamed
-            ? { count: view.partners.size }
-            : { nodes: [...view.partners.values()].map(({ partner }) => partner.node).sort() },
-        );
+        tellPartners();
         return;
       case 'routers':
         events.emit('routers', effect.routers + effect.lost);
--- a/src/spread/machine/reading.ts
+++ b/src/spread/machine/reading.ts
@@ -5,7 +5,7 @@
 import type { ListReading } from '../../servers/source/list-reading.js';
 import type { ReadMark } from '../../servers/source/read-mark.js';
 import { laterMark, readerKeyOf } from '../../servers/source/read-mark.js';
-import { pushed } from './announce.js';
+import { pushedReading } from './announce.js';
 import { withList } from './list-dissemination.js';
 import type { SpreadStep } from './spread-step.js';
 import { andThen, stepped } from './spread-step.js';
@@ -20,7 +20,7 @@
 const pushedRead = (view: SpreadView, from?: string): SpreadStep => {
   const { read } = view;
   if (read === undefined || read.atUs < view.pushedReadUs + pushedReadSpanUs || hasFew(view)) return stepped(view);
-  return pushed({ ...view, pushedReadUs: read.atUs }, from);
+  return pushedReading({ ...view, pushedReadUs: read.atUs }, from);
 };
 
 /** Folds a reading into the list. Where nobody knows a time yet, the line of the fleet begins here. */
--- a/src/spread/machine/timing.ts
+++ b/src/spread/machine/timing.ts
@@ -26,11 +26,14 @@
 export const differingSpanUs: Micros = 500_000;
 export const wholeSpanUs: Micros = 1_000_000;
 
+/** The number of addresses at which a fleet's beat begins to grow longer than that of a fleet of few. */
+const fullBeatAddresses = 16;
+
 /** A larger fleet beats more slowly, since news does not wait for the beat. */
 export const beatUsOf = (addresses: number): Micros =>
   addresses <= fewAddresses
     ? digestSpanUs
-    : Math.min(mostDigestSpanUs, Math.max(digestSpanUs, Math.round((digestSpanUs * addresses) / 32)));
+    : Math.min(mostDigestSpanUs, Math.max(digestSpanUs, Math.round((digestSpanUs * addresses) / fullBeatAddresses)));
 
 /** Into so many parts membership is divided when two compare it. */
 export const crowdBuckets = 32;
--- a/tests/spread/many.test.ts
+++ b/tests/spread/many.test.ts
@@ -8,6 +8,8 @@
 
 const second = 1_000_000;
 const grown = { seed: 1, routers: 77, controls: 3, localities: 4, regions: 1 };
+/** What a router of eighty may send while nothing happens; each frame costs its sender and its receiver a wake-up. */
+const mostFramesPerSecond = 9;
 const planned = { seed: 2, routers: 400, controls: 21, localities: 11, regions: 5 };
 
 const recordAt = (revision: number): SetupRecord => ({
@@ -99,6 +101,25 @@
   assert.is(many.falseAlarms.length, 0);
 });
 
+test('while the list is read twice a second, each of eighty routers sends only a few frames a second', () => {
+  const many = openMany({ ...grown, controls: 5 });
+  many.startAcquainted();
+  many.play(5 * second);
+  read(many, 1, undefined);
+  many.play(second);
+  many.resetCounts();
+  const seconds = 10;
+  for (let reading = 0; reading < 2 * seconds; reading += 1) {
+    read(many, 1, undefined);
+    many.play(second / 2);
+  }
+  const routers = many.nodes.filter(({ view }) => view.self.role === 'router');
+  const mean = routers.reduce((sum, { sentFrames }) => sum + sentFrames, 0) / routers.length / seconds;
+  assert.ok(mean < mostFramesPerSecond, `${mean} frames a second`);
+  for (const { view } of routers)
+    assert.ok(view.read !== undefined && view.platform !== undefined, 'every router hears of the readings');
+});
+
 test('lost frames bring nobody under the dead', () => {
   const many = openMany({ ...grown, lossShare: 0.1 });
   many.startAcquainted();
