--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -112,6 +112,9 @@
       return code;
     },
     ended: async () => (child === undefined ? null : exited(child)),
+    reload: () => {
+      if (isRunning()) child?.kill('SIGHUP');
+    },
     freeze: () => {
       plan.tell('begins', 'frozen');
       child?.kill('SIGSTOP');
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -20,6 +20,8 @@
   readonly terminate: () => Promise<number | null>;
   /** Waits until the process has ended by itself. */
   readonly ended: () => Promise<number | null>;
+  /** Tells a running process that its settings file has changed. */
+  readonly reload: () => void;
   readonly freeze: () => void;
   readonly wake: () => void;
   readonly loseDisk: () => void;
--- /dev/null
+++ b/tests/platform/soak/judge-soak.ts
@@ -0,0 +1,90 @@
+import type { Micros } from '../../../src/common/micros.js';
+import { judge } from '../stand-in/judge.js';
+import { allowedOf } from './soak-document.js';
+import type { PutRecord, ReadRecord, SoakOperator } from './soak-operator.js';
+import { quiesceUs, type SoakRequest, type SoakWorld } from './soak-world.js';
+
+/** When an acknowledged document must be in force at the latest. */
+const applyUs: Micros = 2_000_000;
+/** What the passing of a request to a server may take beyond the time of a leaving server. */
+const passingUs: Micros = 500_000;
+/** The share of requests that must be served once all is whole again. */
+const leastServedShare = 0.95;
+
+const refusedStatuses: ReadonlySet<number> = new Set([400, 409, 412, 413, 422]);
+/** Final answers that say that the client is wrong; these clients never are. */
+const wrongClient: ReadonlySet<number> = new Set([400, 401, 403, 404, 405, 413, 431]);
+
+const readFaults = (puts: readonly PutRecord[], { sentUs, status, version, text }: ReadRecord): readonly string[] => {
+  const acknowledged = puts.filter((put) => put.status === 200 && put.toldUs + applyUs < sentUs);
+  const newest = Math.max(0, ...acknowledged.map((put) => put.version));
+  if (status === 404) return newest > 0 ? [`CONFIG a read found nothing, ${newest} was acknowledged`] : [];
+  if (status !== 200) return [];
+  const sent = puts.filter((put) => put.text === text);
+  return [
+    ...(version < newest ? [`CONFIG a read gave ${version}, ${newest} was acknowledged`] : []),
+    ...(sent.length > 0 && sent.every((put) => refusedStatuses.has(put.status))
+      ? [`CONFIG ${version} is in force though it was refused`]
+      : []),
+  ];
+};
+
+const putFaults = (puts: readonly PutRecord[]): readonly string[] => {
+  const taken = puts.filter(({ status }) => status === 200);
+  return taken.flatMap((put, place) => [
+    ...(put.isInvalid ? [`CONFIG the invalid ${put.version} was acknowledged`] : []),
+    ...(taken.slice(0, place).some(({ base, text }) => base === put.base && text !== put.text)
+      ? [`CONFIG two on top of ${put.base} were acknowledged`]
+      : []),
+  ]);
+};
+
+const operatorFaults = ({ puts, reads }: SoakOperator): readonly string[] => [
+  ...putFaults(puts),
+  ...reads.flatMap((read) => readFaults(puts, read)),
+];
+
+const deniedFaults = ({ seen }: SoakWorld): readonly string[] =>
+  seen.tries.flatMap(({ attempt, status, seal, node }) =>
+    seal === undefined && wrongClient.has(status) ? [`DENIED ${attempt} got ${status} from ${node}`] : [],
+  );
+
+const leaveFaults = ({ seen, leaves }: SoakWorld): readonly string[] =>
+  leaves.flatMap(({ server, shownUs }) =>
+    seen.arrivals.flatMap((arrival) =>
+      arrival.server === server && arrival.atUs > shownUs + quiesceUs + passingUs
+        ? [
+            `DRAIN ${arrival.attempt} reached ${server} ${(arrival.atUs - shownUs) / 1_000} ms after it was shown as leaving`,
+          ]
+        : [],
+    ),
+  );
+
+const recoverFaults = ({ requests, seen }: SoakWorld, wholeUs: Micros): readonly string[] => {
+  const brokenByServers = new Set(seen.arrivals.filter(({ broken }) => broken).map(({ attempt }) => attempt));
+  const isServersFault = ({ end }: SoakRequest): boolean =>
+    end.tries.some(({ attempt }) => brokenByServers.has(attempt));
+  const after = requests.filter((made) => made.sentUs > wholeUs && !isServersFault(made));
+  const served = after.filter(({ end }) => end.isServed).length;
+  return after.length > 0 && served >= after.length * leastServedShare
+    ? []
+    : [`RECOVER ${served} of ${after.length} were served after all was whole again`];
+};
+
+/** What a soak was, for its judge. */
+export type PlayedSoak = {
+  readonly world: SoakWorld;
+  /** From when on all troubles were over and service was to be back. */
+  readonly wholeUs: Micros;
+  /** Whether all processes were down at once at some time. */
+  readonly forgot: boolean;
+};
+
+/** All that a soak breaks of the rules. */
+export const judgeSoak = ({ world, wholeUs, forgot }: PlayedSoak): readonly string[] => [
+  ...judge(world.seen, allowedOf),
+  ...operatorFaults(world.operator),
+  ...deniedFaults(world),
+  ...(forgot ? [] : leaveFaults(world)),
+  ...recoverFaults(world, wholeUs),
+];
--- /dev/null
+++ b/tests/platform/soak/soak-troubles.ts
@@ -0,0 +1,155 @@
+import { oneOf, wholeBelow } from '../../../src/common/chance.js';
+import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
+import type { FleetNode } from '../stand-in/launch-fleet.js';
+import type { Misdeed } from '../stand-in/misdeed.js';
+import type { SoakWorld } from './soak-world.js';
+
+/** Something that goes wrong, or a piece of planned work; it ends when all is whole again. */
+export type Trouble = {
+  readonly name: string;
+  readonly act: (world: SoakWorld) => Promise<void>;
+  /** Whether all processes may be down at once meanwhile, so that nobody remembers since when a server leaves. */
+  readonly forgets?: boolean;
+};
+
+const second = 1_000_000;
+
+const oneNode = ({ chance }: SoakWorld, nodes: readonly FleetNode[]): LaunchedNode | undefined =>
+  oneOf(chance, nodes)?.launched;
+
+const restarted = async (world: SoakWorld, nodes: readonly LaunchedNode[]): Promise<void> => {
+  const downUs = 300_000 + wholeBelow(world.chance, 1_500_000);
+  await Promise.all(nodes.map((node) => node.kill()));
+  await world.pause(downUs);
+  for (const node of nodes) node.start();
+};
+
+const frozen = async (world: SoakWorld, node: LaunchedNode | undefined): Promise<void> => {
+  if (node === undefined) return;
+  node.freeze();
+  await world.pause(second + wholeBelow(world.chance, 4 * second));
+  node.wake();
+};
+
+const stopped = async (node: LaunchedNode): Promise<void> => {
+  await node.terminate();
+  node.start();
+};
+
+const launchedOf = (nodes: readonly FleetNode[]): readonly LaunchedNode[] => nodes.map(({ launched }) => launched);
+
+const misdeeds: readonly Misdeed[] = [
+  'reset',
+  'surplus',
+  'other-id',
+  'no-seal',
+  'encoded',
+  'silence',
+  'close-before-answer',
+];
+const misdeedsOfOne = 6;
+
+/** Troubles of one kind; two of the same kind do not begin together. */
+export const troubleKinds: readonly (readonly Trouble[])[] = [
+  [
+    {
+      name: 'kill a router',
+      act: (world) =>
+        restarted(
+          world,
+          [oneNode(world, world.fleet.routers)].flatMap((node) => node ?? []),
+        ),
+    },
+    { name: 'kill all routers', act: (world) => restarted(world, launchedOf(world.fleet.routers)) },
+    {
+      name: 'kill every process',
+      forgets: true,
+      act: (world) => restarted(world, launchedOf([...world.fleet.controls, ...world.fleet.routers])),
+    },
+    {
+      name: 'stop the routers in turn',
+      act: async ({ fleet }) => {
+        for (const node of launchedOf(fleet.routers)) await stopped(node);
+      },
+    },
+  ],
+  [
+    {
+      name: 'kill a core machine',
+      act: (world) =>
+        restarted(
+          world,
+          [oneNode(world, world.fleet.controls)].flatMap((node) => node ?? []),
+        ),
+    },
+    { name: 'kill the core', act: (world) => restarted(world, launchedOf(world.fleet.controls)) },
+    { name: 'freeze a core machine', act: (world) => frozen(world, oneNode(world, world.fleet.controls)) },
+    {
+      name: 'stop the core machines in turn',
+      act: async ({ fleet }) => {
+        for (const node of launchedOf(fleet.controls)) await stopped(node);
+      },
+    },
+  ],
+  [
+    { name: 'freeze a router', act: (world) => frozen(world, oneNode(world, world.fleet.routers)) },
+    {
+      name: 'reload all',
+      act: ({ fleet }) => {
+        for (const node of launchedOf([...fleet.controls, ...fleet.routers])) node.reload();
+        return Promise.resolve();
+      },
+    },
+  ],
+  [
+    {
+      name: 'a server crashes and another comes',
+      act: async (world) => {
+        const server = oneOf(world.chance, world.servers());
+        if (server === undefined) return;
+        await Promise.all([world.crashServer(server), world.openServer(server.service)]);
+      },
+    },
+    {
+      name: 'a server leaves and another comes',
+      act: async (world) => {
+        const server = oneOf(
+          world.chance,
+          world.servers().filter((known) => !known.isDraining()),
+        );
+        if (server === undefined) return;
+        await world.openServer(server.service);
+        await world.retireServer(server);
+      },
+    },
+  ],
+  [
+    {
+      name: 'servers misbehave',
+      act: (world) => {
+        for (const server of world.servers())
+          server.misbehave(...Array.from({ length: misdeedsOfOne }, () => oneOf(world.chance, misdeeds) ?? 'reset'));
+        return Promise.resolve();
+      },
+    },
+  ],
+  [
+    {
+      name: 'the configuration changes back and forth',
+      act: async ({ operator }) => {
+        for (const idemService of ['office', 'gallery', 'office', 'gallery'] as const)
+          await operator.change({ idemService });
+      },
+    },
+    { name: 'two operators race', act: ({ operator }) => operator.race() },
+    { name: 'an invalid configuration', act: ({ operator }) => operator.sendInvalid() },
+    { name: 'an answer to the operator is lost', act: ({ operator }) => operator.changeWithLostAnswer() },
+    {
+      name: 'a large configuration',
+      act: async ({ operator }) => {
+        await operator.change({ idleRoutes: 700, idemService: 'office' });
+        await operator.change({ idleRoutes: 3 });
+      },
+    },
+  ],
+];
--- /dev/null
+++ b/tests/platform/soak/soak-world.ts
@@ -0,0 +1,187 @@
+import { oneOf, wholeBelow, type Chance } from '../../../src/common/chance.js';
+import { every } from '../../../src/common/clock/every.js';
+import { paused } from '../../../src/common/clock/paused.js';
+import { steadyClock } from '../../../src/common/clock/steady-clock.js';
+import { steadyNow, type Micros } from '../../../src/common/micros.js';
+import { archiveEngine } from '../../emulator/site-figures.js';
+import { launchFleet, type Fleet } from '../stand-in/launch-fleet.js';
+import { openClients, type ClientEnd, type Wanted } from '../stand-in/open-clients.js';
+import { openPlatformServer, type PlatformServer } from '../stand-in/open-platform-server.js';
+import { openProvider } from '../stand-in/open-provider.js';
+import { openReadiness } from '../stand-in/open-readiness.js';
+import { openSeen, type Seen } from '../stand-in/seen.js';
+import { openEngineDesk, openWebDesk } from '../stand-in/work-desk.js';
+import { places } from './soak-document.js';
+import { openSoakOperator, type SoakOperator } from './soak-operator.js';
+
+/** A request of the soak, and when its client first sent it. */
+export type SoakRequest = { readonly sentUs: Micros; readonly route: string; readonly end: ClientEnd };
+
+/** A server that was shown as leaving, and from when on. */
+export type Leave = { readonly server: string; readonly shownUs: Micros };
+
+/** All that troubles may reach: processes, servers, operators. */
+export type SoakWorld = {
+  readonly chance: Chance;
+  readonly fleet: Fleet;
+  readonly operator: SoakOperator;
+  readonly seen: Seen;
+  readonly requests: SoakRequest[];
+  readonly leaves: Leave[];
+  readonly servers: () => readonly PlatformServer[];
+  /** Starts a server and shows it. */
+  readonly openServer: (service: string) => Promise<PlatformServer>;
+  /** Ends a server at once; it goes from the list a moment later. */
+  readonly crashServer: (server: PlatformServer) => Promise<void>;
+  /** Shows a server as leaving, and ends it when its time is over. */
+  readonly retireServer: (server: PlatformServer) => Promise<void>;
+  readonly pause: (span: Micros) => Promise<void>;
+  readonly startTraffic: () => void;
+  /** Ends the traffic, and waits for the requests under way. */
+  readonly stopTraffic: () => Promise<void>;
+  readonly areAllReady: () => boolean;
+  readonly close: () => Promise<void>;
+};
+
+export const quiesceUs: Micros = 3_000_000;
+const zones = ['vault-hall', 'scan-hall', 'reading-room'] as const;
+const lagUs: Micros = 300_000;
+const serverEndsUs: Micros = quiesceUs + 2_000_000;
+const goneUs: Micros = 1_000_000;
+const requestSpanUs: Micros = 50_000;
+const budgetUs: Micros = 8_000_000;
+const webWorkUs: Micros = 20_000;
+const webFigures = { slots: 6, queue: 24 };
+/** So many requests of a hundred come from clients that give up after their first piece or a moment. */
+const rudePercent = 4;
+const rudeBudgetUs: Micros = 150_000;
+
+const routes = ['resumed', 'stream', 'idem', 'once'] as const;
+
+/** Opens the whole platform on loopback: three processes of each role, servers, list, operator and clients. */
+export const openSoakWorld = async (chance: Chance): Promise<SoakWorld> => {
+  const seen = openSeen();
+  const fleet = await launchFleet();
+  const provider = openProvider({ address: fleet.providerAddress, lagUs, pageSize: 4, mostCallsASecond: 40 });
+  const operator = openSoakOperator(
+    fleet.controls.map(({ ctl }) => ctl),
+    chance,
+  );
+  const requests: SoakRequest[] = [];
+  const leaves: Leave[] = [];
+  const underWay = new Set<Promise<void>>();
+  const opened: PlatformServer[] = [];
+  let servers: readonly PlatformServer[] = [];
+  let serverCount = 0;
+  let asked = 0;
+  let endTraffic = (): void => undefined;
+  const pause = (span: Micros): Promise<void> => paused(steadyClock, span);
+
+  const show = (shown: readonly PlatformServer[]): void => {
+    servers = shown;
+    provider.show(shown);
+  };
+
+  const openServer = async (service: string): Promise<PlatformServer> => {
+    serverCount += 1;
+    const type = service === 'readers' ? 'model' : 'web';
+    const server = await openPlatformServer({
+      id: `i-${serverCount}`,
+      service,
+      type,
+      address: await fleet.serverAddress(),
+      zone: zones[serverCount % zones.length] ?? zones[0],
+      slots: type === 'model' ? 64 : webFigures.slots,
+      desk: type === 'model' ? openEngineDesk(archiveEngine) : openWebDesk(webFigures, webWorkUs),
+      seen,
+    });
+    opened.push(server);
+    show([...servers, server]);
+    return server;
+  };
+
+  const without = (server: PlatformServer): readonly PlatformServer[] => servers.filter((known) => known !== server);
+
+  await provider.listen();
+  for (const service of ['readers', 'readers', 'readers', 'readers', 'gallery', 'gallery', 'office', 'office'])
+    await openServer(service);
+  const readiness = openReadiness(fleet.routers);
+  const clients = openClients(seen, (tried) => {
+    const ready = readiness.ready();
+    const fresh = ready.filter((node) => !tried.includes(node));
+    return oneOf(chance, fresh) ?? oneOf(chance, ready);
+  });
+
+  const wantedOf = (route: (typeof routes)[number]): Wanted => {
+    asked += 1;
+    const { host, prefix } = places[route];
+    const isStream = route === 'resumed' || route === 'stream';
+    const isRude = route === 'resumed' && wholeBelow(chance, 100) < rudePercent;
+    return {
+      route,
+      kind: route,
+      host,
+      target: `${prefix}x${asked}?a=%20b`,
+      body: `${route} ${asked} ${String.fromCharCode(0, 255, 13, 10).repeat(isStream ? 500 : 75)}`,
+      budgetUs: isRude ? rudeBudgetUs : budgetUs,
+      mostTries: 3,
+      ...(isStream
+        ? {
+            readTokens: 1_200,
+            writeTokens: 7 * (3 + (asked % 60)),
+            opening: `aa:400,${(asked % 40).toString(16)}b:500,${asked.toString(16)}c:300`,
+          }
+        : {}),
+    };
+  };
+
+  const askOne = (route: (typeof routes)[number]): void => {
+    const sentUs = steadyNow();
+    const running = clients.ask(wantedOf(route)).then((end) => {
+      requests.push({ sentUs, route, end });
+      underWay.delete(running);
+    });
+    underWay.add(running);
+  };
+
+  return {
+    chance,
+    fleet,
+    operator,
+    seen,
+    requests,
+    leaves,
+    servers: () => servers,
+    openServer,
+    crashServer: async (server) => {
+      await server.crash();
+      await pause(goneUs);
+      show(without(server));
+    },
+    retireServer: async (server) => {
+      server.drain();
+      show(servers);
+      leaves.push({ server: server.id, shownUs: steadyNow() + lagUs });
+      await pause(lagUs + serverEndsUs);
+      await server.crash();
+      show(without(server));
+    },
+    pause,
+    startTraffic: () => {
+      endTraffic = every(steadyClock, requestSpanUs, () => routes.forEach(askOne));
+    },
+    stopTraffic: async () => {
+      endTraffic();
+      await Promise.all(underWay);
+    },
+    areAllReady: () => readiness.ready().length === fleet.routers.length,
+    close: async () => {
+      endTraffic();
+      readiness.close();
+      await clients.close();
+      await fleet.close();
+      provider.close();
+      await Promise.all(opened.map((server) => server.crash()));
+    },
+  };
+};
