Call a core machine ready only once it has committed an entry of the present term

Cause (class: readiness said before what it rests on is known): a core machine that had just started was ready as soon as it knew a leader, itself included.

Ruled out: a reading of an older configuration. Reads go through a round with a majority and wait for an entry of the leader's term already; it is the probe, and with it who sends operators there, that was told too early.

Looked for elsewhere: a router is ready only after a quorum read in its life, and stays so; the leader's own changes of members and its reads wait for an entry of its term by the same condition, which now stands once (hasCommittedInTerm).

--- a/src/control/machine/log-reading.ts
+++ b/src/control/machine/log-reading.ts
@@ -42,3 +42,10 @@
 /** Whether the newest members entry is not committed yet; only one change runs at a time. */
 export const hasOpenChange = (replica: Logged & Pick<Replica, 'commit'>): boolean =>
   replica.entries.some((entry) => entry.index > replica.commit && entry.command.type === 'members');
+
+/**
+ * Whether an entry of the present term is committed here. All that was acknowledged in former terms stands before it, so
+ * what this replica has applied is then no older than what was acknowledged before the term began (leader completeness).
+ */
+export const hasCommittedInTerm = (replica: Logged & Pick<Replica, 'commit' | 'term'>): boolean =>
+  termAt(replica, replica.commit) === replica.term;
--- a/src/control/machine/membership-change.ts
+++ b/src/control/machine/membership-change.ts
@@ -7,7 +7,7 @@
 import type { Micros } from '../../common/micros.js';
 import type { Member } from '../members/member.js';
 import { stepOf, type ControlStep } from './control-step.js';
-import { hasOpenChange, lastIndexOf, membersOf, termAt, votersOf } from './log-reading.js';
+import { hasCommittedInTerm, hasOpenChange, lastIndexOf, membersOf, votersOf } from './log-reading.js';
 import { appendCommand, newProgress } from './replication.js';
 import type { Replica } from './replica.js';
 import { deadMemberTimeoutUs, electionTimeoutUs, learnerTimeoutUs } from './timing.js';
@@ -17,7 +17,7 @@
   replica.role === 'leader' &&
   replica.transferUntilUs === undefined &&
   !hasOpenChange(replica) &&
-  termAt(replica, replica.commit) === replica.term;
+  hasCommittedInTerm(replica);
 
 /** Appends a members entry, which counts from its append on, as the rule of single-server changes wants it. */
 export const proposeMembers = (replica: Replica, members: readonly Member[]): ControlStep => {
--- a/src/control/machine/replication.ts
+++ b/src/control/machine/replication.ts
@@ -7,7 +7,15 @@
 import { andThen, forEachStep, stepOf, type ControlStep } from './control-step.js';
 import { isPaused, withSend } from './flow-control.js';
 import type { Replica } from './replica.js';
-import { entriesFrom, lastIndexOf, membersOf, termAt, textCharsOf, votersOf } from './log-reading.js';
+import {
+  entriesFrom,
+  hasCommittedInTerm,
+  lastIndexOf,
+  membersOf,
+  termAt,
+  textCharsOf,
+  votersOf,
+} from './log-reading.js';
 import type { Progress } from './progress.js';
 import { needsSnapshot, sendSnapshotPiece } from './snapshot-transfer.js';
 import { maxEntriesPerAppend, maxAppendTextChars, resendTimeoutUs } from './timing.js';
@@ -116,7 +124,7 @@
 
 /** Answers the reads that a majority has confirmed since they began. */
 export const completeReads = (replica: Replica): ControlStep => {
-  if (termAt(replica, replica.commit) !== replica.term) return stepOf(replica);
+  if (!hasCommittedInTerm(replica)) return stepOf(replica);
   const voters = votersOf(replica);
   const isConfirmed = (round: number): boolean =>
     voters.filter(
--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -1,6 +1,7 @@
 import { EitherAsync } from 'purify-ts';
 import { paused } from '../../common/clock/paused.js';
 import type { TypedError } from '../../common/typed-error.js';
+import { hasCommittedInTerm } from '../../control/machine/log-reading.js';
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
 import { openFailureReport } from '../failure-report.js';
@@ -75,9 +76,11 @@
       desk: countedOperatorService(openOperatorService(core, spread.platformUs), counters, log),
       counters,
       unready: () => {
-        const { leader, role } = control.replica();
+        const replica = control.replica();
+        const { leader, role } = replica;
         if (leader === undefined) return `no leader is known (${role})`;
-        return role === 'learner' || role === 'unfounded' ? `not a voter of the core yet (${role})` : undefined;
+        if (role === 'learner' || role === 'unfounded') return `not a voter of the core yet (${role})`;
+        return hasCommittedInTerm(replica) ? undefined : `nothing of term ${replica.term} is committed here yet`;
       },
       start: async () => {
         await spread.start();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -11,6 +11,13 @@
 
 /** Every deliberate fault that the checks must find. */
 export const mutants: readonly Mutant[] = [
+  {
+    name: 'a core machine is ready before it has committed anything of its term',
+    file: 'src/process/control/control-node.ts',
+    find: 'return hasCommittedInTerm(replica) ? undefined :',
+    put: 'return replica.term >= 0 ? undefined :',
+    by: test('tests/sim/core-ready.test.js'),
+  },
   {
     name: 'core machines leave news to gossip alone',
     file: 'src/spread/machine/targets.ts',
