--- a/tests/spread/slow-processors.test.ts
+++ b/tests/spread/slow-processors.test.ts
@@ -24,6 +24,14 @@
   return Math.round(cpuUs / (role === 'control' ? controlShare : routerShare));
 };
 
+/** The same for routers that have no requests yet. */
+const idleShare = 0.167;
+
+const startCostUs = ({ role }: Partner, { type }: SpreadFrame): Micros => {
+  const cpuUs = type === 'setup' || type === 'setup-delta' ? largeConfigurationCpuUs : frameCpuUs;
+  return Math.round(cpuUs / (role === 'control' ? controlShare : idleShare));
+};
+
 const record: SetupRecord = { revision: 1, takenAtUs: 0, setup: sampleSetup('large'), epochs: [] };
 
 const openGrown = (seed: number): Many => {
@@ -60,4 +68,18 @@
   assert.ok(tookUs < 2 * applyUs, `it took ${tookUs} us`);
 });
 
+/** The time in which service must be back after all processes have begun again, and what of it the start may take. */
+const healUs: Micros = 15_000_000;
+const spreadShare = 0.5;
+
+for (const seed of [1, 2, 3])
+  test(`eighty routers that all begin at once have the core's configuration in half the time to heal, seed ${seed}`, () => {
+    const many = openMany({ seed, routers: 80, controls: 5, localities: 4, regions: 1, frameCostUs: startCostUs });
+    for (const node of many.nodes) many.start(node);
+    for (const node of many.nodes)
+      if (node.view.self.role === 'control') many.offer(node, { type: 'setup', at: many.now(), record });
+    const tookUs = many.until(({ view }) => view.record?.revision === 1, 30_000_000, 50_000);
+    assert.ok(tookUs !== undefined && tookUs < healUs * spreadShare, `it took ${tookUs} us`);
+  });
+
 test.run();
