Hear what has arrived before a time-out is taken for silence

Cause (class: a time-out that counts the process's own lateness as silence of the other side): timers that fell due while a process stood still ran before the sockets were read. A router that was held up for more than 0.4 s while it dialed took its servers for unreachable and passed them over for 0.5 to 2 s; after a start of all at once, when it dials all of them on code that is not warm yet, it did so with many. The same held for calls of the core (0.6 s), connections between nodes (0.7 s) and reads of the list (1 s).

Ruled out: longer times. They only move the stall that is needed, and a dark server would be found later.

Change: what falls due on the steady clock is done at the end of the turn of the event loop, after the sockets. The scenario `soak` stands last in its list, as the command names it (its test failed since the soak was added).

Looked for elsewhere: the silence of a stream already leaves out the lateness of the tick; the count of unanswered partners begins anew after a gap of 0.7 s. undici's own time to connect to the platform's list (1 s) is left as it is.

--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -99,17 +99,6 @@
 
 /** Every scenario that `rehearse` knows. */
 export const scenarios: readonly Scenario[] = [
-  {
-    name: 'soak',
-    about: 'troubles drawn by the seed, two or three at a time, on a small fleet',
-    seconds: 60,
-    plannedOnly: false,
-    troubleEndsShare: 0.72,
-    size: smaller,
-    setup: quickWarmup,
-    acts: [],
-    draw: drawSoak,
-  },
   {
     name: 'short',
     about: 'a small fleet for a few seconds: one server joins, one leaves, the setup changes',
@@ -235,4 +224,15 @@
     ['kill the leader', nodes.killLeader],
     ['another burst of large setups', setups.burstOfLarge],
   ]),
+  {
+    name: 'soak',
+    about: 'troubles drawn by the seed, two or three at a time, on a small fleet',
+    seconds: 60,
+    plannedOnly: false,
+    troubleEndsShare: 0.72,
+    size: smaller,
+    setup: quickWarmup,
+    acts: [],
+    draw: drawSoak,
+  },
 ];
--- a/src/servers/link/open-link.ts
+++ b/src/servers/link/open-link.ts
@@ -1,5 +1,7 @@
 import { Left, Right } from 'purify-ts';
 import { buildConnector, Client } from 'undici';
+import { abortAfter } from '../../common/clock/abort-after.js';
+import { steadyClock } from '../../common/clock/steady-clock.js';
 import { toMillis, type Micros } from '../../common/micros.js';
 import { messageOf, typedError } from '../../common/typed-error.js';
 import { serverKeyOf, type ServerKey } from '../list/server-key.js';
@@ -20,16 +22,19 @@
   isOpen,
   close,
   confirm: async () => {
+    const { signal, takeBack } = abortAfter(steadyClock, probeBudgetUs);
     try {
       const receipt = await client.request({
         method: 'GET',
         path: '/identity',
-        signal: AbortSignal.timeout(toMillis(probeBudgetUs)),
+        signal,
       });
       await receipt.body.dump();
       return receipt.statusCode === 200;
     } catch {
       return false;
+    } finally {
+      takeBack();
     }
   },
   deliver: async (order, signal) => {
@@ -68,11 +73,12 @@
   };
   client.on('disconnect', close);
   client.on('connectionError', close);
+  const { signal, takeBack } = abortAfter(steadyClock, confirmBudgetUs);
   try {
     const confirmed = await client.request({
       method: 'GET',
       path: '/identity',
-      signal: AbortSignal.timeout(toMillis(confirmBudgetUs)),
+      signal,
     });
     const confirmation = confirmIdentity(server, await confirmed.body.text());
     if (confirmation.isLeft()) {
@@ -86,5 +92,7 @@
     close();
     const message = messageOf(thrown);
     return Left(typedError(message.includes('ECONNREFUSED') ? 'link-refused' : 'link-error', message));
+  } finally {
+    takeBack();
   }
 };
--- a/src/spread/link/outgoing-connection.ts
+++ b/src/spread/link/outgoing-connection.ts
@@ -1,5 +1,6 @@
 import { createConnection } from 'node:net';
-import { steadyNow, toMillis, type Micros } from '../../common/micros.js';
+import { steadyClock } from '../../common/clock/steady-clock.js';
+import { steadyNow, type Micros } from '../../common/micros.js';
 import type { Frame } from '../frame/frame.js';
 import { addressParts } from './address-parts.js';
 import type { LinkIdentity } from './link-identity.js';
@@ -42,14 +43,15 @@
   let patience = freshPatience;
   let usedUs = steadyNow();
   let isRetired = false;
-  let timer = setTimeout(() => socket.destroy(), toMillis(dialBudgetUs));
+  const destroy = (): void => void socket.destroy();
+  let takeBack = steadyClock.after(dialBudgetUs, destroy);
 
   const write = (bothLives: Uint8Array, frameBytes: Uint8Array): void => {
     socket.write(Buffer.concat([bothLives, frameBytes]));
   };
 
   const greeted = (receiverLife: string): void => {
-    clearTimeout(timer);
+    takeBack();
     const bothLives = livesOf(self.life, receiverLife);
     lives = bothLives;
     socket.write(introductionOf(self));
@@ -75,8 +77,8 @@
   };
 
   socket.on('connect', () => {
-    clearTimeout(timer);
-    timer = setTimeout(() => socket.destroy(), toMillis(greetingBudgetUs));
+    takeBack();
+    takeBack = steadyClock.after(greetingBudgetUs, destroy);
   });
   socket.on('data', (chunk: Buffer) => {
     patience = freshPatience;
@@ -84,7 +86,7 @@
   });
   socket.on('error', () => socket.destroy());
   socket.on('close', () => {
-    clearTimeout(timer);
+    takeBack();
     closed(isRetired);
   });
 
@@ -107,6 +109,6 @@
       socket.end();
       return true;
     },
-    destroy: () => void socket.destroy(),
+    destroy,
   };
 };
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -11,6 +11,13 @@
 
 /** Every deliberate fault that the checks must find. */
 export const mutants: readonly Mutant[] = [
+  {
+    name: 'what falls due goes before what has arrived',
+    file: 'src/common/clock/steady-clock.ts',
+    find: '      immediate = setImmediate(act);',
+    put: '      act();',
+    by: test('tests/router/own-lateness.test.js'),
+  },
   {
     name: 'a core machine is ready before it has committed anything of its term',
     file: 'src/process/control/control-node.ts',
