Test that a node without a confirmed configuration says 503 and never 404

A 404 for what all configurations allow counts from any machine; whether a node says it before the core has confirmed what it knows had no test.

--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -112,7 +112,8 @@
   limits: { hdr_bytes: 16_384, body_max_bytes: 1_000, hdr_ms: 3_000, idle_ms: 15_000 },
 };
 
-const coreWith = (document: unknown): CoreClient => {
+/** A core that gives the same configuration to everyone. */
+export const coreWith = (document: unknown): CoreClient => {
   const { setup } = setupOfDocument(document, retryLimits).unsafeCoerce();
   const { state } = applyCommand(startReplicatedState, { type: 'setup', proposal: 'p', expected: 0, setup, atUs: 0 });
   return { ask: () => Promise.resolve(Right<CoreReply>({ type: 'record', record: state.record, outcome: undefined })) };
@@ -147,7 +148,8 @@
   };
 };
 
-export const openEdge = async (): Promise<Edge> => {
+/** Opens a router on a core; waits until it has a configuration where that core gives one. */
+export const openEdge = async (core: CoreClient = coreWith(edgeDocument), waitsForCore = true): Promise<Edge> => {
   const [edgePort = 0, partnerPort] = await freePorts(2);
   const http = `127.0.0.1:${edgePort}`;
   const partners = `127.0.0.1:${partnerPort}`;
@@ -155,14 +157,15 @@
     settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners] },
     log: { change: () => undefined },
     surroundings: { ...realSurroundings, dial: dialServer, probesNothing: true },
-    coreOf: () => coreWith(edgeDocument),
+    coreOf: () => core,
   });
   const callers = openCallerServer(http, node);
   const sockets: Socket[] = [];
   let version = 0;
   await callers.listen();
   await node.start();
-  for (let look = 0; look < 600 && node.router.view().record === undefined; look += 1) await paused(steadyClock, 5_000);
+  for (let look = 0; look < 600 && waitsForCore && node.router.view().record === undefined; look += 1)
+    await paused(steadyClock, 5_000);
   return {
     node,
     show: (servers) => {
