Rename the rehearsal's acts, stage hands, moods and ears to the field's terms

Change: fault steps (`run/faults`), a pool of servers, a server's fault mode, listeners. The relays' two directions are cut by one function. The soak's documents take their stream routes from the stand-in's. No change of behaviour.

--- a/src/rehearsal/history/cut-ears.ts
+++ b/src/rehearsal/history/cut-listener.ts
@@ -1,4 +1,4 @@
 import type { TroubleNotes } from './trouble-notes.js';
 
 /** Hears what is cut from whom, and when all is healed. */
-export type CutEars = Pick<TroubleNotes, 'cut' | 'heal'>;
+export type CutListener = Pick<TroubleNotes, 'cut' | 'heal'>;
--- a/src/rehearsal/launcher/cut-relays.ts
+++ b/src/rehearsal/launcher/cut-relays.ts
@@ -1,5 +1,5 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
-import type { CutEars } from '../history/cut-ears.js';
+import type { CutListener } from '../history/cut-listener.js';
 import { addressParts } from '../../spread/link/address-parts.js';
 import { documentAt, readIntroduction } from '../../spread/link/wire-format.js';
 
@@ -25,8 +25,8 @@
             .orDefault(unknownSpeaker),
   });
 
-/** `ears` hears what is cut from whom, and when all is healed. */
-export const openCutRelays = (ears: CutEars): CutRelays => {
+/** `listener` hears what is cut from whom, and when all is healed. */
+export const openCutRelays = (listener: CutListener): CutRelays => {
   const cuts = new Set<string>();
   const servers: Server[] = [];
   const sockets = new Set<Socket>();
@@ -77,23 +77,19 @@
         server.listen(port, host, resolve);
       }),
     cut: (from, to, oneWay = false) => {
+      const cutWay = (speaker: string, hearer: string): void => {
+        cuts.add(`${speaker}>${hearer}`);
+        listener.cut(speaker, hearer);
+      };
       for (const left of from)
         for (const right of to) {
-          for (const [speaker, listener] of oneWay
-            ? [[left, right]]
-            : [
-                [left, right],
-                [right, left],
-              ]) {
-            if (speaker === undefined || listener === undefined) continue;
-            cuts.add(`${speaker}>${listener}`);
-            ears.cut(speaker, listener);
-          }
+          cutWay(left, right);
+          if (!oneWay) cutWay(right, left);
         }
     },
     heal: () => {
       cuts.clear();
-      ears.heal();
+      listener.heal();
       for (const flush of flushes) flush();
     },
     close: () => {
--- a/src/rehearsal/run/acts/core-acts.ts
+++ b/src/rehearsal/run/faults/core-faults.ts
@@ -1,9 +1,9 @@
 import { oneOf } from '../../../common/chance.js';
 import { noTrouble } from '../../../disk/disk-trouble.js';
 import { freePorts } from '../../launcher/free-ports.js';
-import type { FaultAct } from './fault-act.js';
+import type { FaultStep } from './fault-step.js';
 
-export const loseDisk: FaultAct = async (parts) => {
+export const loseDisk: FaultStep = async (parts) => {
   const control = oneOf(parts.chance, parts.controls);
   if (control === undefined) return;
   await control.kill();
@@ -14,7 +14,7 @@
 };
 
 /** A core machine comes back empty at new addresses; whoever starts from then on is given the new seeds. */
-export const moveCore: FaultAct = async (parts) => {
+export const moveCore: FaultStep = async (parts) => {
   const { controls, routers, relays } = parts;
   const control = oneOf(parts.chance, controls);
   const router = oneOf(parts.chance, routers);
@@ -39,7 +39,7 @@
 
 /** Every sync of the leader takes so much longer, for a while. */
 const delayLeaderDisk =
-  (delayUs: number, spanUs: number): FaultAct =>
+  (delayUs: number, spanUs: number): FaultStep =>
   async (parts) => {
     const leader = await parts.leader();
     if (leader === undefined) return;
@@ -53,7 +53,7 @@
 export const stallLeaderDisk = delayLeaderDisk(4_000_000, 4_000_000);
 
 /** The leader's disk is full for a while: it gives way, stays up, and takes part again. */
-export const fillDisk: FaultAct = async (parts) => {
+export const fillDisk: FaultStep = async (parts) => {
   const control = await parts.leader();
   if (control === undefined) return;
   control.troubleDisk({ delayUs: 0, fails: true });
--- a/src/rehearsal/run/acts/fault-act.ts
+++ b/src/rehearsal/run/faults/fault-step.ts
@@ -1,4 +1,4 @@
 import type { RehearsalParts } from '../rehearsal-parts.js';
 
 /** One fault against real processes, brought and ended. */
-export type FaultAct = (parts: RehearsalParts) => Promise<void>;
+export type FaultStep = (parts: RehearsalParts) => Promise<void>;
--- a/src/rehearsal/run/acts/link-acts.ts
+++ b/src/rehearsal/run/faults/link-faults.ts
@@ -1,9 +1,9 @@
 import { oneOf } from '../../../common/chance.js';
 import type { LaunchedNode } from '../../launcher/launched-node.js';
 import type { RehearsalParts } from '../rehearsal-parts.js';
-import type { FaultAct } from './fault-act.js';
-import { killRouter } from './node-acts.js';
-import { leaveOne } from './server-acts.js';
+import type { FaultStep } from './fault-step.js';
+import { killRouter } from './node-faults.js';
+import { leaveOne } from './server-faults.js';
 
 export const cutFor = async (
   parts: RehearsalParts,
@@ -20,18 +20,19 @@
   parts.relays.heal();
 };
 
-export const cutCoreOff: FaultAct = (parts) => cutFor(parts, parts.controls, parts.routers, false);
+export const cutCoreOff: FaultStep = (parts) => cutFor(parts, parts.controls, parts.routers, false);
 
-export const splitCore: FaultAct = (parts) => cutFor(parts, parts.controls.slice(0, 1), parts.controls.slice(1), false);
+export const splitCore: FaultStep = (parts) =>
+  cutFor(parts, parts.controls.slice(0, 1), parts.controls.slice(1), false);
 
-export const isolateRouter: FaultAct = (parts) => {
+export const isolateRouter: FaultStep = (parts) => {
   const router = oneOf(parts.chance, parts.routers);
   const others = [...parts.controls, ...parts.routers].filter((node) => node !== router);
   return router === undefined ? Promise.resolve() : cutFor(parts, [router], others, parts.chance() < 0.4);
 };
 
 /** A server is shown as leaving while half of the fleet is cut off from the other half. */
-export const leaveInSplit: FaultAct = async (parts) => {
+export const leaveInSplit: FaultStep = async (parts) => {
   const nodes = [...parts.controls, ...parts.routers];
   await Promise.all([
     leaveOne(parts),
@@ -44,6 +45,6 @@
   ]);
 };
 
-export const splitAndKill: FaultAct = async (parts) => {
+export const splitAndKill: FaultStep = async (parts) => {
   await Promise.all([splitCore(parts), killRouter(parts)]);
 };
--- a/src/rehearsal/run/acts/node-acts.ts
+++ b/src/rehearsal/run/faults/node-faults.ts
@@ -1,7 +1,7 @@
 import { oneOf } from '../../../common/chance.js';
 import type { LaunchedNode } from '../../launcher/launched-node.js';
 import type { RehearsalParts } from '../rehearsal-parts.js';
-import type { FaultAct } from './fault-act.js';
+import type { FaultStep } from './fault-step.js';
 
 export const restarted = async (node: LaunchedNode, parts: RehearsalParts, spanUs: number): Promise<void> => {
   await node.kill();
@@ -16,48 +16,48 @@
 };
 
 const withRouter =
-  (act: (router: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultAct =>
+  (act: (router: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultStep =>
   async (parts) => {
     const router = oneOf(parts.chance, parts.routers);
     if (router !== undefined) await act(router, parts);
   };
 
 const withLeader =
-  (act: (leader: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultAct =>
+  (act: (leader: LaunchedNode, parts: RehearsalParts) => Promise<void>): FaultStep =>
   async (parts) => {
     const leader = await parts.leader();
     if (leader !== undefined) await act(leader, parts);
   };
 
-export const killRouter: FaultAct = withRouter((router, parts) => restarted(router, parts, 1_000_000));
+export const killRouter: FaultStep = withRouter((router, parts) => restarted(router, parts, 1_000_000));
 
-export const killHalf: FaultAct = async (parts) => {
+export const killHalf: FaultStep = async (parts) => {
   await Promise.all(
     parts.routers.filter((_, place) => place % 2 === 0).map((router) => restarted(router, parts, 1_500_000)),
   );
 };
 
-export const killAllRouters: FaultAct = async (parts) => {
+export const killAllRouters: FaultStep = async (parts) => {
   await Promise.all(parts.routers.map((router) => restarted(router, parts, 1_500_000)));
 };
 
 /** Every process of the fleet at once, core machines too. */
-export const killAll: FaultAct = async (parts) => {
+export const killAll: FaultStep = async (parts) => {
   await Promise.all([...parts.controls, ...parts.routers].map((node) => restarted(node, parts, 1_500_000)));
 };
 
-export const freezeRouter: FaultAct = withRouter((router, parts) => frozen(router, parts, 4_000_000));
+export const freezeRouter: FaultStep = withRouter((router, parts) => frozen(router, parts, 4_000_000));
 
-export const killLeader: FaultAct = withLeader((leader, parts) => restarted(leader, parts, 1_500_000));
+export const killLeader: FaultStep = withLeader((leader, parts) => restarted(leader, parts, 1_500_000));
 
-export const freezeLeader: FaultAct = withLeader((leader, parts) => frozen(leader, parts, 4_000_000));
+export const freezeLeader: FaultStep = withLeader((leader, parts) => frozen(leader, parts, 4_000_000));
 
-export const killLeaderAndRouter: FaultAct = async (parts) => {
+export const killLeaderAndRouter: FaultStep = async (parts) => {
   await Promise.all([killLeader(parts), killRouter(parts)]);
 };
 
 /** Restarts every router in turn, in order, as the platform does. */
-export const rollRouters: FaultAct = async (parts) => {
+export const rollRouters: FaultStep = async (parts) => {
   for (const router of parts.routers) {
     await router.terminate();
     router.start();
@@ -65,7 +65,7 @@
   }
 };
 
-export const rollControls: FaultAct = async (parts) => {
+export const rollControls: FaultStep = async (parts) => {
   for (const control of parts.controls) {
     await control.terminate();
     control.start();
--- a/src/rehearsal/run/acts/setup-acts.ts
+++ b/src/rehearsal/run/faults/setup-faults.ts
@@ -1,7 +1,7 @@
 import type { Setup } from '../../../setup/document/setup.js';
-import type { FaultAct } from './fault-act.js';
+import type { FaultStep } from './fault-step.js';
 
-export const changeSetup: FaultAct = async ({ put, setup }) => {
+export const changeSetup: FaultStep = async ({ put, setup }) => {
   await put({ ...setup, pressure: { ...setup.pressure, slots: setup.pressure.slots - 1 } });
 };
 
@@ -17,7 +17,7 @@
 });
 
 /** Operators at all machines at once, each on the newest revision; then a burst, a large one and a faulty one. */
-export const raceOperators: FaultAct = async ({ put, setup, controls, history }) => {
+export const raceOperators: FaultStep = async ({ put, setup, controls, history }) => {
   const newest = Math.max(0, ...history.puts.map((record) => record.revision ?? 0));
   await Promise.all(
     controls.map((control, place) =>
@@ -31,7 +31,7 @@
 };
 
 /** Large setups as fast as they are taken, and at last the usual one. */
-export const burstOfLarge: FaultAct = async ({ put, setup }) => {
+export const burstOfLarge: FaultStep = async ({ put, setup }) => {
   for (let place = 0; place < 12; place += 1) await put(large(setup, `large-${place}`));
   await put({ ...setup, name: 'after-large' });
 };
--- a/src/rehearsal/run/acts/traffic-acts.ts
+++ b/src/rehearsal/run/faults/traffic-faults.ts
@@ -1,8 +1,8 @@
 import { steadyNow } from '../../../common/micros.js';
 import { openTroubleNotes } from '../../history/trouble-notes.js';
-import type { FaultAct } from './fault-act.js';
+import type { FaultStep } from './fault-step.js';
 
-export const crowd: FaultAct = async ({ traffic, history, pause }) => {
+export const crowd: FaultStep = async ({ traffic, history, pause }) => {
   const { hit } = openTroubleNotes(history, steadyNow);
   hit('begins', 'callers', 'crowd');
   const end = traffic.crowd(0.7);
--- a/src/rehearsal/run/rehearsal-parts.ts
+++ b/src/rehearsal/run/rehearsal-parts.ts
@@ -7,7 +7,7 @@
 import type { LaunchedNode } from '../launcher/launched-node.js';
 import type { Platform } from '../stand-in/platform.js';
 import type { PutRecord } from '../history/setup-record.js';
-import type { StageHands } from './stage-hands.js';
+import type { ServerPool } from './server-pool.js';
 import type { Traffic } from './traffic.js';
 
 /** What the acts of a scenario work on. */
@@ -16,7 +16,7 @@
   readonly history: History;
   readonly chance: Chance;
   readonly platform: Platform;
-  readonly hands: StageHands;
+  readonly serverPool: ServerPool;
   readonly traffic: Traffic;
   readonly controls: readonly LaunchedNode[];
   readonly routers: readonly LaunchedNode[];
--- a/src/rehearsal/run/rehearse.ts
+++ b/src/rehearsal/run/rehearse.ts
@@ -32,7 +32,7 @@
 import { readNumbers } from '../stand-in/read-numbers.js';
 import type { RehearsalParts } from './rehearsal-parts.js';
 import type { Scenario } from './scenario.js';
-import { openStageHands } from './stage-hands.js';
+import { openServerPool } from './server-pool.js';
 import { openTraffic } from './traffic.js';
 
 /** How a rehearsal is to be run. */
@@ -124,7 +124,7 @@
       const routers = nodes.slice(3);
       const platform = openPlatform(nodes, history, chance);
       const callers = openCallers(history);
-      const hands = openStageHands(deployment, platform, history, usualFigures);
+      const serverPool = openServerPool(deployment, platform, history, usualFigures);
       const traffic = openTraffic(deployment, platform, callers, chance);
       const deskOf = (control: LaunchedNode | undefined) => httpDesk(() => control?.http ?? '');
       const operator = openOperator(
@@ -153,7 +153,7 @@
         history,
         chance,
         platform,
-        hands,
+        serverPool,
         traffic,
         controls,
         routers,
@@ -172,7 +172,7 @@
           node.wake();
           await node.kill();
         }
-        for (const server of hands.servers()) server.crash();
+        for (const server of serverPool.servers()) server.crash();
         relays.close();
         if (keepFolder) tell(`kept: ${folder}`);
         else rmSync(folder, { recursive: true, force: true });
@@ -186,8 +186,8 @@
           node.start();
         }
         platform.start();
-        await hands.open(deployment.models, 'model');
-        await hands.open(deployment.webs, 'web');
+        await serverPool.open(deployment.models, 'model');
+        await serverPool.open(deployment.webs, 'web');
         if (!(await until(() => controls.every((control) => platform.readyNodes().has(control.node)), hasDied)))
           return throwE(typedError('unreachable', `the core did not become ready in time${deathsOf(nodes)}`));
         const first = await put(setup, 0);
@@ -195,7 +195,9 @@
           return throwE(typedError('unreachable', `the first setup was not taken but ${first.outcome}`));
         if (!(await until(() => platform.readyRouters().length === routers.length, hasDied)))
           return throwE(typedError('unreachable', `not all routers became ready in time${deathsOf(nodes)}`));
-        tell(`ready: ${controls.length} core machines, ${routers.length} routers, ${hands.servers().length} servers`);
+        tell(
+          `ready: ${controls.length} core machines, ${routers.length} routers, ${serverPool.servers().length} servers`,
+        );
 
         const startedUs = steadyNow();
         traffic.start();
@@ -225,7 +227,9 @@
           ],
           serviceOf: termsOf(setup, scenario.plannedOnly, 0).serviceOf,
           folder,
-          servers: hands.servers().map((server) => ({ id: server.listed.id, coldPrefills: server.coldPrefills() })),
+          servers: serverPool
+            .servers()
+            .map((server) => ({ id: server.listed.id, coldPrefills: server.coldPrefills() })),
         };
       } finally {
         await endAll();
--- a/src/rehearsal/run/scenario.ts
+++ b/src/rehearsal/run/scenario.ts
@@ -4,7 +4,7 @@
 import type { RehearsalParts } from './rehearsal-parts.js';
 
 /** Something done to the system at a share of the running time. */
-export type ScenarioAct = {
+export type ScenarioStep = {
   readonly atShare: number;
   readonly name: string;
   readonly act: (parts: RehearsalParts) => Promise<void>;
@@ -21,7 +21,7 @@
   readonly troubleEndsShare: number;
   readonly size: (deployment: Deployment) => Deployment;
   readonly setup: (setup: Setup) => Setup;
-  readonly acts: readonly ScenarioAct[];
+  readonly acts: readonly ScenarioStep[];
   /** Acts that are drawn anew for each seed, beside the others. */
-  readonly draw?: (chance: Chance) => readonly ScenarioAct[];
+  readonly draw?: (chance: Chance) => readonly ScenarioStep[];
 };
--- a/src/rehearsal/run/scenarios.ts
+++ b/src/rehearsal/run/scenarios.ts
@@ -2,15 +2,15 @@
 import type { Setup } from '../../setup/document/setup.js';
 import type { KindTraffic } from '../deployment/kind-traffic.js';
 import type { Deployment } from '../deployment/deployment.js';
-import * as core from './acts/core-acts.js';
-import type { FaultAct } from './acts/fault-act.js';
-import * as links from './acts/link-acts.js';
-import * as localities from './acts/locality-acts.js';
-import * as nodes from './acts/node-acts.js';
-import * as servers from './acts/server-acts.js';
-import * as setups from './acts/setup-acts.js';
-import * as traffic from './acts/traffic-acts.js';
-import type { Scenario, ScenarioAct } from './scenario.js';
+import * as core from './faults/core-faults.js';
+import type { FaultStep } from './faults/fault-step.js';
+import * as links from './faults/link-faults.js';
+import * as localities from './faults/locality-faults.js';
+import * as nodes from './faults/node-faults.js';
+import * as servers from './faults/server-faults.js';
+import * as setups from './faults/setup-faults.js';
+import * as traffic from './faults/traffic-faults.js';
+import type { Scenario, ScenarioStep } from './scenario.js';
 import { drawSoak } from './soak.js';
 
 const second = 1_000_000;
@@ -38,8 +38,8 @@
   })),
 });
 
-const joinThree: ScenarioAct['act'] = async ({ hands, history }) => {
-  for (const joiner of await hands.open(3, 'model'))
+const joinThree: ScenarioStep['act'] = async ({ serverPool, history }) => {
+  for (const joiner of await serverPool.open(3, 'model'))
     history.joins.push({ server: joiner.listed.id, atUs: steadyNow() });
 };
 
@@ -86,7 +86,7 @@
 });
 
 /** Four faults one after another in the first part of the time, and then time to come back. */
-const faulty = (name: string, about: string, faults: readonly (readonly [string, FaultAct])[]): Scenario => ({
+const faulty = (name: string, about: string, faults: readonly (readonly [string, FaultStep])[]): Scenario => ({
   name,
   about,
   seconds: 75,
--- a/src/rehearsal/run/stage-hands.ts
+++ b/src/rehearsal/run/server-pool.ts
@@ -7,7 +7,7 @@
 import type { StandInServer } from '../stand-in/stand-in-server.js';
 
 /** Starts and ends back ends, and shows the platform's list accordingly. */
-export type StageHands = {
+export type ServerPool = {
   readonly servers: () => readonly StandInServer[];
   readonly open: (count: number, type: 'model' | 'web') => Promise<readonly StandInServer[]>;
   readonly leave: (id: string) => void;
@@ -20,12 +20,12 @@
 
 const localities = ['a', 'b', 'c'] as const;
 
-export const openStageHands = (
+export const openServerPool = (
   deployment: Deployment,
   platform: Platform,
   history: History,
   figures: ServerFigures,
-): StageHands => {
+): ServerPool => {
   const running = new Map<string, StandInServer>();
   let count = 0;
 
--- a/src/rehearsal/run/soak.ts
+++ b/src/rehearsal/run/soak.ts
@@ -1,15 +1,15 @@
 import { oneOf, type Chance } from '../../common/chance.js';
-import * as core from './acts/core-acts.js';
-import type { FaultAct } from './acts/fault-act.js';
-import * as links from './acts/link-acts.js';
-import * as localities from './acts/locality-acts.js';
-import * as nodes from './acts/node-acts.js';
-import * as servers from './acts/server-acts.js';
-import * as setups from './acts/setup-acts.js';
-import * as traffic from './acts/traffic-acts.js';
-import type { ScenarioAct } from './scenario.js';
+import * as core from './faults/core-faults.js';
+import type { FaultStep } from './faults/fault-step.js';
+import * as links from './faults/link-faults.js';
+import * as localities from './faults/locality-faults.js';
+import * as nodes from './faults/node-faults.js';
+import * as servers from './faults/server-faults.js';
+import * as setups from './faults/setup-faults.js';
+import * as traffic from './faults/traffic-faults.js';
+import type { ScenarioStep } from './scenario.js';
 
-type Trouble = readonly [name: string, act: FaultAct];
+type Trouble = readonly [name: string, act: FaultStep];
 
 /** Troubles of one kind; two of the same kind do not begin together. */
 const kinds: readonly (readonly Trouble[])[] = [
@@ -70,8 +70,8 @@
 
 const withoutOne = <T>(items: readonly T[], taken: T): readonly T[] => items.filter((item) => item !== taken);
 
-const drawRound = (chance: Chance, atShare: number): readonly ScenarioAct[] => {
-  const acts: ScenarioAct[] = [];
+const drawRound = (chance: Chance, atShare: number): readonly ScenarioStep[] => {
+  const acts: ScenarioStep[] = [];
   let left = kinds;
   const count = chance() < 0.5 ? 2 : 3;
   while (acts.length < count) {
@@ -86,7 +86,7 @@
 };
 
 /** Draws the troubles of a soak: two or three at a time overlap, in three rounds, and at most one disk is lost. */
-export const drawSoak = (chance: Chance): readonly ScenarioAct[] => {
+export const drawSoak = (chance: Chance): readonly ScenarioStep[] => {
   const acts = rounds.flatMap((atShare) => drawRound(chance, atShare));
   const loss = chance() < diskLossShare ? oneOf(chance, diskLosses) : undefined;
   if (loss === undefined) return acts;
--- a/src/rehearsal/stand-in/open-server.ts
+++ b/src/rehearsal/stand-in/open-server.ts
@@ -11,7 +11,7 @@
 import type { OutageType } from '../history/outage-type.js';
 import type { RunRecord } from '../history/run-record.js';
 import { readExchange, type ServerExchange } from './read-exchange.js';
-import type { ServerMood } from './server-mood.js';
+import type { ServerFaultMode } from './server-fault-mode.js';
 import type { StandInServer } from './stand-in-server.js';
 import { pieceText, readWorkText } from './work-text.js';
 
@@ -50,7 +50,7 @@
   let prefills = 0;
   let waitingPrefills: (() => void)[] = [];
   let light: Promise<void> = Promise.resolve();
-  let mood: ServerMood = 'well';
+  let faultMode: ServerFaultMode = 'well';
   const tell = (type: 'begins' | 'ends', what: OutageType): void =>
     openTroubleNotes(history, steadyNow).hit(type, listed.id, what);
 
@@ -99,9 +99,9 @@
     response.writeHead(200, { 'content-type': 'application/x-ndjson' });
     for (let piece = exchange.fromPiece; piece < pieces && !response.destroyed; piece += 1) {
       await light;
-      while (mood === 'stuck' && !response.destroyed) await pause(figures.pieceUs);
+      while (faultMode === 'stuck' && !response.destroyed) await pause(figures.pieceUs);
       response.write(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
-      await pause(mood === 'slow' ? figures.pieceUs * 20 : figures.pieceUs);
+      await pause(faultMode === 'slow' ? figures.pieceUs * 20 : figures.pieceUs);
     }
     response.end(`${JSON.stringify({ end: true, pieces })}\n`);
   };
@@ -118,7 +118,7 @@
       return;
     }
     history.tries.push({ service: listed.service, call: readWorkText(exchange.text).call, atUs: steadyNow() });
-    if (mood === 'erring') {
+    if (faultMode === 'erring') {
       reply(response, 503, { error: 'erring' });
       return;
     }
@@ -155,9 +155,9 @@
       server.close();
       server.closeAllConnections();
     },
-    become: (newMood) => {
-      mood = newMood;
-      tell(newMood === 'well' ? 'ends' : 'begins', 'grey');
+    become: (newMode) => {
+      faultMode = newMode;
+      tell(newMode === 'well' ? 'ends' : 'begins', 'grey');
     },
     goDark: () => {
       let wake: () => void = () => undefined;
--- a/src/rehearsal/stand-in/stand-in-server.ts
+++ b/src/rehearsal/stand-in/stand-in-server.ts
@@ -1,4 +1,4 @@
-import type { ServerMood } from './server-mood.js';
+import type { ServerFaultMode } from './server-fault-mode.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 
 /** A back end of the rehearsal. */
@@ -10,5 +10,5 @@
   /** Stops answering but keeps its links, until the returned call. */
   readonly goDark: () => () => void;
   /** Changes how it treats orders from now on; probes are answered all the same. */
-  readonly become: (mood: ServerMood) => void;
+  readonly become: (faultMode: ServerFaultMode) => void;
 };
--- a/src/router/delivery/deliver.ts
+++ b/src/router/delivery/deliver.ts
@@ -2,7 +2,7 @@
 import type { DeliveryError } from '../../decision/machine/event/delivery-error.js';
 import type { ServerLink } from '../../servers/link/server-link.js';
 import type { Continuation } from '../exchange/continuation.js';
-import type { DeliveryEars } from './delivery-ears.js';
+import type { DeliveryListener } from './delivery-listener.js';
 import type { DeliveryEnd } from './delivery-end.js';
 import { parseStreamLine } from './piece.js';
 
@@ -35,7 +35,7 @@
 const readStream = async (
   continuation: Continuation,
   body: AsyncIterator<string>,
-  ears: DeliveryEars,
+  listener: DeliveryListener,
 ): Promise<DeliveryEnd> => {
   const lines = linesOf(body);
   for (let next = await lines.next(); next.done !== true; next = await lines.next()) {
@@ -51,18 +51,18 @@
           );
     if (streamLine.piece !== continuation.stream.pieces)
       return failed('bad-stream', `piece ${continuation.stream.pieces} was due, ${streamLine.piece} came`);
-    if (!(await ears.piece(`${line}\n`))) return { type: 'gone' };
+    if (!(await listener.piece(`${line}\n`))) return { type: 'gone' };
   }
   return failed('link-lost', 'the stream broke off before its end');
 };
 
-const readReceipt = async (body: AsyncIterator<string>, ears: DeliveryEars): Promise<DeliveryEnd> => {
+const readReceipt = async (body: AsyncIterator<string>, listener: DeliveryListener): Promise<DeliveryEnd> => {
   let text = '';
   for (let next = await body.next(); next.done !== true; next = await body.next()) {
     text += next.value;
     if (text.length > mostReceiptBytes) return failed('bad-stream', 'the answer is too large');
   }
-  ears.receipt(text);
+  listener.receipt(text);
   return { type: 'done', rest: Promise.resolve(true) };
 };
 
@@ -72,7 +72,7 @@
   link: ServerLink,
   fromPiece: number,
   signal: AbortSignal,
-  ears: DeliveryEars,
+  listener: DeliveryListener,
 ): Promise<DeliveryEnd> => {
   try {
     const { status, body } = await link.deliver(
@@ -90,7 +90,7 @@
       link.close();
       return failed(status === 503 || status === 429 ? 'turned-away' : 'server-error', `status ${status}`);
     }
-    const end = await (continuation.isModel ? readStream(continuation, body, ears) : readReceipt(body, ears));
+    const end = await (continuation.isModel ? readStream(continuation, body, listener) : readReceipt(body, listener));
     if (end.type !== 'done') link.close();
     return end;
   } catch (thrown) {
--- a/src/router/delivery/delivery-ears.ts
+++ b/src/router/delivery/delivery-listener.ts
@@ -1,5 +1,5 @@
 /** What a try tells while it runs. */
-export type DeliveryEars = {
+export type DeliveryListener = {
   readonly piece: (line: string) => Promise<boolean>;
   readonly receipt: (text: string) => void;
 };
--- a/src/sim/fleet/sim-server.ts
+++ b/src/sim/fleet/sim-server.ts
@@ -3,19 +3,19 @@
 import { openTroubleNotes } from '../../rehearsal/history/trouble-notes.js';
 import type { OutageType } from '../../rehearsal/history/outage-type.js';
 import type { History } from '../../rehearsal/history/history.js';
-import type { ServerMood } from '../../rehearsal/stand-in/server-mood.js';
+import type { ServerFaultMode } from '../../rehearsal/stand-in/server-fault-mode.js';
 import { pieceText, readWorkText } from '../../rehearsal/stand-in/work-text.js';
 import type { ServerOrder } from '../../servers/link/server-order.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import type { World } from '../world/world.js';
-import type { SimServerEars } from './sim-server-ears.js';
+import type { SimServerListener } from './sim-server-listener.js';
 
 /** A back end in the virtual world. */
 export type SimServer = {
   readonly listed: ListedServer;
   readonly isUp: () => boolean;
   readonly isDark: () => boolean;
-  readonly run: (order: ServerOrder, ears: SimServerEars) => void;
+  readonly run: (order: ServerOrder, listener: SimServerListener) => void;
   /** Does something as soon as the server is not dark. */
   readonly whenLight: (act: () => void) => void;
   /** Notes a link; it is told when the server crashes. */
@@ -24,7 +24,7 @@
   readonly crash: () => void;
   readonly goDark: (span: Micros) => void;
   /** Changes how it treats orders from now on; probes are answered all the same. */
-  readonly become: (mood: ServerMood) => void;
+  readonly become: (faultMode: ServerFaultMode) => void;
 };
 
 const coldPrefillUs = 250_000;
@@ -40,30 +40,30 @@
   let isUp = true;
   let darkUntilUs = 0;
   let prefills = 0;
-  let mood: ServerMood = 'well';
+  let faultMode: ServerFaultMode = 'well';
   const whenLight = (act: () => void): void => {
     if (!isUp) return;
     if (world.now() < darkUntilUs) world.after(darkUntilUs - world.now(), () => whenLight(act));
     else act();
   };
-  const spanOf = (span: Micros): Micros => (mood === 'slow' ? span * 20 : span) * (0.5 + world.chance());
+  const spanOf = (span: Micros): Micros => (faultMode === 'slow' ? span * 20 : span) * (0.5 + world.chance());
 
-  const stream = (work: string, pieces: number, fromPiece: number, ears: SimServerEars): void => {
+  const stream = (work: string, pieces: number, fromPiece: number, listener: SimServerListener): void => {
     const sendFrom = (piece: number): void =>
       whenLight(() => {
         if (piece >= pieces) {
-          ears.chunk(`${JSON.stringify({ end: true, pieces })}\n`);
-          ears.end();
+          listener.chunk(`${JSON.stringify({ end: true, pieces })}\n`);
+          listener.end();
           return;
         }
-        if (mood === 'stuck') {
+        if (faultMode === 'stuck') {
           world.after(pieceUs, () => sendFrom(piece));
           return;
         }
-        ears.chunk(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
+        listener.chunk(`${JSON.stringify({ piece, text: pieceText(work, piece) })}\n`);
         world.after(spanOf(pieceUs), () => sendFrom(piece + 1));
       });
-    ears.head(200);
+    listener.head(200);
     sendFrom(fromPiece);
   };
 
@@ -88,18 +88,18 @@
         if (world.now() >= darkUntilUs) note('ends', 'dark');
       });
     },
-    become: (newMood) => {
-      mood = newMood;
-      note(newMood === 'well' ? 'ends' : 'begins', 'grey');
+    become: (newMode) => {
+      faultMode = newMode;
+      note(newMode === 'well' ? 'ends' : 'begins', 'grey');
     },
-    run: (order, ears) => {
+    run: (order, listener) => {
       const reachedUs = world.now();
       const { work, call, pieces } = readWorkText(order.text);
       history.tries.push({ service: listed.service, call, atUs: reachedUs });
       whenLight(() => {
-        if (mood === 'erring') {
-          ears.head(world.chance() < 0.5 ? 503 : 500);
-          ears.end();
+        if (faultMode === 'erring') {
+          listener.head(world.chance() < 0.5 ? 503 : 500);
+          listener.end();
           return;
         }
         const opening = prefixOf(listed.service, order.opening);
@@ -119,9 +119,9 @@
         if (!isModel) {
           world.after(spanOf(warmPrefillUs), () =>
             whenLight(() => {
-              ears.head(200);
-              ears.chunk(JSON.stringify({ status: 'well', work }));
-              ears.end();
+              listener.head(200);
+              listener.chunk(JSON.stringify({ status: 'well', work }));
+              listener.end();
             }),
           );
           return;
@@ -132,7 +132,7 @@
         world.after(spanOf(cold ? coldPrefillUs * Math.min(4, prefills) : warmPrefillUs), () => {
           prefills -= 1;
           rememberedOpenings.add(opening);
-          whenLight(() => stream(work, pieces, order.fromPiece, ears));
+          whenLight(() => stream(work, pieces, order.fromPiece, listener));
         });
       });
     },
--- a/src/sim/world/network.ts
+++ b/src/sim/world/network.ts
@@ -1,5 +1,5 @@
 import type { Micros } from '../../common/micros.js';
-import type { CutEars } from '../../rehearsal/history/cut-ears.js';
+import type { CutListener } from '../../rehearsal/history/cut-listener.js';
 import type { World } from './world.js';
 
 /** How often messages between nodes are delivered late or a second time, as shares from 0 to 1. */
@@ -30,7 +30,7 @@
   /** From now on delivers a share of the messages between nodes late, or twice; healing does not end it. */
   readonly redeliver: (redelivery: Redelivery) => void;
   /** Lets cuts and healings be written down. */
-  readonly watch: (ears: CutEars) => void;
+  readonly watch: (listener: CutListener) => void;
 };
 
 const leastDelayUs = 200;
@@ -44,7 +44,7 @@
   let lossShare = 0;
   let delayFactor = 1;
   let redelivery = noRedelivery;
-  let ears: CutEars | undefined;
+  let listener: CutListener | undefined;
 
   /** Draws nothing where the share is nought, so that seeds of other scenarios play as before. */
   const isDrawn = (share: number): boolean => share > 0 && world.chance() < share;
@@ -70,11 +70,11 @@
     isCut: (from, to) => cuts.has(`${from}>${to}`),
     cut: (from, to) => {
       cuts.add(`${from}>${to}`);
-      ears?.cut(from, to);
+      listener?.cut(from, to);
     },
     heal: () => {
       cuts.clear();
-      ears?.heal();
+      listener?.heal();
       lossShare = 0;
       delayFactor = 1;
     },
@@ -87,8 +87,8 @@
     redeliver: (newRedelivery) => {
       redelivery = newRedelivery;
     },
-    watch: (newEars) => {
-      ears = newEars;
+    watch: (newListener) => {
+      listener = newListener;
     },
   };
 };
--- a/tests/platform/soak/soak-document.ts
+++ b/tests/platform/soak/soak-document.ts
@@ -1,27 +1,15 @@
+import { places as allPlaces, streamRoute } from '../stand-in/documents.js';
+
 /** The places that clients use all through a soak; every document has them. */
 export const places = {
-  resumed: { host: 'archive.example', prefix: '/envelope/' },
-  stream: { host: 'archive.example', prefix: '/nightlog/' },
-  idem: { host: 'archive.example', prefix: '/thumb/' },
-  once: { host: 'archive.example', prefix: '/record/' },
+  resumed: allPlaces.resumed,
+  stream: allPlaces.stream,
+  idem: allPlaces.idem,
+  once: allPlaces.once,
 } as const;
 
 const engine = { cap: 64, kv_cap: 489_039, llms: [{ name: 'm' }] };
 
-const streamRoute = (name: 'resumed' | 'stream', prio: number, tries: number) => ({
-  name,
-  ...places[name],
-  kind: 'stream',
-  timeout_ms: 12_000,
-  target_ms: 1_000,
-  prio,
-  svc: 'readers',
-  tries,
-  pin: true,
-  resume: name === 'resumed',
-  gap_target_ms: 500,
-});
-
 const plainRoute = (name: string, host: string, prefix: string, kind: 'idem' | 'once', svc: string) => ({
   name,
   host,
--- a/tests/platform/stand-in/documents.ts
+++ b/tests/platform/stand-in/documents.ts
@@ -9,7 +9,8 @@
 
 const engine = { cap: 64, kv_cap: 489_039, kv_tok_bytes: 18_432, net_mbps: 180_000, pace: 7, llms: [{ name: 'm' }] };
 
-const streamRoute = (name: 'resumed' | 'stream', prio: number, tries: number) => ({
+/** A stream of the readers, which may be resumed or not. */
+export const streamRoute = (name: 'resumed' | 'stream', prio: number, tries: number) => ({
   name,
   ...places[name],
   kind: 'stream',
--- a/tests/platform/stand-in/work-desk.ts
+++ b/tests/platform/stand-in/work-desk.ts
@@ -15,7 +15,7 @@
 import { drive } from './drive.js';
 
 /** What becomes of work that a server took on. */
-export type WorkEars = {
+export type WorkListener = {
   readonly turnedAway: () => void;
   readonly began: (version: number) => void;
   readonly piece: (piece: number, version: number) => void;
@@ -25,7 +25,7 @@
 
 /** The work of a server, played by its emulator. */
 export type WorkDesk = {
-  readonly take: (order: Omit<EngineOrder, 'dueUs'> & { readonly budgetUs: number }, ears: WorkEars) => void;
+  readonly take: (order: Omit<EngineOrder, 'dueUs'> & { readonly budgetUs: number }, listener: WorkListener) => void;
   readonly cancel: (name: string) => void;
   readonly setWeights: (version: number) => void;
   readonly active: () => number;
@@ -33,7 +33,7 @@
 };
 
 export const openEngineDesk = (figures: EngineFigures): WorkDesk => {
-  const ears = new Map<string, WorkEars>();
+  const listeners = new Map<string, WorkListener>();
   let view = startEngineView(figures);
   const driven = drive<EngineEvent, EngineEffect>(
     (event) => {
@@ -43,22 +43,22 @@
     },
     (at) => ({ type: 'time', at }),
     (effect) => {
-      const heard = ears.get(effect.name);
+      const heard = listeners.get(effect.name);
       if (effect.type === 'began') heard?.began(effect.version);
       else if (effect.type === 'piece') heard?.piece(effect.piece, effect.version);
       else if (effect.type !== 'putBack') {
-        ears.delete(effect.name);
+        listeners.delete(effect.name);
         heard?.[effect.type]();
       }
     },
   );
   return {
     take: ({ budgetUs, ...order }, told) => {
-      ears.set(order.name, told);
+      listeners.set(order.name, told);
       driven.take((at) => ({ type: 'order', at, order: { ...order, dueUs: at + budgetUs } }));
     },
     cancel: (name) => {
-      if (ears.delete(name)) driven.take((at) => ({ type: 'cancel', at, name }));
+      if (listeners.delete(name)) driven.take((at) => ({ type: 'cancel', at, name }));
     },
     setWeights: (version) => driven.take((at) => ({ type: 'weights', at, version })),
     active: () => view.batch.length,
@@ -67,7 +67,7 @@
 };
 
 export const openWebDesk = (figures: WebFigures, workUs: number): WorkDesk => {
-  const ears = new Map<string, WorkEars>();
+  const listeners = new Map<string, WorkListener>();
   let view = startWebView(figures);
   const driven = drive<WebEvent, WebEffect>(
     (event) => {
@@ -77,21 +77,21 @@
     },
     (at) => ({ type: 'time', at }),
     (effect) => {
-      const heard = ears.get(effect.name);
+      const heard = listeners.get(effect.name);
       if (effect.type === 'began') heard?.began(0);
       else {
-        ears.delete(effect.name);
+        listeners.delete(effect.name);
         heard?.[effect.type]();
       }
     },
   );
   return {
     take: ({ name, budgetUs }, told) => {
-      ears.set(name, told);
+      listeners.set(name, told);
       driven.take((at) => ({ type: 'order', at, order: { name, workUs, dueUs: at + budgetUs } }));
     },
     cancel: (name) => {
-      if (ears.delete(name)) driven.take((at) => ({ type: 'cancel', at, name }));
+      if (listeners.delete(name)) driven.take((at) => ({ type: 'cancel', at, name }));
     },
     setWeights: () => undefined,
     active: () => view.running.length,
