--- a/tests/platform/soak/judge-soak.ts
+++ b/tests/platform/soak/judge-soak.ts
@@ -71,6 +71,12 @@
     : [`RECOVER ${served} of ${after.length} were served after all was whole again`];
 };
 
+/** Every process was started again after each of its ends; one that does not run has ended by itself. */
+const endedFaults = ({ fleet }: SoakWorld): readonly string[] =>
+  [...fleet.controls, ...fleet.routers].flatMap(({ launched }) =>
+    launched.isRunning() ? [] : [`ENDED ${launched.node} ended by itself`],
+  );
+
 /** What a soak was, for its judge. */
 export type PlayedSoak = {
   readonly world: SoakWorld;
@@ -87,4 +93,5 @@
   ...deniedFaults(world),
   ...(forgot ? [] : leaveFaults(world)),
   ...recoverFaults(world, wholeUs),
+  ...endedFaults(world),
 ];
