Let the soak tell how unserved requests ended

Change: the most frequent ends of unserved requests are printed, a server's own break told apart from what the fleet said.

--- a/tests/platform/soak/main.ts
+++ b/tests/platform/soak/main.ts
@@ -21,8 +21,13 @@
 
 let broken = 0;
 for (const seed of rangeOf(flags.seeds)) {
-  const { requests, served, faults, logs } = await playSoak({ seed, rounds: Number(flags.rounds), tell: print });
+  const { requests, served, unserved, faults, logs } = await playSoak({
+    seed,
+    rounds: Number(flags.rounds),
+    tell: print,
+  });
   print(`seed ${seed}: ${served} of ${requests} served, ${faults.length} faults`);
+  for (const line of unserved.slice(0, 6)) print(`  not served: ${line}`);
   for (const fault of faults.slice(0, 20)) print(`  ${fault}`);
   if (faults.length === 0) continue;
   broken += 1;
