--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -137,5 +137,9 @@
       seeds = newSeeds;
     },
     isRunning,
+    endedBy: () => {
+      if (child === undefined || isRunning()) return undefined;
+      return child.signalCode ?? `exit code ${child.exitCode}`;
+    },
   };
 };
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -31,4 +31,6 @@
   /** Gives the next life other seeds. */
   readonly reseed: (seeds: readonly string[]) => void;
   readonly isRunning: () => boolean;
+  /** The signal or the exit code that its last life ended with; none while it runs. */
+  readonly endedBy: () => string | undefined;
 };
--- a/tests/platform/soak/judge-soak.ts
+++ b/tests/platform/soak/judge-soak.ts
@@ -74,7 +74,7 @@
 /** Every process was started again after each of its ends; one that does not run has ended by itself. */
 const endedFaults = ({ fleet }: SoakWorld): readonly string[] =>
   [...fleet.controls, ...fleet.routers].flatMap(({ launched }) =>
-    launched.isRunning() ? [] : [`ENDED ${launched.node} ended by itself`],
+    launched.isRunning() ? [] : [`ENDED ${launched.node} by ${launched.endedBy() ?? 'nothing known'}`],
   );
 
 /** What a soak was, for its judge. */
