--- a/src/router/promises/promise-checks.ts
+++ b/src/router/promises/promise-checks.ts
@@ -19,6 +19,7 @@
 /** What a log line of a broken promise is called. */
 export const brokenPromise = 'promise broken';
 
+/** Opens the checks of one process on its counters and its log. */
 export const openPromiseChecks = ({ count, log }: Parts): PromiseChecks => {
   const logged = new Map<PromiseName, number>();
   return {
--- a/src/router/promises/try-checks.ts
+++ b/src/router/promises/try-checks.ts
@@ -27,6 +27,7 @@
 /** An exchange may be without a last word for so long after its budget. */
 export const mostOverdueUs: Micros = 500_000;
 
+/** Opens the looks at tries, configurations and waiting exchanges; each exchange is found overdue once. */
 export const openTryChecks = (checks: PromiseChecks): TryChecks => {
   const overdue = new WeakSet<Continuation['watch']>();
   return {
