Know tenants by their API keys: 401 without one, the tenant's name to servers, never the key

Cause: the configuration had no tenants.

Ruled out: keys kept as digests (the operator's own text is kept and read back as it was sent, keys included, so a digest beside it hides nothing); a look at the key on every hop (a router alone decides, by one look-up).

Change: `tenants` in the configuration (name, keys, tier, quota), as JSON, as objects of kind Tenant and in the platform's document; `public` routes; faults by path that never quote a key. Admission authenticates before anything is held or counted. The tenant's tier goes before the route's. A request that waited is judged again when it is sent: a key that was revoked meanwhile ends it with 401, unsent.

--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -3,6 +3,7 @@
   | 'bad-exchange'
   | 'unknown-kind'
   | 'unknown-place'
+  | 'unknown-key'
   | 'oversized-body'
   | 'state-full'
   | 'not-ready'
--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -26,6 +26,8 @@
       readonly budgetUs?: Micros;
       /** The service that its rule has drawn for it, where the rule is split. */
       readonly service?: string;
+      /** The tier of its tenant, where that takes the place of its rule's. */
+      readonly tier?: string;
       readonly work?: Work;
       /** What its place on the ring follows from, where that is not its whole opening. */
       readonly anchor?: string;
--- a/src/decision/machine/step/on-exchange.ts
+++ b/src/decision/machine/step/on-exchange.ts
@@ -1,4 +1,6 @@
 import { ruleIndexOf } from '../../../setup/match/rule-index.js';
+import type { Rule } from '../../../setup/document/rule.js';
+import type { Setup } from '../../../setup/document/setup.js';
 import type { ErrorType } from '../../../common/error-type.js';
 import { heated } from '../../hotness/hotness.js';
 import { positionOf } from '../../ring/position.js';
@@ -14,14 +16,19 @@
 const refused = (view: DecisionView, event: Arrival, error: ErrorType): DecisionStep =>
   stepped(view, { type: 'refuse', exchange: event.exchange, error, retryAfterUs });
 
+/** The rule of an arrival, with the service that was drawn for it and the tier of its tenant. */
+const ruleOf = (setup: Setup, { kind, service, tier }: Arrival): Rule | undefined => {
+  const rule = ruleIndexOf(setup).byKind.get(kind);
+  if (rule === undefined || (service === undefined && tier === undefined)) return rule;
+  return { ...rule, service: service ?? rule.service, tier: tier ?? rule.tier };
+};
+
 /** Admission by tier, and the first choice of a server. */
 export const onExchange = (view: DecisionView, event: Arrival): DecisionStep => {
   if (view.draining) return refused(view, event, 'draining');
   const setup = view.record?.setup;
   if (setup === undefined || view.list === undefined) return refused(view, event, 'not-ready');
-  const namedRule = ruleIndexOf(setup).byKind.get(event.kind);
-  const rule =
-    namedRule === undefined || event.service === undefined ? namedRule : { ...namedRule, service: event.service };
+  const rule = ruleOf(setup, event);
   if (rule === undefined) return refused(view, event, 'unknown-kind');
   const tierPlace = setup.tiers.findIndex((tier) => tier.name === rule.tier);
   const tier = setup.tiers[tierPlace];
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -17,6 +17,7 @@
   'too-slow',
   'silent',
   'bad-stream',
+  'key-revoked',
 ] as const;
 
 /** The checked form of each event, by its type. */
@@ -35,6 +36,7 @@
     prefix: name(),
     budgetUs: number().integer().min(1),
     service: string().min(1).max(256),
+    tier: string().min(1).max(256),
     anchor: string().min(1).max(256),
     work: object({
       levels: array(object({ prefix: name(), tokens: at() }).noUnknown().required()).required(),
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -3,6 +3,7 @@
 import type { ErrorType } from '../../common/error-type.js';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
+import { accessOf, type Access } from '../../router/access/access.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
 import { openingNameOf } from '../../decision/work/work-of.js';
 import { ruleAt } from '../../setup/match/rule-index.js';
@@ -11,6 +12,7 @@
 import { claimBudgetOf } from '../../router/exchange/claim-budget.js';
 import { exchangeBodySchema } from '../../router/exchange/exchange-body.js';
 import type { Rule } from '../../setup/document/rule.js';
+import type { Setup } from '../../setup/document/setup.js';
 import type { CoreClient } from '../core-client.js';
 import type { Counters } from '../counters.js';
 import type { SpreadTask } from '../spread-task.js';
@@ -24,7 +26,12 @@
   readonly underWay: () => number;
   /** Takes an exchange whose text passes unread; its rule is found by host and path. */
   readonly arriveOpaque: (exchange: OpaqueExchange, caller: CallerLink) => Promise<void>;
-  readonly arrive: (sent: Either<TypedError, unknown>, givenKey: unknown, caller: CallerLink) => Promise<void>;
+  readonly arrive: (
+    sent: Either<TypedError, unknown>,
+    givenKey: unknown,
+    caller: CallerLink,
+    apiKey?: string,
+  ) => Promise<void>;
 };
 
 export type AdmissionParts = {
@@ -49,6 +56,19 @@
     caller.refuse(error, exchange, retryAfterUs);
   };
 
+  /** Whom a request comes from; one without a key that it needs is refused at once, before anything is counted or held. */
+  const authenticated = (
+    setup: Setup,
+    rule: Rule,
+    apiKey: string | undefined,
+    caller: CallerLink,
+  ): Exclude<Access, { readonly type: 'denied' }> | undefined => {
+    const access = accessOf(setup, rule, apiKey);
+    if (access.type !== 'denied') return access;
+    refuse(caller, typedError('unknown-key', 'the request carries no key of a tenant'));
+    return undefined;
+  };
+
   /** Claims a key of a run-once kind on the core before anything is delivered; the exchange that won it, if it did. */
   const claimed = async (rule: Rule, givenKey: string, caller: CallerLink): Promise<string | undefined> => {
     const exchange = router.nextExchange();
@@ -82,7 +102,7 @@
   };
 
   let underWay = 0;
-  const admit: Admission['arrive'] = async (sent, givenKey, caller) => {
+  const admit: Admission['arrive'] = async (sent, givenKey, caller, apiKey) => {
     const parsed = sent.chain((value) =>
       checked(exchangeBodySchema, value).mapLeft((faults) =>
         typedError('bad-exchange', 'the exchange does not hold', faults),
@@ -109,8 +129,10 @@
       refuse(caller, typedError('unknown-kind', `no rule is for kind ${body.kind}`));
       return;
     }
+    const access = authenticated(setup, rule, apiKey, caller);
+    if (access === undefined) return;
     if (rule.repeatable || givenKey === undefined) {
-      router.accept({ rule, body, caller, claimed: undefined });
+      router.accept({ rule, body, caller, apiKey, access, claimed: undefined });
       return;
     }
     if (router.inFlight() >= setup.pressure.slots) {
@@ -119,7 +141,14 @@
     }
     const exchange = await claimed(rule, givenKey, caller);
     if (exchange !== undefined)
-      router.accept({ rule, body, caller, claimed: { key: claimKeyOf(rule, givenKey), exchange } });
+      router.accept({
+        rule,
+        body,
+        caller,
+        apiKey,
+        access,
+        claimed: { key: claimKeyOf(rule, givenKey), exchange },
+      });
   };
 
   const admitOpaque: Admission['arriveOpaque'] = async (exchange, caller) => {
@@ -131,10 +160,12 @@
     }
     const setup = router.view().record?.setup;
     const rule = setup === undefined ? undefined : ruleAt(setup, exchange.host, exchange.path);
-    if (rule === undefined) {
+    if (setup === undefined || rule === undefined) {
       refuse(caller, typedError('unknown-place', 'no rule is for this host and path'));
       return;
     }
+    const access = authenticated(setup, rule, exchange.apiKey, caller);
+    if (access === undefined) return;
     router.accept({
       rule,
       body: {
@@ -144,6 +175,9 @@
       },
       opaque: exchange,
       caller,
+      apiKey: exchange.apiKey,
+      access,
+
       claimed: undefined,
     });
   };
@@ -156,9 +190,9 @@
       });
     },
     underWay: () => underWay,
-    arrive: async (sent, givenKey, caller) => {
+    arrive: async (sent, givenKey, caller, apiKey) => {
       underWay += 1;
-      await admit(sent, givenKey, caller).finally(() => {
+      await admit(sent, givenKey, caller, apiKey).finally(() => {
         underWay -= 1;
       });
     },
--- a/src/process/router/error-status.ts
+++ b/src/process/router/error-status.ts
@@ -3,6 +3,8 @@
 /** The HTTP status of a refusal: nothing ran and nothing will. */
 export const refusalStatusOf = (error: ErrorType): number => {
   switch (error) {
+    case 'unknown-key':
+      return 401;
     case 'over-pressure':
       return 429;
     case 'unknown-kind':
--- a/src/process/router/exchange-paths.ts
+++ b/src/process/router/exchange-paths.ts
@@ -4,6 +4,7 @@
 import { callerOverHttp } from '../http/caller-over-http.js';
 import { readJsonBody } from '../http/read-body.js';
 import { reply, replyError } from '../http/reply.js';
+import { bearerTokenOf } from '../../router/access/bearer-token.js';
 import { journalTextOf } from '../../router/explain/saved-journal.js';
 import type { RouterNode } from './router-node.js';
 
@@ -17,6 +18,7 @@
       await readJsonBody(message, mostBodyBytes, 'bad-exchange'),
       message.headers['idempotency-key'],
       callerOverHttp(response),
+      bearerTokenOf(message.headers.authorization),
     );
   });
   app.get('/explain/:exchange', (message, response) => {
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -9,6 +9,7 @@
 import { stepDecision } from '../../decision/machine/step/step.js';
 import { platformUsOf, startDecisionView, type DecisionView } from '../../decision/machine/view/decision-view.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
+import { accessOf, isSameCaller, tenantNameOf, type Access } from '../../router/access/access.js';
 import type { CallerLink } from '../../router/delivery/caller-link.js';
 import { deliver } from '../../router/delivery/deliver.js';
 import type { DeliveryEnd } from '../../router/delivery/delivery-end.js';
@@ -58,6 +59,8 @@
   /** What is delivered in its stead where the text passes unread. */
   readonly opaque?: OpaqueExchange;
   readonly caller: CallerLink;
+  readonly apiKey: string | undefined;
+  readonly access: Access;
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
 
@@ -270,6 +273,12 @@
   const isAllowed = (continuation: Continuation, key: string): boolean =>
     journal.view().stage.services.get(continuation.rule.service)?.allowed.has(key) ?? false;
 
+  /** Whether the newest configuration still has the caller's key for the same tenant; keys may be revoked while it waits. */
+  const isStillAllowed = ({ rule, apiKey, access }: Continuation): boolean => {
+    const setup = journal.view().record?.setup;
+    return setup !== undefined && isSameCaller(access, accessOf(setup, rule, apiKey));
+  };
+
   const runTry = async (
     continuation: Continuation,
     decision: Extract<Decision, { readonly type: 'deliver' }>,
@@ -277,7 +286,7 @@
   ): Promise<void> => {
     const { exchange } = continuation;
     const { attempt } = decision;
-    const unsent = (error: 'no-link' | 'wrong-service'): void =>
+    const unsent = (error: 'no-link' | 'wrong-service' | 'key-revoked'): void =>
       take({
         type: 'failed',
         at: clock.now(),
@@ -314,6 +323,12 @@
       unsent('no-link');
       return;
     }
+    if (!isStillAllowed(continuation)) {
+      pool.giveBack(link);
+      counters.count('keys.revokedInFlight');
+      unsent('key-revoked');
+      return;
+    }
     continuation.watch.sent();
     tryChecks.sent({
       exchange,
@@ -330,6 +345,8 @@
         budgetUs: Math.max(1_000, continuation.dueUs - clock.now()),
         afterPiece: continuation.stream.lastPiece,
         urgency: decision.urgency,
+        tenant: tenantNameOf(continuation.access),
+        withholdsKey: continuation.access.type !== 'open',
       };
       const carried = await carry(continuation, link, link.carry, order, signal, {
         piece: () => countPiece(continuation, attempt),
@@ -494,11 +511,11 @@
     events: journal.events,
     inFlight: slab.size,
     nextExchange: nextName,
-    accept: ({ rule: namedRule, body, opaque, caller, claimed }) => {
-      const rule =
-        namedRule.split === undefined
-          ? namedRule
-          : { ...namedRule, service: shareOf(namedRule, opaque?.name ?? nextName()) };
+    accept: ({ rule: namedRule, body, opaque, caller, apiKey, access, claimed }) => {
+      const tier = access.type === 'tenant' ? access.tenant.tier : undefined;
+      const service =
+        namedRule.split === undefined ? namedRule.service : shareOf(namedRule, opaque?.name ?? nextName());
+      const rule = { ...namedRule, service, tier: tier ?? namedRule.tier };
       const isModel = journal.view().stage.services.get(rule.service)?.type === 'model';
       const continuation = slab.put((ticket) => {
         const exchange = claimed?.exchange ?? `${node}.${boot}.${ticketName(ticket)}`;
@@ -508,6 +525,8 @@
           exchange,
           rule,
           isModel,
+          apiKey,
+          access,
           body,
           opaque,
           dueUs: clock.now() + Math.min(rule.budgetUs, body.budgetUs ?? rule.budgetUs),
@@ -536,6 +555,7 @@
         prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
         ...(rule.split === undefined ? {} : { service: rule.service }),
+        ...(tier === undefined ? {} : { tier }),
         ...(opaque === undefined || !isModel
           ? {}
           : workFieldsOf(rule.service, journal.view().stage.services.get(rule.service)?.localities.size ?? 0, opaque)),
--- a/src/router/delivery/deliver.ts
+++ b/src/router/delivery/deliver.ts
@@ -1,4 +1,5 @@
 import { messageOf } from '../../common/typed-error.js';
+import { tenantNameOf } from '../access/access.js';
 import type { DeliveryError } from '../../decision/machine/event/delivery-error.js';
 import type { ServerLink } from '../../servers/link/server-link.js';
 import type { Continuation } from '../exchange/continuation.js';
@@ -83,6 +84,7 @@
         opening: continuation.body.opening ?? '',
         text: continuation.body.text ?? '',
         fromPiece,
+        tenant: tenantNameOf(continuation.access),
       },
       signal,
     );
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -1,3 +1,4 @@
+import type { Access } from '../access/access.js';
 import type { OpaqueExchange } from '../opaque/opaque-exchange.js';
 import type { ReceiptHead } from '../opaque/receipt-head.js';
 import type { Micros } from '../../common/micros.js';
@@ -14,6 +15,9 @@
   readonly exchange: string;
   readonly rule: Rule;
   readonly isModel: boolean;
+  /** The API key that it came with, and whom that key was found to belong to. */
+  readonly apiKey: string | undefined;
+  readonly access: Access;
   readonly body: ExchangeBody;
   readonly opaque: OpaqueExchange | undefined;
   readonly dueUs: Micros;
--- a/src/router/opaque/opaque-exchange.ts
+++ b/src/router/opaque/opaque-exchange.ts
@@ -13,6 +13,8 @@
   readonly target: string;
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** The API key that it carries; it is never logged, and never passed on where the configuration has tenants. */
+  readonly apiKey?: string;
   /** The last piece that its caller has, where a stream is taken up again. */
   readonly afterPiece: number | undefined;
   /** The parts of its opening in order; the last one is its own or its session's. */
--- a/src/servers/link/opaque-order.ts
+++ b/src/servers/link/opaque-order.ts
@@ -8,4 +8,8 @@
   readonly afterPiece: number | undefined;
   /** From 0, the most urgent, to 9. */
   readonly urgency: number | undefined;
+  /** The tenant that the request comes from, if it comes from one. */
+  readonly tenant?: string | undefined;
+  /** Whether the API key of the request is kept from the server. */
+  readonly withholdsKey?: boolean;
 };
--- a/src/servers/link/server-order.ts
+++ b/src/servers/link/server-order.ts
@@ -6,4 +6,6 @@
   readonly opening: string;
   readonly text: string;
   readonly fromPiece: number;
+  /** The tenant that the exchange comes from, if it comes from one. */
+  readonly tenant?: string | undefined;
 };
--- a/src/setup/check/check-setup.ts
+++ b/src/setup/check/check-setup.ts
@@ -2,6 +2,7 @@
 import { checked } from '../../common/checked.js';
 import type { Fault } from '../../common/fault.js';
 import type { Setup } from '../document/setup.js';
+import { tenantFaults } from './tenant-faults.js';
 import { setupSchema } from './setup-schema.js';
 
 const crossFaults = (setup: Setup): readonly Fault[] => {
@@ -42,7 +43,7 @@
       ? []
       : [{ path: `rules[${index}].match`, message: `rules[${first}] is for the same host and path` }];
   });
-  return [...ruleFaults, ...shareFaults, ...matchFaults];
+  return [...ruleFaults, ...shareFaults, ...matchFaults, ...tenantFaults(setup)];
 };
 
 /** Checks an operator's setup whole, and lists every fault by path. */
--- a/src/setup/check/setup-guard.ts
+++ b/src/setup/check/setup-guard.ts
@@ -52,6 +52,20 @@
   silenceUs: isFigure,
 });
 
+const hasQuotaForm = hasAll({
+  unit: (value) => value === 'requests' || value === 'tokens',
+  ratePerSecond: isFigure,
+  burst: isFigure,
+  defaultTokens: isFigure,
+});
+
+const hasTenantForm = hasAll({
+  name: isName,
+  keys: isListOf(isName),
+  tier: (value) => value === undefined || isName(value),
+  quota: (value) => value === undefined || hasQuotaForm(value),
+});
+
 const figureChecks: Readonly<Record<string, Check>> = {
   name: isName,
   fleet: (value) => value === undefined || hasAll({ routers: isFigure })(value),
@@ -67,6 +81,7 @@
   services: isListOf(hasServiceForm),
   tiers: isListOf(hasTierForm),
   rules: isListOf(hasRuleForm),
+  tenants: (value) => value === undefined || isListOf(hasTenantForm)(value),
 });
 
 const hasEpochForm = hasAll({ sinceUs: isFigure, warmup: hasWarmupForm });
@@ -97,6 +112,7 @@
   services: isEditsOf(hasServiceForm),
   tiers: isEditsOf(hasTierForm),
   rules: isEditsOf(hasRuleForm),
+  tenants: (value) => value === undefined || isEditsOf(hasTenantForm)(value),
   epochs: isEditsOf(hasEpochForm),
   figures: (value) => value === undefined || hasAll(figureChecks)(value),
   original: (value) => value === undefined || hasAll({ version: isCount, text: isEditsOf(isName) })(value),
--- a/src/setup/check/setup-schema.ts
+++ b/src/setup/check/setup-schema.ts
@@ -1,4 +1,5 @@
 import { array, boolean, number, object, string } from 'yup';
+import { tenantNameForm } from './tenant-faults.js';
 import { micros, mostGraceUs, nameOf, wholeFrom } from './figures.js';
 
 const minute = 60_000_000;
@@ -21,6 +22,34 @@
   .required()
   .noUnknown();
 
+const keyForm = /^[\x21-\x7e]{1,255}$/;
+const mostQuota = 1e15;
+
+const quotaFigure = () => number().required().min(0).max(mostQuota);
+
+/** Messages of keys never quote them: they are secrets, and faults are logged. */
+const keySchema = string()
+  .required()
+  .typeError('${path} must be a text')
+  .test('form', '${path} must have 1 to 255 visible characters', (key) => keyForm.test(key));
+
+const tenantSchema = object({
+  name: string().required().matches(tenantNameForm, '${path} must have 1 to 255 visible characters'),
+  keys: array(keySchema).required().typeError('${path} must be a list of texts'),
+  tier: string().optional(),
+  quota: object({
+    unit: string()
+      .required()
+      .oneOf(['requests', 'tokens'] as const),
+    ratePerSecond: quotaFigure(),
+    burst: quotaFigure(),
+    defaultTokens: quotaFigure(),
+  })
+    .noUnknown()
+    .optional()
+    .default(undefined),
+}).noUnknown();
+
 const serviceSchema = object({
   name: nameOf(),
   type: string()
@@ -57,6 +86,7 @@
     .optional()
     .default(undefined),
   tier: nameOf(),
+  public: boolean().optional(),
   repeatable: boolean().required(),
   resumable: boolean().required(),
   streams: boolean().optional(),
@@ -82,6 +112,7 @@
     .test('unique', '${path} names must be unique', namesAreUnique),
   tiers: array(tierSchema.required()).required().min(1).test('unique', '${path} names must be unique', namesAreUnique),
   rules: array(ruleSchema.required()).required().min(1).test('unique', '${path} kinds must be unique', namesAreUnique),
+  tenants: array(tenantSchema.required()).optional().default(undefined),
   warmup: warmupSchema,
   flight: object({ boundUs: micros(0, minute) })
     .required()
--- a/src/setup/delta/record-delta.ts
+++ b/src/setup/delta/record-delta.ts
@@ -3,13 +3,14 @@
 import type { Service } from '../document/service.js';
 import type { SetupRecord } from '../document/setup-record.js';
 import type { Setup } from '../document/setup.js';
+import type { Tenant } from '../document/tenant.js';
 import type { Tier } from '../document/tier.js';
 import type { WarmupEpoch } from '../document/warmup-epoch.js';
 import { listEditsOf, withListEdits, type ListEdit } from './list-edit.js';
 import { recordDigestOf } from './record-digest.js';
 
 /** The fields of a setup that are no lists. */
-export type SetupFigures = Omit<Setup, 'services' | 'tiers' | 'rules'>;
+export type SetupFigures = Omit<Setup, 'services' | 'tiers' | 'rules' | 'tenants'>;
 
 /** Names one record: revisions alone may come twice with other content where a core lost everything. */
 export type RecordBase = { readonly revision: number; readonly digest: string };
@@ -34,13 +35,18 @@
   readonly services: readonly ListEdit<Service>[];
   readonly tiers: readonly ListEdit<Tier>[];
   readonly rules: readonly ListEdit<Rule>[];
+  /** Only where the newer record has tenants. */
+  readonly tenants?: readonly ListEdit<Tenant>[];
   readonly epochs: readonly ListEdit<WarmupEpoch>[];
   /** Only where one of them differs. */
   readonly figures?: SetupFigures;
   readonly original?: { readonly version: number; readonly text: readonly ListEdit<string>[] };
 };
 
-const partsOf = ({ services, tiers, rules, ...figures }: Setup) => ({ lists: { services, tiers, rules }, figures });
+const partsOf = ({ services, tiers, rules, tenants, ...figures }: Setup) => ({
+  lists: { services, tiers, rules, tenants },
+  figures,
+});
 
 const figuresOf = (setup: Setup): SetupFigures => partsOf(setup).figures;
 
@@ -59,6 +65,9 @@
     services: listEditsOf(base.setup.services, target.setup.services, itemText),
     tiers: listEditsOf(base.setup.tiers, target.setup.tiers, itemText),
     rules: listEditsOf(base.setup.rules, target.setup.rules, itemText),
+    ...(target.setup.tenants === undefined
+      ? {}
+      : { tenants: listEditsOf(base.setup.tenants ?? [], target.setup.tenants, itemText) }),
     epochs: listEditsOf(base.epochs, target.epochs, itemText),
     ...(hasSameFigures ? {} : { figures }),
     ...(target.original === undefined
@@ -72,6 +81,15 @@
   };
 };
 
+const tenantsAfter = (
+  base: SetupRecord,
+  { tenants: edits }: RecordDelta,
+): { readonly tenants?: readonly Tenant[] } | undefined => {
+  if (edits === undefined) return {};
+  const tenants = withListEdits(base.setup.tenants ?? [], edits);
+  return tenants === undefined ? undefined : { tenants };
+};
+
 const originalAfter = (
   base: SetupRecord,
   { original }: RecordDelta,
@@ -93,11 +111,12 @@
   const epochs = withListEdits(base.epochs, delta.epochs);
   const original = originalAfter(base, delta);
   if (services === undefined || tiers === undefined || rules === undefined || epochs === undefined) return undefined;
-  if (original === undefined) return undefined;
+  const tenants = tenantsAfter(base, delta);
+  if (original === undefined || tenants === undefined) return undefined;
   const record: SetupRecord = {
     revision: delta.revision,
     takenAtUs: delta.takenAtUs,
-    setup: { ...(delta.figures ?? figuresOf(base.setup)), services, tiers, rules },
+    setup: { ...(delta.figures ?? figuresOf(base.setup)), services, tiers, rules, ...tenants },
     ...original,
     epochs,
   };
--- a/src/setup/delta/record-digest.ts
+++ b/src/setup/delta/record-digest.ts
@@ -6,10 +6,11 @@
 
 /** The parts of a record in a fixed order, each with the number of its items before them. */
 const partsOf = ({ revision, takenAtUs, setup, original, epochs }: SetupRecord): readonly string[] => {
-  const { services, tiers, rules, ...figures } = setup;
+  const { services, tiers, rules, tenants, ...figures } = setup;
   return [
     `${revision} ${takenAtUs}`,
     ...[services, tiers, rules, epochs].flatMap((items) => [`${items.length}`, ...items.map(itemText)]),
+    ...(tenants === undefined ? [] : [`tenants ${tenants.length}`, ...tenants.map(itemText)]),
     orderedJson(figures),
     ...(original === undefined ? [] : [`${original.version}`, original.text]),
   ];
--- a/src/setup/delta/shared-record.ts
+++ b/src/setup/delta/shared-record.ts
@@ -20,6 +20,9 @@
           services: sharedList(former.setup.services, next.setup.services),
           tiers: sharedList(former.setup.tiers, next.setup.tiers),
           rules: sharedList(former.setup.rules, next.setup.rules),
+          ...(next.setup.tenants === undefined
+            ? {}
+            : { tenants: sharedList(former.setup.tenants ?? [], next.setup.tenants) }),
         },
         epochs: sharedList(former.epochs, next.epochs),
       };
--- a/src/setup/document/rule.ts
+++ b/src/setup/document/rule.ts
@@ -10,6 +10,8 @@
   /** Where exchanges of this kind are sent to, for callers that name a host and a path and no kind. */
   readonly match?: { readonly host: string; readonly path: string };
   readonly tier: string;
+  /** Whether requests need no key, also where the configuration has tenants. */
+  readonly public?: boolean;
   /** Whether the work may run again after a try whose outcome is unknown. */
   readonly repeatable: boolean;
   /** Whether a broken stream may go on at its next piece on another server. */
--- a/src/setup/document/setup.ts
+++ b/src/setup/document/setup.ts
@@ -3,6 +3,7 @@
 import type { Pressure } from './pressure.js';
 import type { Rule } from './rule.js';
 import type { Service } from './service.js';
+import type { Tenant } from './tenant.js';
 import type { Tier } from './tier.js';
 import type { Warmup } from './warmup.js';
 
@@ -14,6 +15,8 @@
   readonly services: readonly Service[];
   readonly tiers: readonly Tier[];
   readonly rules: readonly Rule[];
+  /** The customers and their keys; where there is no such list, requests carry no key. */
+  readonly tenants?: readonly Tenant[];
   readonly warmup: Warmup;
   readonly flight: { readonly boundUs: Micros };
   readonly pressure: Pressure;
--- a/src/setup/objects/convert-objects.ts
+++ b/src/setup/objects/convert-objects.ts
@@ -28,7 +28,7 @@
     return faults.length === 0 ? Right(placed) : Left(faults);
   });
 
-const fieldForm = /^(services|tiers|rules)\[(\d+)\]\.?(.*)$/;
+const fieldForm = /^(services|tiers|rules|tenants)\[(\d+)\]\.?(.*)$/;
 
 /** Says of a fault of the whole setup in which document and at which path it stands. */
 const placedFault = (
@@ -54,7 +54,7 @@
       return Left(
         otherFleets.map((other) => ({ path: nameOf(other), message: `there is a Fleet already: ${nameOf(fleet)}` })),
       );
-    const lists = { services: of('Service'), tiers: of('Tier'), rules: of('Rule') };
+    const lists = { services: of('Service'), tiers: of('Tier'), rules: of('Rule'), tenants: of('Tenant') };
     const reserved = objects.flatMap((placed) =>
       [
         'name',
@@ -74,5 +74,8 @@
       services: lists.services.map(({ made }) => ({ ...made.spec, name: made.metadata.name })),
       tiers: lists.tiers.map(({ made }) => ({ ...made.spec, name: made.metadata.name })),
       rules: lists.rules.map(({ made }) => ({ ...made.spec, kind: made.metadata.name })),
+      ...(lists.tenants.length === 0
+        ? {}
+        : { tenants: lists.tenants.map(({ made }) => ({ ...made.spec, name: made.metadata.name })) }),
     }).mapLeft((faults) => faults.map((fault) => placedFault(fault, fleet, lists)));
   });
--- a/src/setup/objects/object-schemas.ts
+++ b/src/setup/objects/object-schemas.ts
@@ -2,7 +2,7 @@
 
 export const apiVersion = 'ledgehill/v1';
 
-export const objectKinds = ['Fleet', 'Service', 'Tier', 'Rule'] as const;
+export const objectKinds = ['Fleet', 'Service', 'Tier', 'Rule', 'Tenant'] as const;
 
 const metadataSchema = object({ name: string().required() }).required().noUnknown();
 
--- a/tests/platform/judge.test.ts
+++ b/tests/platform/judge.test.ts
@@ -4,6 +4,8 @@
 import type { ClientTry, Seen, ServerArrival } from './stand-in/seen.js';
 import { plainBytes, streamText } from './stand-in/server-text.js';
 
+const soundHeaders = { 'x-client': 'kept', 'ledgehill-tenant': 'archive' };
+
 const arrivalOf = (more: Partial<ServerArrival> = {}): ServerArrival => ({
   server: 'i-1',
   service: 'gallery',
@@ -12,7 +14,7 @@
   target: '/x',
   body: 'b',
   lastEventId: undefined,
-  headers: { 'x-client': 'kept' },
+  headers: soundHeaders,
   atUs: 1,
   ran: true,
   broken: false,
@@ -64,7 +66,12 @@
     ['UNASKED', { arrivals: [arrivalOf({ attempt: 'a2', ran: false })], tries: [] }],
     ['UNASKED', { arrivals: [arrivalOf({ body: 'c' })], tries: [tryOf()] }],
     ['UNASKED', { arrivals: [arrivalOf({ target: '/x?' })], tries: [tryOf()] }],
-    ['HEADERS', { arrivals: [arrivalOf({ headers: {} })], tries: [tryOf()] }],
+    ['HEADERS', { arrivals: [arrivalOf({ headers: { 'ledgehill-tenant': 'archive' } })], tries: [tryOf()] }],
+    [
+      'UNASKED',
+      { arrivals: [arrivalOf({ headers: { ...soundHeaders, authorization: 'Bearer x' } })], tries: [tryOf()] },
+    ],
+    ['UNASKED', { arrivals: [arrivalOf({ headers: { 'x-client': 'kept' } })], tries: [tryOf()] }],
     ['ROUTE', { arrivals: [arrivalOf({ service: 'office' })], tries: [tryOf()] }],
     ['MIXED', { arrivals: [arrivalOf()], tries: [tryOf({ seal: undefined })] }],
     ['MIXED', { arrivals: [arrivalOf()], tries: [tryOf({ seal: 'i-2.1' })] }],
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -10,6 +10,7 @@
 import { applyCommand } from '../../../src/control/state/apply.js';
 import { startReplicatedState } from '../../../src/control/state/replicated-state.js';
 import type { CoreClient } from '../../../src/process/core-client.js';
+import type { Log } from '../../../src/process/log.js';
 import { openRouterNode, type RouterNode } from '../../../src/process/router/router-node.js';
 import { realSurroundings } from '../../../src/process/surroundings/real-surroundings.js';
 import { freePorts } from '../../../src/rehearsal/launcher/free-ports.js';
@@ -149,13 +150,17 @@
 };
 
 /** Opens a router on a core; waits until it has a configuration where that core gives one. */
-export const openEdge = async (core: CoreClient = coreWith(edgeDocument), waitsForCore = true): Promise<Edge> => {
+export const openEdge = async (
+  core: CoreClient = coreWith(edgeDocument),
+  waitsForCore = true,
+  log: Log = { change: () => undefined },
+): Promise<Edge> => {
   const [edgePort = 0, partnerPort] = await freePorts(2);
   const http = `127.0.0.1:${edgePort}`;
   const partners = `127.0.0.1:${partnerPort}`;
   const node = openRouterNode({
     settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners] },
-    log: { change: () => undefined },
+    log,
     surroundings: { ...realSurroundings, dial: dialServer, probesNothing: true },
     coreOf: () => core,
   });
--- a/tests/platform/soak/soak-document.ts
+++ b/tests/platform/soak/soak-document.ts
@@ -1,4 +1,4 @@
-import { places as allPlaces, streamRoute } from '../stand-in/documents.js';
+import { places as allPlaces, standInTenant, streamRoute } from '../stand-in/documents.js';
 
 /** The places that clients use all through a soak; every document has them. */
 export const places = {
@@ -50,6 +50,7 @@
       { name: 'gallery', health_path: '/healthz', max_conns: 96, proto: 'h1', tls: false },
       { name: 'office', health_path: '/healthz', max_conns: 96, proto: 'h1', tls: false },
     ],
+    tenants: [standInTenant],
     limits: { hdr_bytes: 16_384, body_max_bytes: 4_194_304, hdr_ms: 3_000, idle_ms: 15_000 },
   });
 
--- a/tests/platform/stand-in/documents.ts
+++ b/tests/platform/stand-in/documents.ts
@@ -35,6 +35,15 @@
   tries,
 });
 
+/** The one tenant of the stand-in, whose key all of its clients carry. */
+export const standInTenant = {
+  name: 'archive',
+  keys: ['stand-in-key'],
+  unit: 'requests',
+  rate_s: 400,
+  burst: 400,
+} as const;
+
 const documentOf = (ver: number, idemService: string, hasAdded: boolean): string =>
   JSON.stringify({
     ver,
@@ -50,6 +59,7 @@
       { name: 'gallery', health_path: '/healthz', max_conns: 96, proto: 'h1', tls: false },
       { name: 'office', health_path: '/healthz', max_conns: 96, proto: 'h1', tls: false },
     ],
+    tenants: [standInTenant],
     limits: { hdr_bytes: 16_384, body_max_bytes: 4_194_304, hdr_ms: 3_000, idle_ms: 15_000 },
   });
 
--- a/tests/platform/stand-in/judge.ts
+++ b/tests/platform/stand-in/judge.ts
@@ -1,3 +1,4 @@
+import { standInTenant } from './documents.js';
 import type { ClientTry, Seen } from './seen.js';
 import { plainBytes, streamText } from './server-text.js';
 
@@ -22,6 +23,10 @@
       ...(arrival.ran && !allowed(asked.route).includes(arrival.service)
         ? [`ROUTE ${arrival.attempt} ran at ${arrival.server} of ${arrival.service}`]
         : []),
+      ...(arrival.headers.authorization === undefined ? [] : [`UNASKED ${arrival.attempt} was given its client's key`]),
+      ...(arrival.headers['ledgehill-tenant'] === standInTenant.name
+        ? []
+        : [`UNASKED ${arrival.attempt} bears another tenant`]),
       ...(arrival.headers['x-client'] === 'kept' ? [] : [`HEADERS ${arrival.attempt} lost one`]),
     ];
   });
--- a/tests/platform/stand-in/open-clients.ts
+++ b/tests/platform/stand-in/open-clients.ts
@@ -4,6 +4,7 @@
 import { paused } from '../../../src/common/clock/paused.js';
 import { steadyNow, toMillis } from '../../../src/common/micros.js';
 import { messageOf } from '../../../src/common/typed-error.js';
+import { standInTenant } from './documents.js';
 import type { ClientTry, Seen } from './seen.js';
 import { streamText } from './server-text.js';
 
@@ -100,6 +101,8 @@
           'Ledgehill-Attempt-Id': attempt,
           'Ledgehill-Budget-Ms': String(Math.floor(leftUs / 1_000)),
           'X-Client': 'kept',
+          Authorization: `Bearer ${standInTenant.keys[0]}`,
+          'Ledgehill-Tenant': 'of-my-own-making',
           ...(isStream
             ? {
                 'Ledgehill-Model': 'm',
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -69,6 +69,8 @@
       firstPieceUs: 1,
       silenceUs: 1,
     },
+    apiKey: undefined,
+    access: { type: 'open' },
     isModel: true,
     body: { kind: 'k', budgetUs: 1_000_000 },
     opaque: exchange,
--- a/tests/setup/objects.test.ts
+++ b/tests/setup/objects.test.ts
@@ -28,7 +28,7 @@
   const text = objectsOf('archive');
   const cases: readonly (readonly [string, string, string])[] = [
     [text.replace('ledgehill/v1', 'v2'), 'document 1: apiVersion', 'must be ledgehill/v1'],
-    [text.replace('kind: Tier', 'kind: Tear'), 'document 4: kind', 'must be one of Fleet, Service, Tier, Rule'],
+    [text.replace('kind: Tier', 'kind: Tear'), 'document 4: kind', 'must be one of Fleet, Service, Tier, Rule, Tenant'],
     [text.replace('metadata:', 'metadate:'), 'document 1', 'metadate'],
     [text.replace('routers: 6', 'routers: six'), 'document 1 (Fleet', 'fleet.routers'],
     [text.replace('vnodes:', 'vnodez:'), 'document 1 (Fleet', 'vnodez'],
