Keep quotas over all routers: local reserves of tokens, refilled from shares of a store

Weighed: one leader that holds every count (nothing is granted while none leads, half a second to two after each loss, and its count has to be replicated or begins empty anyway); tenants sharded over core machines (each loss takes some tenants whole); counts told between routers (a flood is seen too late for the margin). Chosen: every voter of the core holds an equal share of every tenant's bucket, in memory, and grants from it atomically. A share that begins again begins empty, so whatever was granted before, no window passes rate x window + capacity. The loss of one of five leaves four fifths of the rate.

Change: src/quota with three pure parts: a bucket, a store (one core machine's share) and a router's reserves, driven by quota-store-task and quota-task, and by a simulator in tests/quota. The public design's local bucket stays on the ordinary path: a request spends tokens at hand without a call, and asks a store for a batch when they run out. Unspent tokens evaporate after 0.5 s. First tokens are charged. Where no store has all that is needed, parts are collected. A voter grants while it has heard its leader within 1.5 s, less than the silence after which it may be replaced. While no store answers at all, a router goes on for 1.5 s at its own pace, by lot. 429 with Retry-After over the quota, 503 where no store answers. What did not run is given back; a further try of what may have run is charged.

--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -4,6 +4,8 @@
   | 'unknown-kind'
   | 'unknown-place'
   | 'unknown-key'
+  | 'over-quota'
+  | 'quota-unavailable'
   | 'oversized-body'
   | 'state-full'
   | 'not-ready'
--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -14,6 +14,7 @@
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
 import { openControlTask, type ControlTask } from './control-task.js';
+import { openQuotaStoreTask, type QuotaStoreTask } from './quota-store-task.js';
 
 /** A core machine with all its tasks; only HTTP is added from outside. */
 export type ControlNode = {
@@ -22,6 +23,7 @@
   readonly core: CoreClient;
   readonly desk: OperatorService;
   readonly counters: Counters;
+  readonly quotas: QuotaStoreTask;
   readonly unready: () => string | undefined;
   readonly start: () => Promise<void>;
   /** Hands its place over if it leads, and ends. */
@@ -64,6 +66,13 @@
   return openControlTask(settings, spread, log, counters, surroundings, fail).map((control) => {
     const core = openCoreClient(spread, surroundings);
     const source = openSourceTask('control', settings.node, spread, log, counters, surroundings);
+    const quotas = openQuotaStoreTask({
+      spread,
+      clock: surroundings.clock,
+      counters,
+      replica: control.replica,
+      ...(settings.quota === undefined ? {} : { tolerance: settings.quota }),
+    });
     let closeReport = (): void => undefined;
     const state = () => {
       const { role, term, commit } = control.replica();
@@ -75,6 +84,7 @@
       core,
       desk: countedOperatorService(openOperatorService(core, spread.platformUs), counters, log),
       counters,
+      quotas,
       unready: () => {
         const replica = control.replica();
         const { leader, role } = replica;
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -3,6 +3,8 @@
 import type { ErrorType } from '../../common/error-type.js';
 import type { Micros } from '../../common/micros.js';
 import { typedError, type TypedError } from '../../common/typed-error.js';
+import { freeHold, openQuotaHold, type QuotaHold } from '../../router/exchange/quota-hold.js';
+import { quotaCostOf } from '../../router/access/quota-cost.js';
 import { accessOf, type Access } from '../../router/access/access.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
 import { openingNameOf } from '../../decision/work/work-of.js';
@@ -16,6 +18,7 @@
 import type { CoreClient } from '../core-client.js';
 import type { Counters } from '../counters.js';
 import type { SpreadTask } from '../spread-task.js';
+import type { QuotaTask } from './quota-task.js';
 import type { RefreshGate } from './refresh-gate.js';
 import type { RouterTask } from './router-task.js';
 
@@ -39,18 +42,24 @@
   readonly spread: SpreadTask;
   readonly core: CoreClient;
   readonly gate: RefreshGate;
+  readonly quota: Pick<QuotaTask, 'spend' | 'refund' | 'charge'>;
   readonly counters: Counters;
   /** Why new exchanges can not be taken; none when they can. */
   readonly closedBy: () => ErrorType | undefined;
 };
 
 const comeBackUs: Micros = 1_000_000;
+/** Why a quota refuses, as callers read it. */
+const quotaRefusals = {
+  'over-quota': 'refused: the tenant has used its quota',
+  'quota-unavailable': 'refused: the quota could not be looked up',
+} as const;
 const keyForm = /^[\x21-\x7e]{1,200}$/;
 
 const isKey = (givenKey: unknown): givenKey is string | undefined =>
   givenKey === undefined || (typeof givenKey === 'string' && keyForm.test(givenKey));
 
-export const openAdmission = ({ router, spread, core, gate, counters, closedBy }: AdmissionParts): Admission => {
+export const openAdmission = ({ router, spread, core, gate, quota, counters, closedBy }: AdmissionParts): Admission => {
   const refuse = (caller: CallerLink, error: TypedError, retryAfterUs?: Micros, exchange?: string): void => {
     counters.count(`refused.${error.type}`);
     caller.refuse(error, exchange, retryAfterUs);
@@ -69,6 +78,35 @@
     return undefined;
   };
 
+  /**
+   * Spends what a request costs of its tenant's quota; undefined where it was refused, or its caller has left meanwhile.
+   * The answer comes at once where tokens are at hand, and within a fraction of a second otherwise.
+   */
+  const paid = async (
+    access: Access,
+    rule: Rule,
+    toldTokens: number | undefined,
+    caller: CallerLink,
+  ): Promise<QuotaHold | undefined> => {
+    const limit = access.type === 'tenant' ? access.tenant.quota : undefined;
+    if (access.type !== 'tenant' || limit === undefined || limit.ratePerSecond === 0) return freeHold;
+    const tenant = access.tenant.name;
+    const cost = quotaCostOf(limit, toldTokens);
+    const exchange = router.nextExchange();
+    const answer = await quota.spend(exchange, tenant, cost);
+    if (answer.type === 'rejected') {
+      const error = typedError(answer.cause, quotaRefusals[answer.cause]);
+      router.noteRefusal(exchange, rule, error, { tenant, cost, retryAfterUs: answer.retryAfterUs });
+      refuse(caller, error, answer.retryAfterUs, exchange);
+      return undefined;
+    }
+    const hold = openQuotaHold(quota, { tenant, cost, source: answer.source });
+    if (!caller.isGone()) return hold;
+    counters.count('exchanges.abandoned');
+    hold.end();
+    return undefined;
+  };
+
   /** Claims a key of a run-once kind on the core before anything is delivered; the exchange that won it, if it did. */
   const claimed = async (rule: Rule, givenKey: string, caller: CallerLink): Promise<string | undefined> => {
     const exchange = router.nextExchange();
@@ -131,22 +169,27 @@
     }
     const access = authenticated(setup, rule, apiKey, caller);
     if (access === undefined) return;
+    const hold = await paid(access, rule, body.tokens, caller);
+    if (hold === undefined) return;
     if (rule.repeatable || givenKey === undefined) {
-      router.accept({ rule, body, caller, apiKey, access, claimed: undefined });
+      router.accept({ rule, body, caller, apiKey, access, quota: hold, claimed: undefined });
       return;
     }
     if (router.inFlight() >= setup.pressure.slots) {
+      hold.end();
       refuse(caller, typedError('over-pressure', 'refused: too many exchanges are under way'), comeBackUs);
       return;
     }
     const exchange = await claimed(rule, givenKey, caller);
-    if (exchange !== undefined)
+    if (exchange === undefined) hold.end();
+    else
       router.accept({
         rule,
         body,
         caller,
         apiKey,
         access,
+        quota: hold,
         claimed: { key: claimKeyOf(rule, givenKey), exchange },
       });
   };
@@ -166,6 +209,8 @@
     }
     const access = authenticated(setup, rule, exchange.apiKey, caller);
     if (access === undefined) return;
+    const hold = await paid(access, rule, exchange.toldTokens, caller);
+    if (hold === undefined) return;
     router.accept({
       rule,
       body: {
@@ -177,7 +222,7 @@
       caller,
       apiKey: exchange.apiKey,
       access,
-
+      quota: hold,
       claimed: undefined,
     });
   };
--- a/src/process/router/error-status.ts
+++ b/src/process/router/error-status.ts
@@ -6,6 +6,7 @@
     case 'unknown-key':
       return 401;
     case 'over-pressure':
+    case 'over-quota':
       return 429;
     case 'unknown-kind':
     case 'bad-exchange':
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -11,6 +11,7 @@
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
 import { openAdmission, type Admission } from './admission.js';
+import { openQuotaTask } from './quota-task.js';
 import { openRefreshGate } from './refresh-gate.js';
 import { openRouterTask, type RouterTask } from './router-task.js';
 
@@ -102,7 +103,8 @@
     if (isDraining) return 'draining';
     return isConfirmed && router.view().list !== undefined ? undefined : 'not-ready';
   };
-  const admission = openAdmission({ router, spread, core, gate, counters, closedBy });
+  const quota = openQuotaTask({ node: settings.node, spread, clock, counters });
+  const admission = openAdmission({ router, spread, core, gate, quota, counters, closedBy });
 
   const confirm = async (): Promise<void> => {
     while (!isConfirmed && !isStopping) {
@@ -131,6 +133,7 @@
     endLooks();
     source.close();
     router.close();
+    quota.close();
     closeReport();
     spread.close();
   };
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -19,6 +19,7 @@
 import { shareOf } from '../../setup/match/share-of.js';
 import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
+import type { QuotaHold } from '../../router/exchange/quota-hold.js';
 import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
 import { openPromiseChecks } from '../../router/promises/promise-checks.js';
 import { openTryChecks } from '../../router/promises/try-checks.js';
@@ -47,7 +48,12 @@
   readonly inFlight: () => number;
   readonly nextExchange: () => string;
   /** Writes down that an exchange was refused before it was taken in. */
-  readonly noteRefusal: (exchange: string, rule: Rule, error: TypedError) => void;
+  readonly noteRefusal: (
+    exchange: string,
+    rule: Rule,
+    error: TypedError,
+    facts?: Readonly<Record<string, unknown>>,
+  ) => void;
   readonly drain: () => void;
   readonly start: () => void;
   readonly close: () => void;
@@ -61,6 +67,8 @@
   readonly caller: CallerLink;
   readonly apiKey: string | undefined;
   readonly access: Access;
+  /** What was spent of its tenant's quota. */
+  readonly quota: QuotaHold;
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
 
@@ -148,6 +156,7 @@
     continuation.stream.running = undefined;
     tickets.delete(continuation.exchange);
     slab.free(continuation.ticket);
+    continuation.quota.end();
   };
 
   const take = (event: DecisionEvent): void => {
@@ -330,6 +339,7 @@
       return;
     }
     continuation.watch.sent();
+    continuation.quota.sent();
     tryChecks.sent({
       exchange,
       rule: continuation.rule,
@@ -389,7 +399,10 @@
       case 'failed':
         tell(exchange, 'failed', { attempt, ...ending });
         counters.count(`tries.failed.${ending.error}`);
-        if (ending.notRun === true) continuation.watch.notRun();
+        if (ending.notRun === true) {
+          continuation.watch.notRun();
+          continuation.quota.notRun();
+        }
         take({
           type: 'failed',
           at: clock.now(),
@@ -511,7 +524,7 @@
     events: journal.events,
     inFlight: slab.size,
     nextExchange: nextName,
-    accept: ({ rule: namedRule, body, opaque, caller, apiKey, access, claimed }) => {
+    accept: ({ rule: namedRule, body, opaque, caller, apiKey, access, quota, claimed }) => {
       const tier = access.type === 'tenant' ? access.tenant.tier : undefined;
       const service =
         namedRule.split === undefined ? namedRule.service : shareOf(namedRule, opaque?.name ?? nextName());
@@ -527,6 +540,7 @@
           isModel,
           apiKey,
           access,
+          quota,
           body,
           opaque,
           dueUs: clock.now() + Math.min(rule.budgetUs, body.budgetUs ?? rule.budgetUs),
@@ -546,6 +560,7 @@
       tickets.set(exchange, continuation.ticket);
       counters.count(`exchanges.kind.${rule.kind}`);
       beginStory(exchange, rule);
+      if (quota.facts !== undefined) tell(exchange, 'quota', quota.facts);
       caller.onGone(() => leave(continuation));
       take({
         type: 'exchange',
@@ -561,9 +576,9 @@
           : workFieldsOf(rule.service, journal.view().stage.services.get(rule.service)?.localities.size ?? 0, opaque)),
       });
     },
-    noteRefusal: (exchange, rule, { type }) => {
+    noteRefusal: (exchange, rule, { type }, facts = {}) => {
       beginStory(exchange, rule);
-      tell(exchange, 'refuse', { error: type });
+      tell(exchange, 'refuse', { error: type, ...facts });
     },
     drain: () => take({ type: 'drain', at: clock.now() }),
     start: () => {
--- a/src/process/run-control.ts
+++ b/src/process/run-control.ts
@@ -4,6 +4,7 @@
 import { openHttpServer } from './http/http-server.js';
 import { addOperatorPaths } from './http/operator-paths.js';
 import { addPlatformPaths } from './http/platform-paths.js';
+import { addQuotaPaths } from './http/quota-paths.js';
 import { openLog } from './log.js';
 import { serveUntilTold } from './serve-until-told.js';
 import type { ControlSettings } from './settings/control-settings.js';
@@ -20,6 +21,7 @@
     const http = openHttpServer(settings.http, node.counters);
     addPlatformPaths(http, node.spread, node.counters, node.unready);
     addOperatorPaths(http, node.desk);
+    addQuotaPaths(http, node.quotas);
     return serveUntilTold(http, node);
   });
 };
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -40,6 +40,14 @@
   data: string().required(),
   founds: boolean().optional(),
   voters: number().integer().min(1).max(9),
+  quota: object({
+    windowUs: number().required().integer().min(100_000).max(3_600_000_000),
+    excess: number().required().min(0).max(10),
+    margin: number().required().min(0).max(1e15),
+  })
+    .noUnknown()
+    .optional()
+    .default(undefined),
   ringFiles: number().required().integer().min(2).max(16),
   ringFileBytes: number()
     .required()
--- a/src/process/settings/control-settings.ts
+++ b/src/process/settings/control-settings.ts
@@ -1,3 +1,4 @@
+import type { QuotaTolerance } from '../../quota/quota-tolerance.js';
 import type { NodeSettings } from './node-settings.js';
 
 /** The settings of a core machine. */
@@ -7,6 +8,8 @@
   readonly founds?: boolean;
   /** How many voters the core is to have; three where it is not told. */
   readonly voters?: number;
+  /** How exactly the quotas of tenants are kept; `usualTolerance` where it is not told. */
+  readonly quota?: QuotaTolerance;
   readonly ringFiles: number;
   readonly ringFileBytes: number;
 };
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -16,5 +16,7 @@
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly request: [from: string, frame: Extract<Frame, { readonly type: 'request' }>];
   readonly work: [frame: Extract<Frame, { readonly type: 'work' }>];
+  readonly quotaRequest: [from: string, frame: Extract<Frame, { readonly type: 'quota-request' }>];
+  readonly quotaReply: [from: string, frame: Extract<Frame, { readonly type: 'quota-reply' }>];
   readonly reply: [from: string, frame: Extract<Frame, { readonly type: 'reply' }>];
 };
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -141,6 +141,12 @@
       case 'reply':
         events.emit('reply', from, frame);
         return;
+      case 'quota-request':
+        events.emit('quotaRequest', from, frame);
+        return;
+      case 'quota-reply':
+        events.emit('quotaReply', from, frame);
+        return;
       case 'digest':
       case 'inquire':
       case 'setup':
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -7,6 +7,7 @@
 import type { WatchedCaller } from '../promises/watched-caller.js';
 import type { Ticket } from '../slab/ticket.js';
 import type { ExchangeBody } from './exchange-body.js';
+import type { QuotaHold } from './quota-hold.js';
 import type { RunningTry } from './running-try.js';
 
 /** All that is needed to go on with an exchange when word of it comes. */
@@ -18,6 +19,7 @@
   /** The API key that it came with, and whom that key was found to belong to. */
   readonly apiKey: string | undefined;
   readonly access: Access;
+  readonly quota: QuotaHold;
   readonly body: ExchangeBody;
   readonly opaque: OpaqueExchange | undefined;
   readonly dueUs: Micros;
--- a/src/router/explain/explain-step.ts
+++ b/src/router/explain/explain-step.ts
@@ -12,6 +12,9 @@
   pieces: number(),
   message: string(),
   error: string(),
+  tenant: string(),
+  cost: number(),
+  source: string(),
   reason: object({
     type: string(),
     migration: string(),
@@ -56,7 +59,9 @@
   'no link': ({ attempt }) => `attempt ${attempt}: no link to the server could be had, nothing was sent`,
   failed: ({ attempt, error, message }) => `attempt ${attempt} failed: ${error} (${message})`,
   cancel: ({ attempt }) => `attempt ${attempt} was given up`,
-  refuse: ({ error }) => `was refused: ${error}; it did not run and never will`,
+  quota: ({ tenant, cost, source }) => `spent ${cost ?? 0} of the quota of ${tenant ?? ''} (${source ?? ''})`,
+  refuse: ({ error, tenant, cost }) =>
+    `was refused: ${error}${tenant === undefined ? '' : `, at a cost of ${cost ?? 0} of the quota of ${tenant}`}; it did not run and never will`,
   unknown: ({ error }) => `ended with an unknown outcome: ${error}; it may have run`,
   breakOff: ({ error }) => `was broken off, visibly: ${error}`,
   done: ({ pieces }) => `ended well after ${pieces} pieces`,
--- a/src/router/opaque/opaque-exchange.ts
+++ b/src/router/opaque/opaque-exchange.ts
@@ -21,5 +21,7 @@
   readonly opening: readonly OpeningPart[];
   readonly readTokens: number;
   readonly writeTokens: number;
+  /** The tokens that it tells, read and written together; none where it tells none. */
+  readonly toldTokens?: number;
   readonly budgetUs: Micros;
 };
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -6,6 +6,7 @@
 import { isOutcome, isProposalOutcome } from '../../control/wire/outcome-guard.js';
 import { isAnyList } from '../../servers/list/check-asked-list.js';
 import { isRecordDelta, isSetupRecord } from '../../setup/check/setup-guard.js';
+import { isQuotaReplyFrame, isQuotaRequestFrame } from './quota-guard.js';
 import { isDigest } from './digest-guard.js';
 import type { Frame, CoreRequest } from './frame.js';
 
@@ -48,6 +49,8 @@
     message: mixed(isPlainMessage).required(),
   }),
   work: object({ type: typed('work'), server: string().required(), service: string().required(), tokens: whole() }),
+  'quota-request': mixed(isQuotaRequestFrame).required(),
+  'quota-reply': mixed(isQuotaReplyFrame).required(),
   request: object({ type: typed('request'), requestId: string().required(), request: mixed(isCoreRequest).required() }),
   reply: object({ type: typed('reply'), requestId: string().required(), reply: mixed(isCoreReply).required() }),
 });
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -7,6 +7,7 @@
 import type { ReadMark } from '../../servers/source/read-mark.js';
 import type { RecordBase, RecordDelta } from '../../setup/delta/record-delta.js';
 import type { SetupRecord } from '../../setup/document/setup-record.js';
+import type { QuotaReply, QuotaRequest } from '../../quota/quota-grant.js';
 import type { PartnerNews } from '../partner/partner-news.js';
 import type { Partner } from '../partner/partner.js';
 
@@ -56,6 +57,9 @@
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
   /** A server was given something to read, so many tokens. */
   | { readonly type: 'work'; readonly server: string; readonly service: string; readonly tokens: number }
+  /** A router asks a store of quotas for tokens; `ask` is the router's own number for it. */
+  | { readonly type: 'quota-request'; readonly ask: number; readonly request: QuotaRequest }
+  | { readonly type: 'quota-reply'; readonly ask: number; readonly reply: QuotaReply }
   | { readonly type: 'request'; readonly requestId: string; readonly request: CoreRequest }
   | { readonly type: 'reply'; readonly requestId: string; readonly reply: CoreReply };
 
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -9,6 +9,7 @@
 import type { CarriedHead } from '../../src/servers/link/carried-head.js';
 import type { CarryListener } from '../../src/servers/link/carry-listener.js';
 import type { ServerLink } from '../../src/servers/link/server-link.js';
+import { freeHold } from '../../src/router/exchange/quota-hold.js';
 import { openSlab } from '../../src/router/slab/slab.js';
 
 const exchange: OpaqueExchange = {
@@ -71,6 +72,7 @@
     },
     apiKey: undefined,
     access: { type: 'open' },
+    quota: freeHold,
     isModel: true,
     body: { kind: 'k', budgetUs: 1_000_000 },
     opaque: exchange,
