Give every prompt prefix a place of its own on the ring, and end anchors

Cause: prompts whose first shared part is large were placed at a few "anchors" of the ring, so that few servers read that part.

Change: a prefix stands where its own hash says.

--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -29,8 +29,6 @@
       /** The tier of its tenant, where that takes the place of its rule's. */
       readonly tier?: string;
       readonly work?: Work;
-      /** What its place on the ring follows from, where that is not its whole opening. */
-      readonly anchor?: string;
     }
   | { readonly type: 'sent'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'firstPiece'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
--- a/src/decision/machine/step/on-exchange.ts
+++ b/src/decision/machine/step/on-exchange.ts
@@ -33,7 +33,7 @@
   const tierPlace = setup.tiers.findIndex((tier) => tier.name === rule.tier);
   const tier = setup.tiers[tierPlace];
   if (tier === undefined) return refused(view, event, 'unknown-kind');
-  const position = positionOf(event.anchor ?? event.prefix);
+  const position = positionOf(event.prefix);
   const isModel = view.stage.services.get(rule.service)?.type === 'model';
   const touch = {
     prefix: event.prefix,
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -37,7 +37,6 @@
     budgetUs: number().integer().min(1),
     service: string().min(1).max(256),
     tier: string().min(1).max(256),
-    anchor: string().min(1).max(256),
     work: object({
       levels: array(object({ prefix: name(), tokens: at() }).noUnknown().required()).required(),
       readTokens: at(),
--- a/src/decision/work/work-of.ts
+++ b/src/decision/work/work-of.ts
@@ -1,5 +1,4 @@
 import type { OpeningPart } from '../../router/opaque/opening-part.js';
-import { positionOf } from '../ring/position.js';
 import { prefixOf } from '../ring/prefix.js';
 import type { Work } from './work.js';
 
@@ -26,24 +25,3 @@
   const partTokens = opening.reduce((sum, part) => sum + part.tokens, 0);
   return { levels, readTokens: Math.max(readTokens, partTokens), writeTokens };
 };
-
-const leastServers = 6;
-
-/** A third of the servers in whole powers of two, so that a server more or less moves no place. */
-const anchorPlacesOf = (servers: number): number => 2 ** Math.floor(Math.log2(servers / 3));
-
-const anchorShare = 1 / 3;
-
-/**
- * Where the first part makes up much of what is shared, the openings that begin with it stand at a few places of the
- * ring only, so that few servers have to read it. Otherwise, and where there are few servers, an opening stands at a place
- * of its own.
- */
-export const anchorOf = (service: string, opening: readonly OpeningPart[], servers: number): string | undefined => {
-  const shared = sharedPartsOf(opening);
-  const [first] = shared;
-  const tokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-  if (first === undefined || shared.length < 2 || servers < leastServers || first.tokens < tokens * anchorShare)
-    return undefined;
-  return prefixOf(service, `${first.part}#${positionOf(nameOf(shared)) % anchorPlacesOf(servers)}`);
-};
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -15,7 +15,7 @@
 import type { DeliveryEnd } from '../../router/delivery/delivery-end.js';
 import { carry } from '../../router/delivery/carry.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
-import { anchorOf, workOf } from '../../decision/work/work-of.js';
+import { workOf } from '../../decision/work/work-of.js';
 import { shareOf } from '../../setup/match/share-of.js';
 import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
@@ -98,11 +98,6 @@
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
 
-const workFieldsOf = (service: string, servers: number, { opening, readTokens, writeTokens }: OpaqueExchange) => {
-  const anchor = anchorOf(service, opening, servers);
-  return { work: workOf(service, opening, readTokens, writeTokens), ...(anchor === undefined ? {} : { anchor }) };
-};
-
 export const openRouterTask = ({
   node,
   spread,
@@ -573,7 +568,7 @@
         ...(tier === undefined ? {} : { tier }),
         ...(opaque === undefined || !isModel
           ? {}
-          : workFieldsOf(rule.service, journal.view().stage.services.get(rule.service)?.localities.size ?? 0, opaque)),
+          : { work: workOf(rule.service, opaque.opening, opaque.readTokens, opaque.writeTokens) }),
       });
     },
     noteRefusal: (exchange, rule, { type }, facts = {}) => {
