Spread plain requests of a platform over their servers by the request's own name

Cause: an opaque request of a web service has no text that is read, so that all of them stood at one place of the ring: every router took the same first owner while it had nothing there itself.

Change: the place follows from the request's own name, as the position of a prompt does from its prefix.

Measured: a test on loopback, 30 requests one after the other to two servers: all went to one before (by the code as it stood: the position was a constant), both get some now.

--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -562,7 +562,7 @@
         at: clock.now(),
         exchange,
         kind: rule.kind,
-        prefix: prefixOf(rule.service, (isModel ? body.opening : body.text) ?? ''),
+        prefix: prefixOf(rule.service, (isModel || opaque !== undefined ? body.opening : body.text) ?? ''),
         budgetUs: body.budgetUs,
         ...(rule.split === undefined ? {} : { service: rule.service }),
         ...(tier === undefined ? {} : { tier }),
--- a/tests/platform/caller.test.ts
+++ b/tests/platform/caller.test.ts
@@ -329,4 +329,19 @@
     },
   ));
 
+test('plain requests of one place spread over the servers of their service, also one after the other', () =>
+  withEdge(
+    ok,
+    async (edge, first, other) => {
+      const client = await edge.connect();
+      for (let place = 0; place < 30; place += 1) {
+        client.socket.write(post('/idem/x', '', [], `spread-${place}`));
+        await seen(() => client.received().split('HTTP/1.1 200').length === place + 2);
+      }
+      assert.match(first.received(), /spread-/);
+      assert.match(other.received(), /spread-/);
+    },
+    2,
+  ));
+
 test.run();
