Tell routers of full and failing servers and of work that keeps one busy, and take the sooner one

Cause: 68 routers each see a sixty-eighth of the traffic. Each found out by itself that a server was dark, broke what it got or was full, and word of prompts went round from 10,000 tokens on only, so that prompts of half a second met at one server while its neighbours were idle.

Change, each a part of the decision that can be switched off (decision/policy.ts): - Failures: a try that breaks, or a connection that does not come up, counts against its server here and, told at most every 0.4 s, at the other routers. Two connections that do not come up or three broken tries of late pass a server over for 0.6 s; never more than a third of a service. - Loads: a server that tells its load with an answer is passed over while 85 in 100 of its slots are taken, for up to 1.5 s; full ones are told to the other routers. - Work: what leaves its server reading for 0.1 s or longer is told, by the service's own rate in place of a count of tokens. - The owner keeps what it begins within a tenth of the time left, and what waits there behind a prefill of the same prefix (single-flight, as before, up to 0.8); else the server that begins clearly sooner has it.

--- a/src/decision/machine/effect/decision.ts
+++ b/src/decision/machine/effect/decision.ts
@@ -14,6 +14,8 @@
       readonly extra: boolean;
       /** What the server has to read, in tokens, as far as is known. */
       readonly tokens?: number;
+      /** For how long the server then reads, as far as is known. */
+      readonly busyUs?: Micros;
       readonly urgency?: number;
       readonly reason: Reason;
     }
--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -4,6 +4,7 @@
 import type { SetupRecord } from '../../../setup/document/setup-record.js';
 import type { Work } from '../../work/work.js';
 import type { Prefix } from '../../ring/prefix.js';
+import type { FailureCause } from '../../health/server-failures.js';
 import type { DeliveryError } from './delivery-error.js';
 
 /** What the decision machine hears. `at` is the node's steady time. */
@@ -54,6 +55,17 @@
       readonly service: string;
       readonly tokens: number;
     }
+  /** A server failed, here or at another router. */
+  | { readonly type: 'failure'; readonly at: Micros; readonly server: ServerKey; readonly cause: FailureCause }
+  /** A server has told its load, here or to another router. */
+  | {
+      readonly type: 'load';
+      readonly at: Micros;
+      readonly server: ServerKey;
+      readonly running: number;
+      readonly waiting: number;
+      readonly slots: number;
+    }
   | { readonly type: 'dark'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'light'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'tick'; readonly at: Micros }
--- a/src/decision/machine/step/direct.ts
+++ b/src/decision/machine/step/direct.ts
@@ -68,7 +68,13 @@
     fromPiece: exchange.fromPiece,
     extra: exchange.nextIsExtra,
     reason: placement.reason,
-    ...(work === undefined ? {} : { tokens: given.tokens, urgency: urgencyOf(view, exchange, given.tokens) }),
+    ...(work === undefined
+      ? {}
+      : {
+          tokens: given.tokens,
+          busyUs: waitUsOf(workedView, placement.server),
+          urgency: urgencyOf(view, exchange, given.tokens),
+        }),
   };
   return stepped(
     leads ? withFlight(pacedView, flightKey, { leader: exchange.exchange, followers: [] }) : pacedView,
@@ -87,7 +93,7 @@
   if (exchange.nextIsExtra && !hasRetryAllowance(view, exchange.rule.service))
     return giveUp(view, exchange, 'outcome-unknown');
   const flight = view.flights.get(flightKeyOf(placement.server, exchange.prefix));
-  const mayWait = exchange.holdUntilUs === undefined || view.atUs < exchange.holdUntilUs;
+  const mayWait = view.policy.singleFlight && (exchange.holdUntilUs === undefined || view.atUs < exchange.holdUntilUs);
   return placement.reason.cold && flight !== undefined && mayWait
     ? held(view, exchange, placement, flight.leader)
     : delivered(view, exchange, placement);
--- a/src/decision/machine/step/on-delivery.ts
+++ b/src/decision/machine/step/on-delivery.ts
@@ -79,7 +79,8 @@
     andThen(step, (nextView) => releaseAll(nextView, landing.followers));
   if (event.error === 'key-revoked')
     return releaseFollowers(giveUp(withExchange(landing.view, landedExchange), landedExchange, 'unknown-key'));
-  const mayRun = !wasSent || (exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable));
+  const mayRun =
+    !wasSent || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable));
   if (!mayRun)
     return releaseFollowers(giveUp(withExchange(landing.view, landedExchange), landedExchange, 'outcome-unknown'));
   const freedView = withoutServer(landing.view, landedExchange);
--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -3,9 +3,11 @@
 import { flightKeyOf } from '../../flight/flight.js';
 import { rankIn } from '../../hotness/schedule.js';
 import { paceAllows, paceKeyOf } from '../../pace/pace.js';
+import { avoidedAmong } from '../../health/server-failures.js';
+import { isCrowded, loadPartOf } from '../../health/server-load.js';
 import { ownersAt } from '../../ring/owners-at.js';
 import { rangeAt, type Range } from '../../ring/range.js';
-import { vnodeIndexAt, type Ring } from '../../ring/ring.js';
+import { ringOwners, vnodeIndexAt, type Ring } from '../../ring/ring.js';
 import type { Migration } from '../../timeline/migration.js';
 import type { ServiceStage } from '../../timeline/service-stage.js';
 import type { Reason } from '../effect/reason.js';
@@ -49,8 +51,9 @@
  * beginning, by the node's own name, so that nodes do not all send the hottest opening at one moment.
  */
 const hasPace = (view: DecisionView, migration: Migration, range: Range, beginUs: Micros): boolean =>
-  platformUsOf(view) >= beginUs + view.phase * spanOf(view, migration) &&
-  paceAllows(view.pace, paceKeyOf(range.to, range), view.atUs);
+  !view.policy.pace ||
+  (platformUsOf(view) >= beginUs + view.phase * spanOf(view, migration) &&
+    paceAllows(view.pace, paceKeyOf(range.to, range), view.atUs));
 
 /** Whether the schedule has come to this opening: one rank further with every slot of the range. */
 const isScheduled = (view: DecisionView, exchange: ExchangeView, migration: Migration, range: Range): boolean => {
@@ -85,6 +88,7 @@
   owner: ServerKey,
   bound: number,
 ): Wish | undefined => {
+  if (!view.policy.bookings) return undefined;
   for (const migration of stage.pending) {
     const range = rangeIn(migration, exchange);
     if (range === undefined || !isUsable(view, stage, exchange, range.to)) continue;
@@ -116,8 +120,11 @@
 const readyUsAt = (view: DecisionView, exchange: ExchangeView, work: Work, server: ServerKey): Micros =>
   waitUsOf(view, server) + readUsOf(view, exchange.rule.service, toReadAt(view, server, work));
 
-/** The part of the time that is left up to the target which the owner may take before work is sent where it has to be read anew. */
-const patience = 0.8;
+/** An owner that would take less of the time up to the target than this keeps what is its own. */
+const ownerPart = 0.1;
+/** The same where its prefill of that very prefix is under way, behind which the exchange would wait. */
+const ownerPartInFlight = 0.8;
+/** Another server has to be sooner by so much, since it reads anew what the owner may hold. */
 const leastGainUs: Micros = 50_000;
 
 /** A server where the first piece would come clearly sooner, for an exchange that would miss its target at its owner. */
@@ -128,9 +135,10 @@
   candidates: readonly ServerKey[],
 ): ServerKey | undefined => {
   const { work, rule } = exchange;
-  if (work === undefined || rule.targetUs === undefined) return undefined;
+  if (work === undefined || rule.targetUs === undefined || !view.policy.quickerServer) return undefined;
   const ownerUs = readyUsAt(view, exchange, work, owner);
-  if (ownerUs <= patience * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
+  const keptPart = hasFlight(view, exchange, owner) ? ownerPartInFlight : ownerPart;
+  if (ownerUs <= keptPart * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
   const best = calmestOf(
     candidates,
     () => true,
@@ -156,6 +164,11 @@
   const stage = view.stage.services.get(exchange.rule.service);
   if (stage === undefined) return undefined;
   const owners = ownersAt(stage, exchange.position);
+  const avoided = view.policy.failures
+    ? avoidedAmong(view.failures, ringOwners(stage.ring), view.atUs)
+    : new Set<ServerKey>();
+  const hasRoom = (server: ServerKey): boolean => !view.policy.loads || !isCrowded(view.loads, server, view.atUs);
+  const isSound = (server: ServerKey): boolean => !avoided.has(server) && hasRoom(server);
   const firstUsable = (isWished: (server: ServerKey) => boolean): ServerKey | undefined =>
     firstOf(owners.all(), (server) => isUsable(view, stage, exchange, server) && isWished(server));
   const bound = pressureBoundOf(view, stage, exchange);
@@ -185,12 +198,14 @@
     },
   });
   const candidates = (): readonly ServerKey[] =>
-    owners.first.filter((server) => isUsable(view, stage, exchange, server) && pressureOf(server) < bound);
+    owners.first.filter(
+      (server) => isUsable(view, stage, exchange, server) && isSound(server) && pressureOf(server) < bound,
+    );
   const plain = (server: ServerKey, type: ReasonType): Placement =>
     placed({ server, type, migration: undefined, range: undefined, takesSlot: false });
 
   const firstOwner = owners.first[0];
-  const nearestOwner = firstUsable(() => true);
+  const nearestOwner = firstUsable((server) => !avoided.has(server)) ?? firstUsable(() => true);
   if (firstOwner === undefined || nearestOwner === undefined) {
     const joiningServer = stage.joining
       .filter((server) => isUsable(view, stage, exchange, server))
@@ -198,22 +213,32 @@
     return joiningServer === undefined ? undefined : plain(joiningServer, 'emergency');
   }
   if (stage.type === 'web') {
-    const idleServer = firstUsable((server) => pressureOf(server) === 0);
+    const idleServer = firstUsable((server) => pressureOf(server) === 0 && isSound(server));
+    const loadOf = (server: ServerKey): number =>
+      Number(avoided.has(server)) + (loadPartOf(view.loads, server, view.atUs) ?? 0) + pressureOf(server);
     const calmestServer =
       idleServer ??
-      calmestOf(owners.all(), (server) => isUsable(view, stage, exchange, server), pressureOf) ??
+      calmestOf(owners.all(), (server) => isUsable(view, stage, exchange, server), loadOf) ??
       nearestOwner;
     return plain(calmestServer, calmestServer === firstOwner ? 'ring' : 'spill');
   }
-  const migrationWish = nearestOwner === firstOwner ? pendingWish(view, stage, exchange, firstOwner, bound) : undefined;
+  const migrationWish =
+    nearestOwner === firstOwner && hasRoom(firstOwner)
+      ? pendingWish(view, stage, exchange, firstOwner, bound)
+      : undefined;
   if (migrationWish !== undefined) return placed(migrationWish);
   const ringWish = settlingWish(view, stage, exchange, nearestOwner);
   const quickerServer = quicker(view, exchange, ringWish.server, candidates());
   if (quickerServer !== undefined) return plain(quickerServer, 'spill');
-  if (pressureOf(ringWish.server) < bound)
+  if (pressureOf(ringWish.server) < bound && hasRoom(ringWish.server)) {
+    const passedOver = avoided.has(firstOwner) ? 'failing-owner' : 'dark-owner';
     return placed(
-      nearestOwner === firstOwner || ringWish.type !== 'ring' ? ringWish : { ...ringWish, type: 'dark-owner' },
+      nearestOwner === firstOwner || ringWish.type !== 'ring' ? ringWish : { ...ringWish, type: passedOver },
     );
-  const spillServer = firstUsable((server) => pressureOf(server) < bound) ?? nearestOwner;
+  }
+  const spillServer =
+    firstUsable((server) => pressureOf(server) < bound && isSound(server)) ??
+    firstUsable((server) => pressureOf(server) < bound && !avoided.has(server)) ??
+    nearestOwner;
   return plain(spillServer, 'spill');
 };
--- a/src/decision/machine/step/step.ts
+++ b/src/decision/machine/step/step.ts
@@ -1,3 +1,4 @@
+import { withFailure } from '../../health/server-failures.js';
 import { withReading } from '../../work/busy.js';
 import { withoutSpan } from '../../../common/clock/time-bound.js';
 import { countsAfter } from '../../retry/router-counts.js';
@@ -43,6 +44,12 @@
       return onAbandoned(view, event.exchange);
     case 'work':
       return still(withReading(view, event.server, event.service, event.tokens));
+    case 'failure':
+      return still({ ...view, failures: withFailure(view.failures, event.server, event.cause, view.atUs) });
+    case 'load': {
+      const { running, waiting, slots } = event;
+      return still({ ...view, loads: view.loads.set(event.server, { running, waiting, slots, atUs: view.atUs }) });
+    }
     case 'dark':
       return still({ ...view, dark: new Set([...view.dark, event.server]) });
     case 'light':
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -5,8 +5,11 @@
 import type { ServerList } from '../../../servers/list/server-list.js';
 import type { SetupRecord } from '../../../setup/document/setup-record.js';
 import type { Flight, FlightKey } from '../../flight/flight.js';
+import type { ServerFailures } from '../../health/server-failures.js';
+import type { ServerLoads } from '../../health/server-load.js';
 import { emptyHotness, type Hotness } from '../../hotness/hotness.js';
 import { mostCounted, type RouterCounts } from '../../retry/router-counts.js';
+import { usualPolicy, type DecisionPolicy } from '../../policy.js';
 import { emptyPace, type Pace } from '../../pace/pace.js';
 import type { Tries } from '../../retry/tries.js';
 import type { Prefix } from '../../ring/prefix.js';
@@ -43,8 +46,14 @@
   /** The sum of the pressure on the servers in each service's ring. */
   readonly ringPressure: ReadonlyMap<string, number>;
   readonly dark: ReadonlySet<ServerKey>;
+  /** Failures of servers, here and at other routers. */
+  readonly failures: ServerFailures;
+  /** What servers have told of their load, here and to other routers. */
+  readonly loads: ServerLoads;
   readonly tries: PersistentMap<string, Tries>;
   readonly draining: boolean;
+  /** Which parts of the decision are on; it never changes. */
+  readonly policy: DecisionPolicy;
 };
 
 export const startDecisionView: DecisionView = {
@@ -68,8 +77,11 @@
   pressure: emptyMap(),
   ringPressure: new Map(),
   dark: new Set(),
+  failures: emptyMap(),
+  loads: emptyMap(),
   tries: emptyMap(),
   draining: false,
+  policy: usualPolicy,
 };
 
 /** The platform's time at this view's moment. */
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -61,6 +61,22 @@
   done: object({ type: typed('done'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
   abandoned: object({ type: typed('abandoned'), at: at(), exchange: name() }).noUnknown(),
   work: object({ type: typed('work'), at: at(), server: name(), service: name(), tokens: at() }).noUnknown(),
+  failure: object({
+    type: typed('failure'),
+    at: at(),
+    server: name(),
+    cause: string()
+      .required()
+      .oneOf(['unreachable', 'failed'] as const),
+  }).noUnknown(),
+  load: object({
+    type: typed('load'),
+    at: at(),
+    server: name(),
+    running: at(),
+    waiting: at(),
+    slots: at(),
+  }).noUnknown(),
   dark: object({ type: typed('dark'), at: at(), server: name() }).noUnknown(),
   light: object({ type: typed('light'), at: at(), server: name() }).noUnknown(),
   tick: object({ type: typed('tick'), at: at() }).noUnknown(),
--- a/src/decision/trace/trace-reader.ts
+++ b/src/decision/trace/trace-reader.ts
@@ -59,6 +59,8 @@
       case 'gap':
       case 'time':
       case 'work':
+      case 'failure':
+      case 'load':
       case 'dark':
       case 'light':
       case 'tick':
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -8,6 +8,9 @@
 import type { DecisionEvent } from '../../decision/machine/event/decision-event.js';
 import { stepDecision } from '../../decision/machine/step/step.js';
 import { platformUsOf, startDecisionView, type DecisionView } from '../../decision/machine/view/decision-view.js';
+import { usualPolicy, type DecisionPolicy } from '../../decision/policy.js';
+import type { FailureCause } from '../../decision/health/server-failures.js';
+import type { ServerLoad } from '../../decision/health/server-load.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
 import { accessOf, isSameCaller, tenantNameOf, type Access } from '../../router/access/access.js';
 import type { CallerLink } from '../../router/delivery/caller-link.js';
@@ -36,6 +39,7 @@
 import type { Log } from '../log.js';
 import type { SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
+import { openFleetNews } from './fleet-news.js';
 import type { RefreshGate } from './refresh-gate.js';
 
 /** The task that owns the decision machine, the continuations and the links to servers. */
@@ -81,12 +85,6 @@
 const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
-/** What is read sooner than word of it helps is not told of; in a large fleet only what is read longest. */
-const leastToldTokens = 4_000;
-const leastWidelyToldTokens = 10_000;
-const mostClosely = 24;
-const mostTold = 100;
-
 export type RouterTaskParts = {
   readonly node: string;
   readonly spread: SpreadTask;
@@ -94,6 +92,8 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly surroundings: Pick<Surroundings, 'clock' | 'dial' | 'freshName' | 'probesNothing'>;
+  /** Which parts of the decision are on; all where it is not told. */
+  readonly policy?: DecisionPolicy;
   /** Frees the key of an exchange that was refused. */
   readonly release: (claimed: { readonly key: string; readonly exchange: string }) => void;
 };
@@ -105,6 +105,7 @@
   log,
   counters,
   surroundings,
+  policy = usualPolicy,
   release,
 }: RouterTaskParts): RouterTask => {
   const { clock, dial, freshName, probesNothing = false } = surroundings;
@@ -115,10 +116,11 @@
   const pool = openLinkPool(dial);
   const promises = openPromiseChecks({ count: (name) => counters.count(name), log: log.change });
   const tryChecks = openTryChecks(promises);
+  const news = openFleetNews(spread, clock, counters);
   let madeDecisions: readonly Decision[] = [];
   let exchangeCount = 0;
   const journal = openJournal<DecisionView, DecisionEvent>(
-    startDecisionView,
+    { ...startDecisionView, policy },
     (view, event) => {
       const step = stepDecision(view, event);
       madeDecisions = step.effects;
@@ -195,9 +197,11 @@
         tell(decision.exchange, 'deliver', decision);
         counters.count(`reasons.${decision.reason.type}`);
         if (decision.extra) counters.count('tries.extra');
-        tellWork(decision);
         const continuation = find(decision.exchange);
-        if (continuation !== undefined) startTry(continuation, decision);
+        if (continuation === undefined) return;
+        if (policy.toldWork)
+          news.work(decision.server, continuation.rule.service, decision.tokens ?? 0, decision.busyUs ?? 0);
+        startTry(continuation, decision);
         return;
       }
       case 'hold':
@@ -246,17 +250,6 @@
     }
   };
 
-  /** Lets the other routers know of what a server has to read, where that is much. */
-  const tellWork = ({ exchange, server, tokens = 0 }: Extract<Decision, { readonly type: 'deliver' }>): void => {
-    const continuation = find(exchange);
-    if (continuation === undefined || tokens < leastToldTokens) return;
-    const routers = [...spread.view().partners.values()].filter(({ partner }) => partner.role === 'router');
-    if (routers.length > mostClosely && tokens < leastWidelyToldTokens) return;
-    counters.count('work.told');
-    for (const { partner } of routers.slice(0, mostTold))
-      spread.send(partner.address, { type: 'work', server, service: continuation.rule.service, tokens });
-  };
-
   const withContinuation = (exchange: string, use: (continuation: Continuation) => void): void => {
     const continuation = find(exchange);
     if (continuation === undefined) return;
@@ -266,7 +259,7 @@
 
   const startTry = (continuation: Continuation, decision: Extract<Decision, { readonly type: 'deliver' }>): void => {
     const aborter = new AbortController();
-    continuation.stream.running = { attempt: decision.attempt, cancel: () => aborter.abort() };
+    continuation.stream.running = { attempt: decision.attempt, server: decision.server, cancel: () => aborter.abort() };
     void runTry(continuation, decision, aborter.signal);
   };
 
@@ -316,7 +309,10 @@
       opened.ifLeft((error) => {
         counters.count('links.refused');
         tell(exchange, 'no link', { attempt, error });
-        if (error.type !== 'bad-message') passive?.missed(decision.server);
+        if (error.type !== 'bad-message') {
+          passive?.missed(decision.server);
+          noteFailure(decision.server, 'unreachable');
+        }
         unsent(error.type === 'bad-message' ? 'wrong-service' : 'no-link');
       });
       return;
@@ -355,11 +351,12 @@
       };
       const carried = await carry(continuation, link, link.carry, order, signal, {
         piece: () => countPiece(continuation, attempt),
+        load: (load) => noteLoad(decision.server, load),
       });
       if (!signal.aborted) {
         if (carried.type === 'failed' && carried.error === 'link-lost') passive?.suspect(decision.server);
         continuation.stream.dueUs = Number.POSITIVE_INFINITY;
-        endTry(continuation, attempt, carried);
+        endTry(continuation, attempt, decision.server, carried);
       }
       pool.giveBack(link);
       return;
@@ -370,13 +367,23 @@
     });
     if (!signal.aborted) {
       continuation.stream.dueUs = Number.POSITIVE_INFINITY;
-      endTry(continuation, attempt, ending);
+      endTry(continuation, attempt, decision.server, ending);
     }
     if (ending.type === 'done' && (await within(clock, ending.rest, restBudgetUs)) !== true) link.close();
     pool.giveBack(link);
   };
 
-  const endTry = (continuation: Continuation, attempt: number, ending: DeliveryEnd): void => {
+  const noteFailure = (server: ServerKey, cause: FailureCause): void => {
+    take({ type: 'failure', at: clock.now(), server, cause });
+    news.failure(server, cause);
+  };
+
+  const noteLoad = (server: ServerKey, load: ServerLoad): void => {
+    take({ type: 'load', at: clock.now(), server, ...load });
+    news.load(server, load);
+  };
+
+  const endTry = (continuation: Continuation, attempt: number, server: ServerKey, ending: DeliveryEnd): void => {
     const { exchange } = continuation;
     switch (ending.type) {
       case 'done':
@@ -394,6 +401,7 @@
       case 'failed':
         tell(exchange, 'failed', { attempt, ...ending });
         counters.count(`tries.failed.${ending.error}`);
+        if (ending.notRun !== true) noteFailure(server, 'failed');
         if (ending.notRun === true) {
           continuation.watch.notRun();
           continuation.quota.notRun();
@@ -457,7 +465,7 @@
       continuation.stream.dueUs += lateUs;
       if (running === undefined || nowUs < continuation.stream.dueUs) continue;
       running.cancel();
-      endTry(continuation, running.attempt, {
+      endTry(continuation, running.attempt, running.server, {
         type: 'failed',
         error: 'silent',
         message: `nothing came after piece ${pieces - 1}`,
@@ -502,6 +510,11 @@
   spread.events.on('work', ({ server, service, tokens }) =>
     take({ type: 'work', at: clock.now(), server, service, tokens }),
   );
+  spread.events.on('serverFailure', ({ server, cause }) => take({ type: 'failure', at: clock.now(), server, cause }));
+  spread.events.on('serverLoad', ({ server, running, waiting, slots }) => {
+    news.heardLoad(server);
+    take({ type: 'load', at: clock.now(), server, running, waiting, slots });
+  });
   counters.gauge('exchanges.inFlight', () => slab.size());
   counters.gauge('links.open', () => pool.size());
   counters.gauge('flights', () => journal.view().flights.size);
--- a/src/process/spread-task-events.ts
+++ b/src/process/spread-task-events.ts
@@ -16,6 +16,8 @@
   readonly control: [from: string, frame: Extract<Frame, { readonly type: 'control' }>];
   readonly request: [from: string, frame: Extract<Frame, { readonly type: 'request' }>];
   readonly work: [frame: Extract<Frame, { readonly type: 'work' }>];
+  readonly serverFailure: [frame: Extract<Frame, { readonly type: 'server-failure' }>];
+  readonly serverLoad: [frame: Extract<Frame, { readonly type: 'server-load' }>];
   readonly quotaRequest: [from: string, frame: Extract<Frame, { readonly type: 'quota-request' }>];
   readonly quotaReply: [from: string, frame: Extract<Frame, { readonly type: 'quota-reply' }>];
   readonly reply: [from: string, frame: Extract<Frame, { readonly type: 'reply' }>];
--- a/src/process/spread-task.ts
+++ b/src/process/spread-task.ts
@@ -141,6 +141,12 @@
       case 'reply':
         events.emit('reply', from, frame);
         return;
+      case 'server-failure':
+        events.emit('serverFailure', frame);
+        return;
+      case 'server-load':
+        events.emit('serverLoad', frame);
+        return;
       case 'quota-request':
         events.emit('quotaRequest', from, frame);
         return;
--- a/src/router/delivery/carry.ts
+++ b/src/router/delivery/carry.ts
@@ -1,3 +1,4 @@
+import type { ServerLoad } from '../../decision/health/server-load.js';
 import type { DeliveryError } from '../../decision/machine/event/delivery-error.js';
 import type { CarriedHead } from '../../servers/link/carried-head.js';
 import type { OpaqueOrder } from '../../servers/link/opaque-order.js';
@@ -9,6 +10,8 @@
 export type CarryEvents = {
   /** The first sign that the server works on it, or a further one. */
   readonly piece: () => void;
+  /** The server has told its load. */
+  readonly load: (load: ServerLoad) => void;
 };
 
 /** Receipts up to this size are taken in whole before any of it is given on, so that a broken one can be tried again. */
@@ -23,7 +26,7 @@
   carryOver: NonNullable<ServerLink['carry']>,
   order: OpaqueOrder,
   signal: AbortSignal,
-  { piece: tellPiece }: CarryEvents,
+  { piece: tellPiece, load: tellLoad }: CarryEvents,
 ): Promise<DeliveryEnd> =>
   new Promise((resolve) => {
     const { caller, stream, rule } = continuation;
@@ -60,6 +63,7 @@
       head: (given) => {
         if (isOver) return;
         head = given;
+        if (given.load !== undefined) tellLoad(given.load);
         if (!given.ran) return;
         if (!isSuccess(given)) return;
         if (!given.sealed) {
--- a/src/router/explain/explain-step.ts
+++ b/src/router/explain/explain-step.ts
@@ -34,8 +34,9 @@
     `the new owner ("${migration ?? ''}") takes cold openings at a pace, so the former one serves`,
   'handing-over': ({ migration }) => `the owner is going ("${migration ?? ''}") and hands the opening over`,
   spill: ({ pressure, pressureBound }) =>
-    `the owners before it were pressed to their bound (here ${pressure ?? 0} of ${pressureBound ?? 0})`,
+    `the owners before it were pressed to their bound or crowded (here ${pressure ?? 0} of ${pressureBound ?? 0})`,
   'dark-owner': () => 'the owners before it are dark, gone or had been tried',
+  'failing-owner': () => 'the owners before it have failed of late, here or at other routers',
   emergency: () => 'no server that has entered could be used',
 };
 
--- a/src/spread/frame/frame-guard.ts
+++ b/src/spread/frame/frame-guard.ts
@@ -49,6 +49,20 @@
     message: mixed(isPlainMessage).required(),
   }),
   work: object({ type: typed('work'), server: string().required(), service: string().required(), tokens: whole() }),
+  'server-failure': object({
+    type: typed('server-failure'),
+    server: string().required(),
+    cause: string()
+      .required()
+      .oneOf(['unreachable', 'failed'] as const),
+  }),
+  'server-load': object({
+    type: typed('server-load'),
+    server: string().required(),
+    running: whole(),
+    waiting: whole(),
+    slots: whole(),
+  }),
   'quota-request': mixed(isQuotaRequestFrame).required(),
   'quota-reply': mixed(isQuotaReplyFrame).required(),
   request: object({ type: typed('request'), requestId: string().required(), request: mixed(isCoreRequest).required() }),
--- a/src/spread/frame/frame.ts
+++ b/src/spread/frame/frame.ts
@@ -2,6 +2,8 @@
 import type { Command } from '../../control/log/command.js';
 import type { CoreReply } from '../../control/machine/core-reply.js';
 import type { PlainMessage } from '../../control/wire/message-codec.js';
+import type { FailureCause } from '../../decision/health/server-failures.js';
+import type { ServerLoad } from '../../decision/health/server-load.js';
 import type { AskedList } from '../../servers/list/asked-list.js';
 import type { ServerList } from '../../servers/list/server-list.js';
 import type { ReadMark } from '../../servers/source/read-mark.js';
@@ -55,6 +57,10 @@
   | { readonly type: 'list'; readonly list: ServerList | AskedList }
   /** `to` names the identity that is meant; a machine that came back empty at the same address is another one. */
   | { readonly type: 'control'; readonly identity: string; readonly to?: string; readonly message: PlainMessage }
+  /** A server failed at the sender. */
+  | { readonly type: 'server-failure'; readonly server: string; readonly cause: FailureCause }
+  /** A server has told the sender its load. */
+  | ({ readonly type: 'server-load'; readonly server: string } & ServerLoad)
   /** A server was given something to read, so many tokens. */
   | { readonly type: 'work'; readonly server: string; readonly service: string; readonly tokens: number }
   /** A router asks a store of quotas for tokens; `ask` is the router's own number for it. */
--- a/tests/decision/player.ts
+++ b/tests/decision/player.ts
@@ -1,6 +1,7 @@
 import type { Decision } from '../../src/decision/machine/effect/decision.js';
 import type { DecisionEvent } from '../../src/decision/machine/event/decision-event.js';
-import type { DecisionView } from '../../src/decision/machine/view/decision-view.js';
+import { startDecisionView, type DecisionView } from '../../src/decision/machine/view/decision-view.js';
+import { usualPolicy, type DecisionPolicy } from '../../src/decision/policy.js';
 import { openTraceReader, type TimedDecision } from '../../src/decision/trace/trace-reader.js';
 
 /**
@@ -13,8 +14,8 @@
   readonly view: () => DecisionView;
 };
 
-export const openPlayer = (): Player => {
-  const reader = openTraceReader();
+export const openPlayer = (policy: DecisionPolicy = usualPolicy): Player => {
+  const reader = openTraceReader({ ...startDecisionView, policy });
   const allDecisions: TimedDecision[] = [];
   let offsetUs: number | undefined;
   const withTime = (event: DecisionEvent): readonly DecisionEvent[] => {
--- /dev/null
+++ b/tests/decision/policy.test.ts
@@ -0,0 +1,104 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { policyParts, policyWithout, usualPolicy, type DecisionPolicy } from '../../src/decision/policy.js';
+import { workOf } from '../../src/decision/work/work-of.js';
+import { foundersAt, listOf, recordOf, second, serverOf, setup } from './figures.js';
+import { deliversOf, openPlayer, typesOf, type Player } from './player.js';
+
+const targeted = { ...setup, rules: setup.rules.map((rule) => ({ ...rule, targetUs: second })) };
+
+const opened = (policy: DecisionPolicy): Player => {
+  const player = openPlayer(policy);
+  player.play(
+    { type: 'tick', at: 0 },
+    { type: 'setup', at: 0, record: recordOf(targeted) },
+    { type: 'list', at: 0, list: listOf(1, 90 * second, foundersAt(6, 0)) },
+  );
+  return player;
+};
+
+const work = workOf('model', [{ part: 'p', tokens: 4_000 }], 4_000, 10);
+
+const send = (player: Player, at: number, exchange: string) =>
+  player.play({ type: 'exchange', at, exchange, kind: 'ask', prefix: 'one', work });
+
+const serverIn = (decisions: ReturnType<Player['play']>): string => deliversOf(decisions)[0]?.server ?? 'none';
+
+/** What a part of the policy changes, seen from outside: the same events come to something else without it. */
+const seenOf: Readonly<Record<string, (player: Player) => unknown>> = {
+  singleFlight: (player) => {
+    send(player, 1, 'a');
+    return typesOf(send(player, 2, 'b'));
+  },
+  quickerServer: (player) => {
+    const owner = serverIn(send(player, 1, 'a'));
+    player.play({ type: 'done', at: 2, exchange: 'a', attempt: 1 });
+    player.play({ type: 'work', at: 3, server: owner, service: 'model', tokens: 200_000 });
+    return serverIn(send(player, 4, 'b')) === owner;
+  },
+  urgency: (player) => deliversOf(send(player, 1, 'a'))[0]?.urgency,
+  failures: (player) => {
+    const owner = serverIn(send(player, 1, 'a'));
+    player.play({ type: 'done', at: 2, exchange: 'a', attempt: 1 });
+    for (let time = 0; time < 3; time += 1) player.play({ type: 'failure', at: 3, server: owner, cause: 'failed' });
+    return serverIn(send(player, 4, 'b')) === owner;
+  },
+  loads: (player) => {
+    const owner = serverIn(send(player, 1, 'a'));
+    player.play({ type: 'done', at: 2, exchange: 'a', attempt: 1 });
+    player.play({ type: 'load', at: 3, server: owner, running: 9, waiting: 1, slots: 10 });
+    return serverIn(send(player, 4, 'b')) === owner;
+  },
+  retries: (player) => {
+    send(player, 1, 'a');
+    player.play({ type: 'sent', at: 2, exchange: 'a', attempt: 1 });
+    return typesOf(
+      player.play({
+        type: 'failed',
+        at: 12 * second,
+        exchange: 'a',
+        attempt: 1,
+        sent: true,
+        pieces: 0,
+        error: 'link-lost',
+      }),
+    );
+  },
+};
+
+test('each switch turns off what it names, and a router that serves has all of them on', () => {
+  assert.ok(policyParts.every((part) => usualPolicy[part]));
+  assert.is(policyParts.length, Object.keys(usualPolicy).length);
+  for (const [name, seen] of Object.entries(seenOf)) {
+    const part = policyParts.find((known) => known === name);
+    assert.ok(part !== undefined, name);
+    if (part === undefined) return;
+    assert.not.equal(seen(opened(policyWithout(part))), seen(opened(usualPolicy)), name);
+  }
+});
+
+test('without bookings and pace a newcomer gets nothing before it enters, and then all at once', () => {
+  const joinedAt = (policy: DecisionPolicy): readonly string[] => {
+    const player = opened(policy);
+    player.play({
+      type: 'list',
+      at: second,
+      list: listOf(2, 91 * second, [...foundersAt(6, 0), serverOf('new', 91 * second)]),
+    });
+    return Array.from({ length: 80 }, (_, place) => {
+      const at = 2 * second + place * 100_000;
+      const exchange = `j${place}`;
+      const decisions = player.play({ type: 'exchange', at, exchange, kind: 'ask', prefix: `p${place % 20}` });
+      player.play({ type: 'done', at, exchange, attempt: 1 });
+      return serverIn(decisions);
+    });
+  };
+  const countAtNew = (servers: readonly string[]): number =>
+    servers.filter((server) => server.startsWith('new')).length;
+  const usual = countAtNew(joinedAt(usualPolicy));
+  assert.ok(usual > 0, 'callers warm the newcomer up');
+  assert.is(countAtNew(joinedAt(policyWithout('bookings'))), 0);
+  assert.ok(countAtNew(joinedAt(policyWithout('pace'))) >= usual);
+});
+
+test.run();
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -99,7 +99,10 @@
     carry: carryOver,
   };
   const order = { exchange, budgetUs: 1, afterPiece: undefined, urgency: undefined };
-  return carry(continuation, link, carryOver, order, new AbortController().signal, { piece: () => undefined });
+  return carry(continuation, link, carryOver, order, new AbortController().signal, {
+    piece: () => undefined,
+    load: () => undefined,
+  });
 };
 
 const bytes = (text: string): Uint8Array => Buffer.from(text);
@@ -213,7 +216,7 @@
       carry: carryOver,
     };
     const order = { exchange, budgetUs: 1, afterPiece: undefined, urgency: undefined };
-    const events = { piece: () => undefined };
+    const events = { piece: () => undefined, load: () => undefined };
     const ended = carry(continuationOf(caller, streams), link, carryOver, order, leaving.signal, events);
     leaving.abort();
     assert.is((await ended).type, 'gone');
