--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander';
 import { addDecideCommand } from './decide-command.js';
 import { addExplainCommand } from './explain-command.js';
+import { addExperimentCommand } from './experiment-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { addRehearseCommand } from './rehearse-command.js';
 import { addScaleCommand } from './scale-command.js';
@@ -16,6 +17,7 @@
 addExplainCommand(program);
 addDecideCommand(program);
 addRehearseCommand(program);
+addExperimentCommand(program);
 addScaleCommand(program);
 
 await program.parseAsync();
