--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,7 +5,6 @@
 import { addExperimentCommand } from './experiment-command.js';
 import { addOperatorCommands } from './operator-commands.js';
 import { addRehearseCommand } from './rehearse-command.js';
-import { addScaleCommand } from './scale-command.js';
 import { addRunCommands } from './run-commands.js';
 
 const program = new Command('ledgehill')
@@ -18,6 +17,5 @@
 addDecideCommand(program);
 addRehearseCommand(program);
 addExperimentCommand(program);
-addScaleCommand(program);
 
 await program.parseAsync();
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -1,5 +1,4 @@
 import { longestStepUs } from '../../common/clock/time-bound.js';
-import { untilNextMultiple } from '../../common/clock/every.js';
 import { within } from '../../common/clock/within.js';
 import { openJournal } from '../../common/journal.js';
 import type { Micros } from '../../common/micros.js';
@@ -9,8 +8,6 @@
 import { stepDecision } from '../../decision/machine/step/step.js';
 import { platformUsOf, startDecisionView, type DecisionView } from '../../decision/machine/view/decision-view.js';
 import { usualPolicy, type DecisionPolicy } from '../../decision/policy.js';
-import type { FailureCause } from '../../decision/health/server-failures.js';
-import type { ServerLoad } from '../../decision/health/server-load.js';
 import { prefixOf } from '../../decision/ring/prefix.js';
 import { accessOf, isSameCaller, tenantNameOf, type Access } from '../../router/access/access.js';
 import type { CallerLink } from '../../router/delivery/caller-link.js';
@@ -20,7 +17,6 @@
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
 import { workOf } from '../../decision/work/work-of.js';
 import { shareOf } from '../../setup/match/share-of.js';
-import { openPassiveWatch } from '../../servers/watch/passive-watch.js';
 import type { Continuation } from '../../router/exchange/continuation.js';
 import type { QuotaHold } from '../../router/exchange/quota-hold.js';
 import type { ExchangeBody } from '../../router/exchange/exchange-body.js';
@@ -33,14 +29,14 @@
 import { openLinkPool } from '../../servers/link/link-pool.js';
 import type { ListedServer } from '../../servers/list/listed-server.js';
 import { serverKeyOf, type ServerKey } from '../../servers/list/server-key.js';
-import { openProber } from '../../servers/probe/prober.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { Counters } from '../counters.js';
 import type { Log } from '../log.js';
 import type { SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
-import { openFleetNews } from './fleet-news.js';
 import type { RefreshGate } from './refresh-gate.js';
+import { openServerSignals } from './server-signals.js';
+import { openTicks } from './ticks.js';
 
 /** The task that owns the decision machine, the continuations and the links to servers. */
 export type RouterTask = {
@@ -76,12 +72,6 @@
   readonly claimed: { readonly key: string; readonly exchange: string } | undefined;
 };
 
-/** How often time passes for the decision machine where none of its waits ends sooner. */
-const restTickUs: Micros = 100_000;
-/** Waits that end closer together than this are looked after at once. */
-const leastTickUs: Micros = 5_000;
-/** A tick that is later than this was held up by the process itself, or by its processor. */
-const usualLatenessUs: Micros = 20_000;
 const restBudgetUs: Micros = 1_000_000;
 const journalLimit = 4096;
 const mostStories = 4096;
@@ -116,7 +106,6 @@
   const pool = openLinkPool(dial);
   const promises = openPromiseChecks({ count: (name) => counters.count(name), log: log.change });
   const tryChecks = openTryChecks(promises);
-  const news = openFleetNews(spread, clock, counters);
   let madeDecisions: readonly Decision[] = [];
   let exchangeCount = 0;
   const journal = openJournal<DecisionView, DecisionEvent>(
@@ -131,17 +120,17 @@
   const waitingEvents: DecisionEvent[] = [];
   let isTaking = false;
   let takenUs = clock.now();
-  let takeBackTick = (): void => undefined;
-  let plannedTickUs = Number.POSITIVE_INFINITY;
-  let isTicking = false;
 
-  const tellLight = (key: ServerKey, isLight: boolean): void => {
-    log.change(isLight ? 'server light' : 'server dark', { server: key });
-    if (!isLight && !probesNothing) pool.cut(key);
-    take({ type: isLight ? 'light' : 'dark', at: clock.now(), server: key });
-  };
-  const passive = probesNothing ? openPassiveWatch(dial, clock, tellLight, (link) => pool.keep(link)) : undefined;
-  const prober = passive ?? openProber(dial, clock, tellLight);
+  const signals = openServerSignals({
+    spread,
+    clock,
+    dial,
+    probesNothing,
+    pool,
+    log,
+    counters,
+    take: (event) => take(event),
+  });
 
   const find = (exchange: string): Continuation | undefined => {
     const ticket = tickets.get(exchange);
@@ -168,7 +157,7 @@
       madeDecisions.forEach(carryOut);
     }
     isTaking = false;
-    planTick();
+    ticks.plan();
   };
 
   const tell = (exchange: string, what: string, facts: object): void =>
@@ -200,7 +189,7 @@
         const continuation = find(decision.exchange);
         if (continuation === undefined) return;
         if (policy.toldWork)
-          news.work(decision.server, continuation.rule.service, decision.tokens ?? 0, decision.busyUs ?? 0);
+          signals.work(decision.server, continuation.rule.service, decision.tokens ?? 0, decision.busyUs ?? 0);
         startTry(continuation, decision);
         return;
       }
@@ -309,10 +298,7 @@
       opened.ifLeft((error) => {
         counters.count('links.refused');
         tell(exchange, 'no link', { attempt, error });
-        if (error.type !== 'bad-message') {
-          passive?.missed(decision.server);
-          noteFailure(decision.server, 'unreachable');
-        }
+        if (error.type !== 'bad-message') signals.unreachable(decision.server);
         unsent(error.type === 'bad-message' ? 'wrong-service' : 'no-link');
       });
       return;
@@ -351,10 +337,10 @@
       };
       const carried = await carry(continuation, link, link.carry, order, signal, {
         piece: () => countPiece(continuation, attempt),
-        load: (load) => noteLoad(decision.server, load),
+        load: (load) => signals.load(decision.server, load),
       });
       if (!signal.aborted) {
-        if (carried.type === 'failed' && carried.error === 'link-lost') passive?.suspect(decision.server);
+        if (carried.type === 'failed' && carried.error === 'link-lost') signals.suspect(decision.server);
         continuation.stream.dueUs = Number.POSITIVE_INFINITY;
         endTry(continuation, attempt, decision.server, carried);
       }
@@ -373,16 +359,6 @@
     pool.giveBack(link);
   };
 
-  const noteFailure = (server: ServerKey, cause: FailureCause): void => {
-    take({ type: 'failure', at: clock.now(), server, cause });
-    news.failure(server, cause);
-  };
-
-  const noteLoad = (server: ServerKey, load: ServerLoad): void => {
-    take({ type: 'load', at: clock.now(), server, ...load });
-    news.load(server, load);
-  };
-
   const endTry = (continuation: Continuation, attempt: number, server: ServerKey, ending: DeliveryEnd): void => {
     const { exchange } = continuation;
     switch (ending.type) {
@@ -401,7 +377,7 @@
       case 'failed':
         tell(exchange, 'failed', { attempt, ...ending });
         counters.count(`tries.failed.${ending.error}`);
-        if (ending.notRun !== true) noteFailure(server, 'failed');
+        if (ending.notRun !== true) signals.broke(server);
         if (ending.notRun === true) {
           continuation.watch.notRun();
           continuation.quota.notRun();
@@ -473,10 +449,7 @@
     }
   };
 
-  const tick = (): void => {
-    const nowUs = clock.now();
-    const lateUs = Math.max(0, nowUs - plannedTickUs - usualLatenessUs);
-    plannedTickUs = Number.POSITIVE_INFINITY;
+  const tick = (nowUs: Micros, lateUs: Micros): void => {
     endSilentTries(nowUs, lateUs);
     for (const continuation of slab.values()) tryChecks.waiting(continuation, nowUs - lateUs);
     const platformUs = spread.platformUs();
@@ -484,17 +457,7 @@
     take({ type: 'tick', at: clock.now() });
   };
 
-  /** Plans the next tick: with all other periodic work of the process, or sooner where a wait ends sooner. */
-  const planTick = (): void => {
-    if (!isTicking) return;
-    const nowUs = clock.now();
-    const restUs = nowUs + untilNextMultiple(nowUs, restTickUs);
-    const dueUs = Math.min(restUs, Math.max(nowUs + leastTickUs, journal.view().wakeUs));
-    if (dueUs >= plannedTickUs) return;
-    takeBackTick();
-    plannedTickUs = dueUs;
-    takeBackTick = clock.after(dueUs - nowUs, tick);
-  };
+  const ticks = openTicks(clock, () => journal.view().wakeUs, tick);
 
   spread.events.on('setup', (record) => {
     tryChecks.configured(journal.view().record?.revision, record.revision);
@@ -504,17 +467,9 @@
   spread.events.on('time', (platformUs) => take({ type: 'time', at: clock.now(), platformUs }));
   spread.events.on('list', (list) => {
     take({ type: 'list', at: clock.now(), list });
-    prober.watch(list.servers);
+    signals.watch(list.servers);
     pool.keepOnly(new Set(list.servers.map(serverKeyOf)));
   });
-  spread.events.on('work', ({ server, service, tokens }) =>
-    take({ type: 'work', at: clock.now(), server, service, tokens }),
-  );
-  spread.events.on('serverFailure', ({ server, cause }) => take({ type: 'failure', at: clock.now(), server, cause }));
-  spread.events.on('serverLoad', ({ server, running, waiting, slots }) => {
-    news.heardLoad(server);
-    take({ type: 'load', at: clock.now(), server, running, waiting, slots });
-  });
   counters.gauge('exchanges.inFlight', () => slab.size());
   counters.gauge('links.open', () => pool.size());
   counters.gauge('flights', () => journal.view().flights.size);
@@ -592,13 +547,11 @@
     start: () => {
       take({ type: 'fleet', at: clock.now(), routers: spread.view().routers });
       take({ type: 'node', at: clock.now(), node });
-      isTicking = true;
-      planTick();
+      ticks.start();
     },
     close: () => {
-      isTicking = false;
-      takeBackTick();
-      prober.close();
+      ticks.close();
+      signals.close();
       pool.close();
       for (const continuation of slab.values()) {
         end(continuation);
