--- a/tests/mutants/main.ts
+++ b/tests/mutants/main.ts
@@ -17,7 +17,8 @@
   const folder = join(root, 'dist', 'mutants', name);
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
-  for (const part of ['src', 'tests']) cpSync(join(root, 'dist', part), join(folder, part), { recursive: true });
+  for (const part of ['src', 'platform', 'tests'])
+    cpSync(join(root, 'dist', part), join(folder, part), { recursive: true });
   return folder;
 };
 
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -11,6 +11,76 @@
 
 /** Every deliberate fault that the checks must find. */
 export const mutants: readonly Mutant[] = [
+  {
+    name: 'a key that was revoked while its request waited is not looked at again',
+    file: 'src/process/router/router-task.ts',
+    find: 'if (!isStillAllowed(continuation)) {',
+    put: 'if (gate.isShut()) {',
+    by: test('tests/platform/keys.test.js'),
+  },
+  {
+    name: "a client's key passes on to servers",
+    file: 'src/process/router/router-task.ts',
+    find: "withholdsKey: continuation.access.type !== 'open',",
+    put: 'withholdsKey: false,',
+    by: test('tests/platform/keys.test.js'),
+  },
+  {
+    name: 'two tenants may share a key',
+    file: 'src/setup/check/tenant-faults.ts',
+    find: '      return holder === index',
+    put: '      return holder >= 0',
+    by: test('tests/setup/tenants.test.js'),
+  },
+  {
+    name: 'a quota store that begins again begins full',
+    file: 'src/quota/store/step-quota-store.ts',
+    find: 'const first = state.isConfigured ? fullBucket(limits, at) : refilled(bucketEmptyAt(state.startedUs), limits, at);',
+    put: 'const first = fullBucket(limits, at);',
+    by: test('tests/quota/quota-store.test.js'),
+  },
+  {
+    name: 'every store fills at the whole rate',
+    file: 'src/quota/bucket-share.ts',
+    find: 'ratePerSecond: whole.ratePerSecond / shares',
+    put: 'ratePerSecond: whole.ratePerSecond',
+    by: test('tests/quota/quota-fleet.test.js'),
+  },
+  {
+    name: 'a core machine grants without hearing its leader',
+    file: 'src/process/control/quota-store-task.ts',
+    find: 'nowUs - replica.leaderContactUs < grantLeaseUs',
+    put: 'nowUs > 0',
+    by: test('tests/quota/quota-store.test.js'),
+  },
+  {
+    name: 'a further try of what may have run is free of charge',
+    file: 'src/router/exchange/quota-hold.ts',
+    find: '      if (!isUnused) account.charge(tenant, cost);\n',
+    put: '',
+    by: test('tests/quota/quota-store.test.js'),
+  },
+  {
+    name: 'a full server is taken as if it had room',
+    file: 'src/decision/health/server-load.ts',
+    find: '(loadPartOf(loads, server, nowUs) ?? 0) >= crowdedPart',
+    put: '(loadPartOf(loads, server, nowUs) ?? 0) >= crowdedPart * 100',
+    by: test('tests/decision/server-health.test.js'),
+  },
+  {
+    name: 'all servers of a service may be avoided at once',
+    file: 'src/decision/health/server-failures.ts',
+    find: 'const mostAvoidedPart = 1 / 3;',
+    put: 'const mostAvoidedPart = 1;',
+    by: test('tests/decision/server-health.test.js'),
+  },
+  {
+    name: 'a prefill under way holds nobody back where another server is sooner',
+    file: 'src/decision/machine/step/place.ts',
+    find: 'hasFlight(view, exchange, owner) ? ownerPartInFlight : ownerPart',
+    put: 'ownerPart',
+    by: test('tests/decision/policy.test.js'),
+  },
   {
     name: 'what falls due goes before what has arrived',
     file: 'src/common/clock/steady-clock.ts',
