--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -294,7 +294,7 @@
   {
     name: 'run-once work tried again',
     file: 'src/decision/machine/step/on-delivery.ts',
-    find: '!wasSent || (exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable))',
+    find: '!wasSent || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable))',
     put: '!wasSent || !wasStarted || exchange.rule.resumable',
     by: seeds('fleet', 'run-once', 5),
   },
