--- a/src/decision/machine/step/place.ts
+++ b/src/decision/machine/step/place.ts
@@ -120,10 +120,8 @@
 const readyUsAt = (view: DecisionView, exchange: ExchangeView, work: Work, server: ServerKey): Micros =>
   waitUsOf(view, server) + readUsOf(view, exchange.rule.service, toReadAt(view, server, work));
 
-/** An owner that would take less of the time up to the target than this keeps what is its own. */
-const ownerPart = 0.1;
-/** The same where its prefill of that very prefix is under way, behind which the exchange would wait. */
-const ownerPartInFlight = 0.8;
+/** An owner that would take less of the time up to the target than this keeps what is its own: elsewhere it is read anew. */
+const ownerPart = 0.8;
 /** Another server has to be sooner by so much, since it reads anew what the owner may hold. */
 const leastGainUs: Micros = 50_000;
 
@@ -137,8 +135,7 @@
   const { work, rule } = exchange;
   if (work === undefined || rule.targetUs === undefined || !view.policy.quickerServer) return undefined;
   const ownerUs = readyUsAt(view, exchange, work, owner);
-  const keptPart = hasFlight(view, exchange, owner) ? ownerPartInFlight : ownerPart;
-  if (ownerUs <= keptPart * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
+  if (ownerUs <= ownerPart * (exchange.arrivedUs + rule.targetUs - view.atUs)) return undefined;
   const best = calmestOf(
     candidates,
     () => true,
