--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -31,6 +31,15 @@
   return command.split(' ');
 };
 
+/** A case runs no longer than this, and ends with 2 if it would. */
+const mostMs = 118_000;
+const started = new Set();
+process.once('exit', () => {
+  for (const child of started) child.kill('SIGKILL');
+});
+for (const name of ['SIGTERM', 'SIGINT']) process.once(name, () => process.exit(2));
+setTimeout(() => process.exit(2), mostMs).unref();
+
 export const openFleet = async ({ routers: routerCount = 2 } = {}) => {
   const folder = mkdtempSync(join(tmpdir(), 'ledgehill-review-'));
   const network = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
@@ -118,21 +127,23 @@
         if (role === 'control') mkdirSync(data, { recursive: true });
         const [program, ...given] = runOf(role);
         const log = openSync(logPath, 'a');
-        const started = spawn(program, given, {
+        const launched = spawn(program, given, {
           cwd: root,
           env: { PATH: process.env.PATH, HOME: process.env.HOME, LEDGEHILL_NODE_FILE: conf },
           stdio: ['ignore', log, log],
         });
         closeSync(log);
-        child = started;
-        started.ended = new Promise((resolve) =>
-          started.once('exit', (code, signal) => {
+        child = launched;
+        started.add(launched);
+        launched.ended = new Promise((resolve) =>
+          launched.once('exit', (code, signal) => {
+            started.delete(launched);
             ends.push({ atMs: Date.now(), code, signal });
-            if (child === started) child = undefined;
+            if (child === launched) child = undefined;
             resolve({ code, signal });
           }),
         );
-        return started;
+        return launched;
       },
       signal: (name) => child?.kill(name),
       kill: async () => {
@@ -166,5 +177,7 @@
     lines.push(text);
     process.stdout.write(`${text}\n`);
   };
-  return { note, write: () => writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`) };
+  const write = () => writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+  process.once('exit', write);
+  return { note, write };
 };
