Review: each run.sh names its record, and the records hold all that was sent, answered and run

The scripts wrote record.txt from a common part, without a word of it in run.sh, and summed up most of what happened. Now run.sh gives the file's name, each line is written at once, and each request, answer and run has its line. What fails outside of a case's own course ends with 2.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -21,12 +21,13 @@
 const syncMs = 4_500;
 /** The operator's pause after a call to a machine that lost power meanwhile. */
 const restMs = 7_000;
+/** Callers go on after a second of silence, later for large bodies. */
+const silenceMs = 3_000;
 const lookMs = 500;
 /** `heal_s`, and a margin of a second. */
 const healMs = 13_000;
 
-const record = openRecord(dirname(fileURLToPath(import.meta.url)));
-const { note } = record;
+const { note } = openRecord(dirname(fileURLToPath(import.meta.url)));
 const fleet = await openFleet({ routers: 1 });
 const platform = await openPlatform(fleet.provider, () => []);
 const { controls, routers } = fleet;
@@ -133,7 +134,7 @@
     const strikes = struck.length;
     const endMs = Date.now() + budgetMs;
     for (;;) {
-      const told = await call(leaderNow().ctl, 'PUT', text, base);
+      const told = await call(leaderNow().ctl, 'PUT', text, base, silenceMs);
       if (told.status === 200 || Date.now() >= endMs || (struck.length > strikes && struck.length === strikesWanted)) return told;
       if (struck.length > strikes) return { ...told, isCut: true };
       await pause(100);
@@ -143,7 +144,7 @@
   while (Date.now() < dueMs && struck.length < strikesWanted && (hasTrouble || turns < 2)) {
     const sent = version + 1;
     const text = documentOf(sent, { idleRoutes });
-    let told = await put(text, version, 6_000);
+    let told = await put(text, version, 20_000);
     if (told.isCut) {
       note(`PUT ver ${sent} on ${version} -> no answer; the operator pauses for ${restMs / 1000} s and sends it again`);
       await pause(restMs);
@@ -186,5 +187,4 @@
   await fleet.close();
 }
 note(ran ? (held ? 'the rule held' : 'the rule was broken') : 'the case could not run');
-record.write();
 process.exit(ran ? (held ? 0 : 1) : 2);
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,12 +1,14 @@
 // One try of a client on a connection of its own. It reads at no more than `bytesPerMs`, where that is given.
 import { randomBytes } from 'node:crypto';
 import { request } from 'node:http';
+import { trace } from './fleet.mjs';
 
 export const ask = ({ node, path, host = 'archive.example', body = 'x', budgetMs = 12_000, bytesPerMs, headers = {}, onHead }) =>
   new Promise((resolve) => {
     const attempt = randomBytes(8).toString('hex');
     const [address, port] = node.split(':');
     const sentMs = Date.now();
+    trace(`sent: ${attempt} POST ${path}, ${Buffer.byteLength(body)} bytes, to ${node}`);
     let bytes = 0;
     let status = 0;
     let seal;
@@ -14,6 +16,7 @@
     const chunks = [];
     const end = (how) => {
       clearTimeout(timer);
+      trace(`answered: ${attempt} by ${node}: ${status === 0 ? how : `${status}, ${how}, ${bytes} bytes, seal ${seal ?? 'none'}`}`);
       resolve({ attempt, status, seal, how, bytes, wanted, tookMs: Date.now() - sentMs, text: () => Buffer.concat(chunks).toString('latin1') });
       sent.destroy();
     };
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -1,7 +1,7 @@
 // Starts the deployed roles as separate processes on loopback addresses, with settings like those of a small
 // deployment, and ends all of them.
 import { spawn } from 'node:child_process';
-import { closeSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
@@ -37,6 +37,11 @@
 process.once('exit', () => {
   for (const child of started) child.kill('SIGKILL');
 });
+/** What goes wrong outside of a case's own course means that it could not run. */
+process.on('uncaughtException', (thrown) => {
+  trace(`could not run: ${thrown instanceof Error ? thrown.message : String(thrown)}`);
+  process.exit(2);
+});
 for (const name of ['SIGTERM', 'SIGINT']) process.once(name, () => process.exit(2));
 setTimeout(() => process.exit(2), mostMs).unref();
 
@@ -168,16 +173,21 @@
   return { folder, network, provider, controls, routers, freePort, close };
 };
 
-/** The record of a case: what was sent, answered and run. */
+let recordFd;
+const bornMs = Date.now();
+const stamped = (line) => `${((Date.now() - bornMs) / 1000).toFixed(3).padStart(8)} s  ${line}`;
+
+/** Writes a line into the record alone: each thing that is sent, answered or run. */
+export const trace = (line) => {
+  if (recordFd !== undefined) writeSync(recordFd, `${stamped(line)}\n`);
+};
+
+/** Opens the record of a case, in the file that run.sh names. Each line is written at once. */
 export const openRecord = (folder) => {
-  const bornMs = Date.now();
-  const lines = [];
+  recordFd = openSync(join(folder, process.argv[2] ?? 'record.txt'), 'w');
   const note = (line) => {
-    const text = `${((Date.now() - bornMs) / 1000).toFixed(3).padStart(8)} s  ${line}`;
-    lines.push(text);
-    process.stdout.write(`${text}\n`);
+    trace(line);
+    process.stdout.write(`${stamped(line)}\n`);
   };
-  const write = () => writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
-  process.once('exit', write);
-  return { note, write };
+  return { note };
 };
--- a/review/lib/operator.mjs
+++ b/review/lib/operator.mjs
@@ -1,13 +1,20 @@
 // The operator of the users' page: it moves on to another node after a failure, a 5xx or a second of silence, with a
 // pause that grows; a call with no clear answer is sent again as it was.
 import { request } from 'node:http';
-import { pause } from './fleet.mjs';
+import { pause, trace } from './fleet.mjs';
 
 const clear = new Set([200, 400, 409, 412, 413, 422]);
 
 export const call = (node, method, body, base, silenceMs = 1_000) =>
-  new Promise((resolve) => {
+  new Promise((settle) => {
     const [host, port] = node.split(':');
+    const what = `${method}${body === undefined ? '' : ` ver ${/^\{"ver":(\d+)/.exec(body)?.[1]} on ${base}`}`;
+    trace(`sent: ${what} to ${node}`);
+    const resolve = (told) => {
+      const found = method === 'GET' && told.status === 200 ? `, ver ${/^\{"ver":(\d+)/.exec(told.text)?.[1]}` : '';
+      trace(`answered: ${what} by ${node}: ${told.status === 0 ? 'no answer' : told.status}${found}`);
+      settle(told);
+    };
     const sent = request(
       {
         host,
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -1,6 +1,7 @@
 // A sound server of the platform: it answers 421 where another server is wanted, runs each request once it is whole, and
 // bears its seal and the attempt's id in each answer.
 import { createServer } from 'node:http';
+import { trace } from './fleet.mjs';
 
 export const openServer = ({ id, svc, address, zone = 'vault-hall', cap = 6, work, ran }) =>
   new Promise((resolve) => {
@@ -24,6 +25,7 @@
           return;
         }
         seals += 1;
+        trace(`run: ${attempt} ${message.method} ${message.url} at ${id}`);
         ran({ attempt, id, url: message.url, body: Buffer.concat(chunks).toString('latin1') });
         work({
           message,
