--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,7 +14,7 @@
 /** The head of a ring file: its first slot, and two slots for the mark of what is synced. */
 const headBytes = 192;
 const strikesWanted = 2;
-const playMs = 85_000;
+const playMs = 98_000;
 /** A machine that lost power is back after so long. */
 const darkMs = 1_500;
 /** `sync_s` after it is back it no longer counts as lost, and the next one may lose power. */
