Disk ring: what is recovered is synced before it counts

Callers could see: a change of configuration that was acknowledged is gone after a loss of power, where a core machine had been killed between a write and its sync, was started again, and lost power later (LOST).

Cause: the restarted process reads the unsynced write back and answers for it without writing it again; only the next record's sync would make it durable.

Change: opening a ring syncs the newest file before anything of it is given back; a refusal is tried again as at any start.

--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -1,5 +1,5 @@
 import { Left, Right, type Either } from 'purify-ts';
-import { typedError, type TypedError } from '../common/typed-error.js';
+import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
 import { readRingFile, type FileContent, type WholeContent } from './read-file.js';
 import { encodeRecord, firstRecordOffset, paddedLength, ringHead } from './record-format.js';
 import type { RingFile } from './ring-file.js';
@@ -46,65 +46,91 @@
   return Right(newestWhole);
 };
 
-/** Opens a ring over its files, and recovers what was synced. */
-export const openDiskRing = async (files: readonly RingFile[]): Promise<Either<TypedError, DiskRing>> => {
+const refusal = (thrown: unknown): TypedError => typedError('disk-refusal', messageOf(thrown));
+
+const readFiles = async (files: readonly RingFile[]): Promise<Either<TypedError, readonly OpenFile[]>> => {
   const openFiles: OpenFile[] = [];
   for (const [index, file] of files.entries()) {
     const content = readRingFile(await file.read(), file.name ?? `ring file ${index}`);
     if (content.isLeft()) return Left(content.extract());
     content.ifRight((readContent) => openFiles.push({ file, content: readContent }));
   }
-  return newestOf(openFiles).map((newestFile) => {
-    let generation = newestFile?.content.generation ?? 0;
-    let currentFile = newestFile?.file;
-    let sequence = newestFile?.content.payloads.length ?? 0;
-    let offset = newestFile?.content.endOffset ?? firstRecordOffset;
+  return Right(openFiles);
+};
+
+/**
+ * Syncs what was found. A process that was killed leaves writes that are read back but never synced: a machine that answers
+ * for such a record and then loses power would have acknowledged what is gone.
+ */
+const makeDurable = async (newestFile: OpenFile | undefined): Promise<Either<TypedError, void>> => {
+  try {
+    await newestFile?.file.sync();
+    return Right(undefined);
+  } catch (thrown) {
+    return Left(refusal(thrown));
+  }
+};
+
+/** The ring whose newest file is this one, or that is empty. */
+const ringFrom = (files: readonly RingFile[], newestFile: OpenFile<WholeContent> | undefined): DiskRing => {
+  let generation = newestFile?.content.generation ?? 0;
+  let currentFile = newestFile?.file;
+  let sequence = newestFile?.content.payloads.length ?? 0;
+  let offset = newestFile?.content.endOffset ?? firstRecordOffset;
 
-    const mark = async (file: RingFile, syncedSequence: number): Promise<void> =>
-      file.write(markOffsetOf(syncedSequence), encodeMark({ generation, sequence: syncedSequence }));
+  const mark = async (file: RingFile, syncedSequence: number): Promise<void> =>
+    file.write(markOffsetOf(syncedSequence), encodeMark({ generation, sequence: syncedSequence }));
 
-    const startNextFile = async (snapshot: Uint8Array): Promise<Either<TypedError, void>> => {
-      const nextIndex = (currentFile === undefined ? 0 : files.indexOf(currentFile) + 1) % files.length;
-      const nextFile = files[nextIndex];
-      if (nextFile === undefined || firstRecordOffset + paddedLength(snapshot.length) > nextFile.size)
-        return Left(typedError('disk-error', `a snapshot of ${snapshot.length} bytes does not fit into a ring file`));
-      const nextGeneration = generation + 1;
-      await nextFile.write(0, Buffer.alloc(firstRecordOffset));
-      await nextFile.write(0, encodeRecord(nextGeneration, 0, ringHead));
-      await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, snapshot));
-      await nextFile.sync();
-      await nextFile.write(markOffsetOf(0), encodeMark({ generation: nextGeneration, sequence: 0 }));
-      generation = nextGeneration;
-      currentFile = nextFile;
-      sequence = 1;
-      offset = firstRecordOffset + paddedLength(snapshot.length);
+  const startNextFile = async (snapshot: Uint8Array): Promise<Either<TypedError, void>> => {
+    const nextIndex = (currentFile === undefined ? 0 : files.indexOf(currentFile) + 1) % files.length;
+    const nextFile = files[nextIndex];
+    if (nextFile === undefined || firstRecordOffset + paddedLength(snapshot.length) > nextFile.size)
+      return Left(typedError('disk-error', `a snapshot of ${snapshot.length} bytes does not fit into a ring file`));
+    const nextGeneration = generation + 1;
+    await nextFile.write(0, Buffer.alloc(firstRecordOffset));
+    await nextFile.write(0, encodeRecord(nextGeneration, 0, ringHead));
+    await nextFile.write(firstRecordOffset, encodeRecord(nextGeneration, 0, snapshot));
+    await nextFile.sync();
+    await nextFile.write(markOffsetOf(0), encodeMark({ generation: nextGeneration, sequence: 0 }));
+    generation = nextGeneration;
+    currentFile = nextFile;
+    sequence = 1;
+    offset = firstRecordOffset + paddedLength(snapshot.length);
+    return Right(undefined);
+  };
+
+  const append = async (record: Uint8Array, snapshot: () => Uint8Array): Promise<Either<TypedError, void>> => {
+    try {
+      if (currentFile === undefined || offset + paddedLength(record.length) > currentFile.size)
+        return await startNextFile(snapshot());
+      await currentFile.write(offset, encodeRecord(generation, sequence, record));
+      await currentFile.sync();
+      await mark(currentFile, sequence);
+      offset += paddedLength(record.length);
+      sequence += 1;
       return Right(undefined);
-    };
+    } catch (thrown) {
+      return Left(refusal(thrown));
+    }
+  };
 
-    const append = async (record: Uint8Array, snapshot: () => Uint8Array): Promise<Either<TypedError, void>> => {
-      try {
-        if (currentFile === undefined || offset + paddedLength(record.length) > currentFile.size)
-          return await startNextFile(snapshot());
-        await currentFile.write(offset, encodeRecord(generation, sequence, record));
-        await currentFile.sync();
-        await mark(currentFile, sequence);
-        offset += paddedLength(record.length);
-        sequence += 1;
-        return Right(undefined);
-      } catch (thrown) {
-        return Left(typedError('disk-refusal', thrown instanceof Error ? thrown.message : String(thrown)));
-      }
-    };
+  return {
+    recovered: {
+      snapshot: newestFile?.content.payloads[0],
+      records: newestFile?.content.payloads.slice(1) ?? [],
+    },
+    append,
+    close: async () => {
+      for (const file of files) await file.close();
+    },
+  };
+};
 
-    return {
-      recovered: {
-        snapshot: newestFile?.content.payloads[0],
-        records: newestFile?.content.payloads.slice(1) ?? [],
-      },
-      append,
-      close: async () => {
-        for (const file of files) await file.close();
-      },
-    };
-  });
+/** Opens a ring over its files, and recovers what was synced; all that it gives back is durable. */
+export const openDiskRing = async (files: readonly RingFile[]): Promise<Either<TypedError, DiskRing>> => {
+  const found = (await readFiles(files)).chain(newestOf);
+  if (found.isLeft()) return Left(found.extract());
+  const newestFile = found.orDefault(undefined);
+  const durable = await makeDurable(newestFile);
+  return durable.map(() => ringFrom(files, newestFile));
 };
--- /dev/null
+++ b/tests/disk/crash-images/main.ts
@@ -0,0 +1,17 @@
+import { Command } from 'commander';
+import { playCrashImages } from './crash-images.js';
+
+/** Opens images of a ring's files after crashes, for as many sessions as asked for. */
+const command = new Command('crash-images')
+  .option('--seed <number>', 'first seed', '1')
+  .option('--seeds <number>', 'how many seeds', '1')
+  .option('--sessions <number>', 'sessions for each seed', '2000');
+
+const { seed, seeds, sessions } = command
+  .parse()
+  .opts<{ readonly seed: string; readonly seeds: string; readonly sessions: string }>();
+for (let next = Number(seed); next < Number(seed) + Number(seeds); next += 1) {
+  const { images, faults } = await playCrashImages(next, Number(sessions));
+  process.stdout.write(`seed ${next}: ${images} images, ${faults.length === 0 ? 'no fault' : faults.join('; ')}\n`);
+  if (faults.length > 0) process.exitCode = 1;
+}
--- a/tests/disk/power-loss.test.ts
+++ b/tests/disk/power-loss.test.ts
@@ -3,7 +3,8 @@
 import { openDiskRing, type DiskRing } from '../../src/disk/disk-ring.js';
 import { firstRecordOffset } from '../../src/disk/record-format.js';
 import { openMemoryFiles, type MemoryFiles } from '../../src/sim/disk/memory-files.js';
-import type { WriteFates } from '../../src/sim/disk/write-fate.js';
+import { allLost, type WriteFates } from '../../src/sim/disk/write-fate.js';
+import { playCrashImages } from './crash-images/crash-images.js';
 
 const fileBytes = 1024;
 const snapshotPadding = 'x'.repeat(200);
@@ -41,4 +42,17 @@
   assert.is(newestOf(again), acknowledged);
 });
 
+// Guards against: a record that was never synced is acknowledged after a restart, and gone after a loss of power.
+test('a record that came back after the process was killed is still there after power is lost', async () => {
+  const memory = openMemoryFiles(2, fileBytes);
+  await appendUntilRotationFails(memory, 3);
+  const afterKill = newestOf(await opened(memory));
+  assert.is(newestOf(await opened(memory.afterPowerLoss(allLost))), afterKill);
+});
+
+// Guards against: any other image of the files after a crash that can not be opened, or that lacks what was acknowledged.
+test('random images after crashes open and hold what was acknowledged', async () => {
+  for (const seed of [1, 2, 3]) assert.equal((await playCrashImages(seed, 150)).faults, [], `seed ${seed}`);
+});
+
 test.run();
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -158,6 +158,13 @@
     put: 'content.generation >= 0',
     by: test('tests/disk/power-loss.test.js'),
   },
+  {
+    name: 'a record that a killed process left unsynced counts as durable',
+    file: 'src/disk/disk-ring.ts',
+    find: '    await newestFile?.file.sync();\n',
+    put: '',
+    by: test('tests/disk/power-loss.test.js'),
+  },
   {
     name: 'a vote is not kept on disk',
     file: 'src/control/machine/elections.ts',
