Disk ring: clear what an interrupted rotation left before going on

Callers could see: changes that were acknowledged between two losses of power are gone on a core machine (LOST).

The ring goes on in the older file, and records that still fit there are acknowledged.

Change: opening a ring clears and syncs the start of each file in which a rotation was interrupted, and the log names them.

--- a/src/disk/disk-ring.ts
+++ b/src/disk/disk-ring.ts
@@ -1,6 +1,6 @@
 import { Left, Right, type Either } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
-import { readRingFile, type FileContent, type WholeContent } from './read-file.js';
+import { readRingFile, startBytes, type FileContent, type WholeContent } from './read-file.js';
 import { encodeRecord, firstRecordOffset, paddedLength, ringHead } from './record-format.js';
 import type { RingFile } from './ring-file.js';
 import { encodeMark, markOffsetOf } from './synced-mark.js';
@@ -9,6 +9,8 @@
 export type Recovered = {
   readonly snapshot: Buffer | undefined;
   readonly records: readonly Buffer[];
+  /** The files in which an interrupted rotation was found and cleared. */
+  readonly interrupted: readonly string[];
 };
 
 /** A ring of preallocated files. A record is kept once `append` has ended. */
@@ -58,13 +60,25 @@
   return Right(openFiles);
 };
 
+/** What an interrupted rotation left in a file: a later one must not complete it. */
+const isInterrupted = ({ content }: OpenFile): boolean => content.type === 'unfinished' || content.type === 'damaged';
+
 /**
- * Syncs what was found. A process that was killed leaves writes that are read back but never synced: a machine that answers
- * for such a record and then loses power would have acknowledged what is gone.
+ * Makes durable what was found. A process that was killed leaves writes that are read back but never synced: a machine that
+ * answers for such a record and then loses power would have acknowledged what is gone. And an interrupted rotation may leave
+ * a snapshot without its head: the head of the next rotation, which has the same generation, would bring that snapshot back,
+ * without what was acknowledged since.
  */
-const makeDurable = async (newestFile: OpenFile | undefined): Promise<Either<TypedError, void>> => {
+const makeDurable = async (
+  newestFile: OpenFile | undefined,
+  interruptedFiles: readonly OpenFile[],
+): Promise<Either<TypedError, void>> => {
   try {
     await newestFile?.file.sync();
+    for (const { file } of interruptedFiles) {
+      await file.write(0, Buffer.alloc(startBytes));
+      await file.sync();
+    }
     return Right(undefined);
   } catch (thrown) {
     return Left(refusal(thrown));
@@ -72,7 +86,11 @@
 };
 
 /** The ring whose newest file is this one, or that is empty. */
-const ringFrom = (files: readonly RingFile[], newestFile: OpenFile<WholeContent> | undefined): DiskRing => {
+const ringFrom = (
+  files: readonly RingFile[],
+  newestFile: OpenFile<WholeContent> | undefined,
+  interruptedFiles: readonly OpenFile[],
+): DiskRing => {
   let generation = newestFile?.content.generation ?? 0;
   let currentFile = newestFile?.file;
   let sequence = newestFile?.content.payloads.length ?? 0;
@@ -118,6 +136,7 @@
     recovered: {
       snapshot: newestFile?.content.payloads[0],
       records: newestFile?.content.payloads.slice(1) ?? [],
+      interrupted: interruptedFiles.map(({ file }) => file.name ?? `ring file ${files.indexOf(file)}`),
     },
     append,
     close: async () => {
@@ -126,11 +145,16 @@
   };
 };
 
-/** Opens a ring over its files, and recovers what was synced; all that it gives back is durable. */
+/**
+ * Opens a ring over its files, and recovers what was synced. All that it gives back is durable; files of an interrupted
+ * rotation are cleared, others keep their bytes.
+ */
 export const openDiskRing = async (files: readonly RingFile[]): Promise<Either<TypedError, DiskRing>> => {
-  const found = (await readFiles(files)).chain(newestOf);
+  const read = await readFiles(files);
+  const found = read.chain(newestOf);
   if (found.isLeft()) return Left(found.extract());
   const newestFile = found.orDefault(undefined);
-  const durable = await makeDurable(newestFile);
-  return durable.map(() => ringFrom(files, newestFile));
+  const interruptedFiles = read.orDefault([]).filter(isInterrupted);
+  const durable = await makeDurable(newestFile, interruptedFiles);
+  return durable.map(() => ringFrom(files, newestFile, interruptedFiles));
 };
--- a/src/disk/read-file.ts
+++ b/src/disk/read-file.ts
@@ -23,11 +23,16 @@
 /** What one file of the ring holds. */
 export type FileContent =
   | WholeContent
-  /** No generation has a whole snapshot in it: it is new, or was being made ready when the process or the machine ended. */
+  /** Nothing was ever written where a head or a snapshot begins, or it was cleared. */
+  | { readonly type: 'blank' }
+  /** A rotation to this file was interrupted: no whole snapshot of the generation that its head names is in it. */
   | { readonly type: 'unfinished'; readonly generation: number }
   /** Records of this generation were synced, and do not hold any more. */
   | { readonly type: 'damaged'; readonly generation: number; readonly error: TypedError };
 
+/** The head, the marks, and the head of the first record: without these bytes nothing in a file can be read back. */
+export const startBytes = firstRecordOffset + recordHeadBytes;
+
 const damaged = (name: string, message: string): TypedError => typedError('damaged-disk', `${name}: ${message}`);
 
 /** Whether any whole record of this generation lies behind an offset, which a torn tail can not explain. */
@@ -68,6 +73,7 @@
       generation: mark.generation,
       error: damaged(name, 'the head does not hold although records were synced'),
     });
+  if (file.subarray(0, startBytes).every((byte) => byte === 0)) return Right({ type: 'blank' });
   return mayBeUnfinishedHead(file)
     ? Right({ type: 'unfinished', generation: 0 })
     : Left(damaged(name, 'it was not written by this program'));
--- a/src/process/control/control-task.ts
+++ b/src/process/control/control-task.ts
@@ -165,6 +165,8 @@
   surroundings: TaskSurroundings,
   fail: (error: TypedError) => void,
 ): EitherAsync<TypedError, ControlTask> =>
-  openWithRetry(() => openDisk(settings, surroundings), surroundings.clock, log).map((opened) =>
-    runControlTask(opened, spread, log, counters, surroundings, fail),
-  );
+  openWithRetry(() => openDisk(settings, surroundings), surroundings.clock, log).map((opened) => {
+    const { interrupted } = opened.ring.recovered;
+    if (interrupted.length > 0) log.change('interrupted rotation of the disk ring cleared', { files: interrupted });
+    return runControlTask(opened, spread, log, counters, surroundings, fail);
+  });
--- a/tests/disk/crash-images/crash-images.ts
+++ b/tests/disk/crash-images/crash-images.ts
@@ -1,6 +1,7 @@
 import type { TypedError } from '../../../src/common/typed-error.js';
 import { seededChance, wholeBelow, type Chance } from '../../../src/common/chance.js';
 import { openDiskRing, type DiskRing } from '../../../src/disk/disk-ring.js';
+import { firstRecordOffset } from '../../../src/disk/record-format.js';
 import type { RingFile } from '../../../src/disk/ring-file.js';
 import { openMemoryFiles, type MemoryFiles } from '../../../src/sim/disk/memory-files.js';
 import { drawnWriteFates } from '../../../src/sim/disk/write-fate.js';
@@ -28,17 +29,36 @@
 const recoveredNumbers = ({ recovered }: DiskRing): readonly number[] =>
   [...(recovered.snapshot === undefined ? [] : [recovered.snapshot]), ...recovered.records].map(numberOf);
 
+/** When a process ends: at an operation, or in the sync of a rotation, which few operations are. */
+type LifeEnd =
+  { readonly type: 'operation'; readonly number: number } | { readonly type: 'rotation'; readonly number: number };
+
+const drawnEnd = (chance: Chance): LifeEnd =>
+  chance() < 0.5
+    ? { type: 'operation', number: 1 + wholeBelow(chance, mostOperationsPerLife) }
+    : { type: 'rotation', number: 1 + wholeBelow(chance, 2) };
+
 /** The process ends in the middle of what it does: from a certain operation on, none has an effect. */
-const filesUntil = (memory: MemoryFiles, endsAt: number): readonly RingFile[] => {
+const filesUntil = (memory: MemoryFiles, end: LifeEnd): readonly RingFile[] => {
   let operations = 0;
-  const orEnded = <T>(operate: () => Promise<T>): Promise<T> => {
-    operations += 1;
-    return operations >= endsAt ? Promise.reject(new Error('the process has ended')) : operate();
-  };
+  let rotations = 0;
+  let rotating: RingFile | undefined;
+  const isOver = (): boolean => (end.type === 'operation' ? operations : rotations) >= end.number;
+  const orEnded = <T>(operate: () => Promise<T>): Promise<T> =>
+    isOver() ? Promise.reject(new Error('the process has ended')) : operate();
   return memory.files.map((file) => ({
     ...file,
-    write: (offset, bytes) => orEnded(() => file.write(offset, bytes)),
-    sync: () => orEnded(file.sync),
+    write: (offset, bytes) => {
+      operations += 1;
+      if (offset === firstRecordOffset) rotating = file;
+      return orEnded(() => file.write(offset, bytes));
+    },
+    sync: () => {
+      operations += 1;
+      if (rotating === file) rotations += 1;
+      rotating = undefined;
+      return orEnded(file.sync);
+    },
   }));
 };
 
@@ -71,7 +91,7 @@
   let acknowledged = 0;
   let asked = 0;
   for (let life = 0; life < livesPerSession; life += 1) {
-    const opened = await openDiskRing(filesUntil(memory, 1 + wholeBelow(chance, mostOperationsPerLife)));
+    const opened = await openDiskRing(filesUntil(memory, drawnEnd(chance)));
     const fault = opened.caseOf({
       Left: openingFault,
       Right: (ring) => faultOf(recoveredNumbers(ring), acknowledged, asked),
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -165,6 +165,13 @@
     put: '',
     by: test('tests/disk/power-loss.test.js'),
   },
+  {
+    name: 'what an interrupted rotation left stays in its file',
+    file: 'src/disk/disk-ring.ts',
+    find: '      await file.write(0, Buffer.alloc(startBytes));\n',
+    put: '',
+    by: test('tests/disk/power-loss.test.js'),
+  },
   {
     name: 'a vote is not kept on disk',
     file: 'src/control/machine/elections.ts',
