Control: the release of a refused claim can be read back from disk and wire

Callers could see: once a claim had been refused as full, restarted core machines ended with "a kept record is not of a known form", and followers dropped every append with that entry, so that nothing was committed any more. Claims belong to the product's own interface; requests on a platform make none.

Cause: a claim that finds no room appends a release without an exchange; the guard of commands refused the empty name.

Change: a release may name no exchange.

The new test reads back what a refused claim puts into the log; it failed before.

--- a/src/control/wire/command-guard.ts
+++ b/src/control/wire/command-guard.ts
@@ -25,5 +25,6 @@
   void: object({ type: typed('void'), proposal: string().required() }),
   restore: object({ type: typed('restore'), record: mixed(isSetupRecord).required() }),
   claim: object({ type: typed('claim'), key: string().required(), exchange: string().required(), atUs: whole() }),
-  release: object({ type: typed('release'), key: string().required(), exchange: string().required(), atUs: whole() }),
+  /** A release that names no exchange removes what has expired in the bucket of its key. */
+  release: object({ type: typed('release'), key: string().required(), exchange: string().defined(), atUs: whole() }),
 });
--- a/tests/control/state-limit.test.ts
+++ b/tests/control/state-limit.test.ts
@@ -10,7 +10,8 @@
 import { maxRememberedDocuments } from '../../src/control/state/document-history.js';
 import { maxRememberedProposals } from '../../src/control/state/proposal-history.js';
 import { maxRefusedOrders } from '../../src/control/state/refused-orders.js';
-import { encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
+import { decodeDurableRecords, encodeDurableRecords } from '../../src/control/wire/durable-record-codec.js';
+import { isPlainMessage } from '../../src/control/wire/message-codec.js';
 import { boundedMapOf } from '../../src/common/bounded-map.js';
 import { openDiskRing } from '../../src/disk/disk-ring.js';
 import { firstRecordOffset, paddedLength } from '../../src/disk/record-format.js';
@@ -83,6 +84,20 @@
     );
 });
 
+// Guards against: no core machine starts again, and no follower takes the log further, once a claim was refused as full.
+test('what a refused claim puts into the log is read back from the disk and by other machines', () => {
+  const { effects } = propose(claimedUntilFull().replica, longClaim(20_000));
+  const records = effects.flatMap((effect) => (effect.type === 'persist' ? [effect.record] : []));
+  const entries = records.flatMap((record) => (record.type === 'entries' ? record.entries : []));
+  assert.equal(
+    entries.map(({ command }) => command.type),
+    ['release'],
+  );
+  assert.equal(decodeDurableRecords(encodeDurableRecords(records)).unsafeCoerce(), records);
+  const append = { type: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries, commit: 0, round: 0 };
+  assert.ok(isPlainMessage(append));
+});
+
 test('claims that expire make room again, and a known key is answered however full the state is', () => {
   const { replica } = claimedUntilFull();
   assert.is(replyOf(propose(replica, longClaim(0))), 'claimed');
