Simulator: small ring files, processes killed in a sync, power lost in a rotation

The simulator passed while four faults of the disk ring and of its records stood. Its ring files held 1 MB, so files seldom rotated and the state was never full; every kill lost power, so no unsynced write outlived a process.

Change: two ring files of 56 KB in the scenario core; a process may be killed with its files as they were; two faults that strike within a sync: power lost in a rotation, and a process killed in a sync with power lost in a later one.

--- a/src/sim/core/core-faults.ts
+++ b/src/sim/core/core-faults.ts
@@ -11,6 +11,26 @@
 const upAgain = (fleet: CoreFleet, machine: SimControl): void =>
   fleet.world.after(200_000 + fleet.world.chance() * 4 * second, machine.start);
 
+/** The process is killed in its next sync and started at once; power is lost in the first or second sync after that. */
+const killThenLosePower = (fleet: CoreFleet, machine: SimControl): void => {
+  const losePower = (): void => {
+    machine.kill();
+    upAgain(fleet, machine);
+  };
+  machine.inNextSync('any', () => {
+    machine.killProcess();
+    machine.start();
+    machine.inNextSync('any', (endSync) => {
+      if (fleet.world.chance() < 0.5) {
+        losePower();
+        return;
+      }
+      endSync();
+      machine.inNextSync('any', losePower);
+    });
+  });
+};
+
 const isolate = (fleet: CoreFleet, machine: SimControl, inward: boolean, outward: boolean): void => {
   for (const other of fleet.machines) {
     if (other === machine) continue;
@@ -56,6 +76,22 @@
       upAgain(fleet, machine);
     },
   },
+  {
+    name: 'each process killed in a sync, then power lost in a later one',
+    bring: (fleet) => {
+      for (const machine of fleet.machines) killThenLosePower(fleet, machine);
+    },
+  },
+  {
+    name: 'power lost while one makes its next ring file',
+    bring: (fleet) => {
+      const machine = anyMachine(fleet);
+      machine?.inNextSync('rotation', () => {
+        machine.kill();
+        upAgain(fleet, machine);
+      });
+    },
+  },
   {
     name: 'kill all',
     bring: (fleet) => {
@@ -179,6 +215,7 @@
   for (const machine of fleet.machines) {
     machine.slowDisk(usualDiskUs);
     machine.fillDisk(false);
+    machine.endActInSync();
     machine.node.wake();
     machine.start();
   }
--- a/src/sim/core/core-scenario.ts
+++ b/src/sim/core/core-scenario.ts
@@ -8,9 +8,11 @@
 const second = 1_000_000;
 const troubleEndsUs = 45 * second;
 const recoveryUs = 12 * second;
+/** Small, so that files rotate often while faults come. */
+const ringFileBytes = 56 << 10;
 
 const play = async (seed: number): Promise<SimRun> => {
-  const fleet = openCoreFleet(seed);
+  const fleet = openCoreFleet(seed, ringFileBytes);
   const { world, rules } = fleet;
   const desk = simOperatorService(fleet);
   const counts = { taken: 0, lostRace: 0, unknown: 0, reads: 0, claimsWon: 0, claimsRepeated: 0 };
--- a/src/sim/core/sim-control.ts
+++ b/src/sim/core/sim-control.ts
@@ -7,6 +7,7 @@
 import type { PartnerLinks } from '../../spread/link/partner-links.js';
 import { openMemoryFiles } from '../disk/memory-files.js';
 import { drawnWriteFates } from '../disk/write-fate.js';
+import type { SimLife } from '../process/sim-life.js';
 import { openSimNode, type SimNode } from '../process/sim-node.js';
 import { simSurroundingsOf, type SimCommons } from '../process/sim-surroundings.js';
 import { openSaid } from './said.js';
@@ -25,6 +26,11 @@
   readonly start: () => void;
   /** Power is lost: of what was not synced some may be there, some torn, some gone. */
   readonly kill: () => void;
+  /** The process is killed: its files keep every write, also those that were not synced. */
+  readonly killProcess: () => void;
+  /** Does something in place of the end of the next sync: of any one, or of one that makes a ring file. */
+  readonly inNextSync: (sync: 'any' | 'rotation', act: (endSync: () => void) => void) => void;
+  readonly endActInSync: () => void;
   /** Ends in order, then calls back. */
   readonly terminate: (ended: () => void) => void;
   readonly loseDisk: (newAddress?: string) => void;
@@ -59,7 +65,7 @@
   readonly hearBrokenInvariant: (what: string) => void;
 };
 
-const ringFiles = 3;
+const ringFiles = 2;
 const usualFileBytes = 1 << 20;
 export const usualDiskUs: Micros = 2_000;
 
@@ -90,11 +96,28 @@
   let changedSeeds: readonly string[] | undefined;
   let tasks: ControlNode | undefined;
   let lastView = startReplica(name, address, seeds());
+  let presentLife: SimLife | undefined;
+  let actInSync: { readonly sync: 'any' | 'rotation'; readonly act: (endSync: () => void) => void } | undefined;
+  const takeActInSync = (makesFile: boolean): ((endSync: () => void) => void) | undefined => {
+    if (actInSync === undefined || (actInSync.sync === 'rotation' && !makesFile)) return undefined;
+    const { act } = actInSync;
+    actInSync = undefined;
+    return act;
+  };
   const emptyFiles = () =>
     openMemoryFiles(ringFiles, ringFileBytes, undefined, () => ({
       fails: isFull,
-      untilSynced: () =>
-        new Promise((resolve) => world.after(syncUs * (0.5 + world.chance()), () => node.hear(resolve))),
+      untilSynced: (makesFile) => {
+        const life = presentLife;
+        return new Promise((resolve) =>
+          world.after(syncUs * (0.5 + world.chance()), () => {
+            const act = life?.isOver() === true ? undefined : takeActInSync(makesFile);
+            const endSync = (): void => node.hear(resolve);
+            if (act === undefined) endSync();
+            else act(endSync);
+          }),
+        );
+      },
     }));
   let files = emptyFiles();
 
@@ -129,6 +152,7 @@
     start: () => {
       if (node.isUp()) return;
       const life = node.begin();
+      presentLife = life;
       const surroundings = simSurroundingsOf(commons, name, address, life, files.files);
       const openPartnerLinks = (linkAddress: string): PartnerLinks => {
         const links = surroundings.openPartnerLinks(linkAddress);
@@ -179,6 +203,15 @@
       end();
       files = files.afterPowerLoss(drawnWriteFates(world.chance));
     },
+    killProcess: () => {
+      if (node.isUp()) end();
+    },
+    inNextSync: (sync, act) => {
+      actInSync = { sync, act };
+    },
+    endActInSync: () => {
+      actInSync = undefined;
+    },
     terminate: (ended) => {
       const leaving = tasks;
       if (leaving === undefined) return;
--- a/src/sim/disk/memory-files.ts
+++ b/src/sim/disk/memory-files.ts
@@ -43,7 +43,7 @@
       counts.syncs += 1;
       const writes = unsynced[index] ?? [];
       const toSync = writes.length;
-      await trouble().untilSynced();
+      await trouble().untilSynced(writes.some(({ offset }) => offset === 0));
       for (const write of writes.splice(0, toSync)) write.bytes.copy(synced[index] ?? Buffer.alloc(0), write.offset);
     },
     close: () => Promise.resolve(),
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -172,6 +172,27 @@
     put: '',
     by: test('tests/disk/power-loss.test.js'),
   },
+  {
+    name: 'damage in a replaced file keeps a machine of the simulator from starting',
+    file: 'src/disk/disk-ring.ts',
+    find: 'content.generation >= newestGeneration',
+    put: 'content.generation >= 0',
+    by: seeds('core', 'can not read its disk', 20),
+  },
+  {
+    name: 'a record of a killed process is not synced in the simulator',
+    file: 'src/disk/disk-ring.ts',
+    find: '    await newestFile?.file.sync();\n',
+    put: '',
+    by: seeds('core', 'kept-before-said|was told|broken-invariant|can not read its disk', 20),
+  },
+  {
+    name: 'the release of a refused claim can not be read back',
+    file: 'src/control/wire/command-guard.ts',
+    find: 'exchange: string().defined()',
+    put: 'exchange: string().required()',
+    by: seeds('core', 'can not read its disk', 20),
+  },
   {
     name: 'a vote is not kept on disk',
     file: 'src/control/machine/elections.ts',
