Server link: an answer without a length that is reset is lost, not whole

Cause: the HTTP library tells a reset as the end of an answer that has neither length nor chunks. Where the reset arrives with the last bytes, Node reports an end and no error at all.

Ruled out: answers with a length or in chunks, cut after each byte by an end or a reset; pages of the platform's list.

An error, or an end at which the connection has no peer any more, loses the answer: another try, 502, or a connection that ends without the last chunk. The soak's servers reset answers without a length, too.

--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -25,6 +25,20 @@
     put: 'withholdsKey: false,',
     by: test('tests/platform/keys.test.js'),
   },
+  {
+    name: 'a reset that is read by itself ends an answer without a length',
+    file: 'platform/server/watch-for-reset.ts',
+    find: "  socket.once('error', () => {\n    isReset = true;\n  });\n",
+    put: '',
+    by: test('tests/platform/answer-framing.test.js'),
+  },
+  {
+    name: 'a reset that comes with the last bytes ends an answer without a length',
+    file: 'platform/server/watch-for-reset.ts',
+    find: 'if (socket.remoteAddress === undefined) isReset = true;',
+    put: '',
+    by: test('tests/platform/answer-framing.test.js'),
+  },
   {
     name: 'two tenants may share a key',
     file: 'src/setup/check/tenant-faults.ts',
--- /dev/null
+++ b/tests/platform/answer-framing.test.ts
@@ -0,0 +1,155 @@
+import type { Socket } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { openListSource } from '../../platform/list/open-list-source.js';
+import { dialServer } from '../../platform/server/dial.js';
+import { steadyClock } from '../../src/common/clock/steady-clock.js';
+import { within } from '../../src/common/clock/within.js';
+import { listedAt } from '../router/loopback.js';
+import { carried, orderOf, type Carried } from './raw/carried.js';
+import { openRawServer } from './raw/raw-server.js';
+import { answerTo, idIn, post, withEdge, type Serve } from './raw/with-edge.js';
+
+/** How the end of an answer is told, and its body in those bytes. */
+type Framing = { readonly name: string; readonly headers: readonly string[]; readonly body: string };
+type Cut = { readonly name: string; readonly cut: (socket: Socket) => void };
+
+const event = 'id: 1\ndata: x\n\n';
+const stream = 'Content-Type: text/event-stream';
+/** A cut comes together with the bytes before it, or is read by itself. */
+const waitsBeforeCutMs = [0, 20] as const;
+const waitBeforeCutMs = 20;
+const wordUs = 3_000_000;
+
+const plain: readonly Framing[] = [
+  { name: 'a length', headers: ['Content-Length: 5'], body: 'hello' },
+  { name: 'chunks', headers: ['Transfer-Encoding: chunked'], body: '5\r\nhello\r\n0\r\n\r\n' },
+];
+const withoutLength: readonly Framing[] = [
+  { name: 'no length', headers: [], body: 'hello' },
+  { name: 'no length, a stream', headers: [stream], body: `${event}${event}` },
+];
+const connections: readonly (readonly string[])[] = [[], ['Connection: close'], ['Connection: keep-alive']];
+const reset: Cut = { name: 'reset', cut: (socket) => socket.resetAndDestroy() };
+const ended: Cut = { name: 'ended', cut: (socket) => socket.end() };
+
+/** What a link tells of an answer of which so much is sent before the connection is cut. */
+const carriedAnswer = async (
+  headers: readonly string[],
+  sent: string,
+  { cut }: Cut,
+  waitMs: number = waitBeforeCutMs,
+): Promise<Carried> => {
+  const head = ['HTTP/1.1 200 OK', 'Ledgehill-Attempt-Id: a', 'Ledgehill-Server-Seal: s.1', ...headers, '', ''];
+  const server = await openRawServer((socket) =>
+    socket.write(`${head.join('\r\n')}${sent}`, () =>
+      waitMs === 0 ? cut(socket) : setTimeout(() => cut(socket), waitMs),
+    ),
+  );
+  const link = (await dialServer({ ...listedAt('i-1', 'readers', 1), address: server.address })).unsafeCoerce();
+  try {
+    const made = await within(steadyClock, carried(link, orderOf('a')), wordUs);
+    if (made === undefined) throw new Error('no last word in time');
+    return made;
+  } finally {
+    link.close();
+    server.close();
+  }
+};
+
+// Guards against: an answer without a length that is reset on the way looks whole to the caller.
+test('an answer without a length is whole only if its connection ends in order', async () => {
+  for (const { name, headers, body } of withoutLength)
+    for (const connection of connections)
+      for (const waitMs of waitsBeforeCutMs)
+        for (const cut of [reset, ended]) {
+          const made = await carriedAnswer([...headers, ...connection], body, cut, waitMs);
+          const label = `${name}, ${connection[0] ?? 'no word'}, ${cut.name} after ${waitMs} ms`;
+          assert.is(made.ending, cut === ended ? 'end' : 'lost', label);
+        }
+});
+
+test('a stream without a length that ends within an event is cut', async () => {
+  for (const cut of [reset, ended])
+    assert.is((await carriedAnswer([stream], `${event}id: 2\n`, cut)).ending, 'lost', cut.name);
+});
+
+test('an answer with a length or in chunks is whole only with its last byte, however its connection ends', async () => {
+  for (const { name, headers, body } of plain)
+    for (const connection of connections)
+      for (const cut of [reset, ended])
+        for (let sentBytes = 0; sentBytes <= body.length; sentBytes += 1) {
+          const made = await carriedAnswer([...headers, ...connection], body.slice(0, sentBytes), cut);
+          const label = `${name}, ${connection[0] ?? 'no word'}, ${cut.name} after ${sentBytes} of ${body.length}`;
+          assert.is(made.ending, sentBytes === body.length ? 'end' : 'lost', label);
+        }
+});
+
+/** Requests that allow for further tries of the next one. */
+const earlierRequests = Array.from({ length: 8 }, (_, place) => post('/idem/x', '', [], `e${place}`)).join('');
+
+/** A server that resets an answer without a length after its body. */
+const resetAfter =
+  (headers: readonly string[], body: string): Serve =>
+  (socket, request) => {
+    const head = ['HTTP/1.1 200 OK', `Ledgehill-Attempt-Id: ${idIn(request)}`, 'Ledgehill-Server-Seal: s.1'];
+    socket.write([...head, ...headers, '', body].join('\r\n'), () =>
+      setTimeout(() => reset.cut(socket), waitBeforeCutMs),
+    );
+  };
+
+test('a client of an answer that was reset gets a failure, where nothing of it was passed on', () =>
+  withEdge(resetAfter([], 'hello'), async (edge) => {
+    const client = await edge.connect();
+    client.socket.write(post('/once/x'));
+    assert.match(await client.until('outcome-unknown'), /^HTTP\/1.1 502 /);
+  }));
+
+test('a client of a stream that was reset between two events sees it end without the last chunk', () =>
+  withEdge(resetAfter([stream], event), async (edge) => {
+    const client = await edge.connect();
+    client.socket.write(post('/stream/x'));
+    const received = await client.ended();
+    assert.match(received, event);
+    assert.not.match(received, '\r\n0\r\n\r\n');
+  }));
+
+test('a client of what may be repeated gets the whole answer of another try', () => {
+  let resets = 0;
+  const serve: Serve = (socket, request, place) => {
+    if (idIn(request) !== 'a1' || resets > 0) {
+      socket.write(answerTo(request, `[${idIn(request)}]`));
+      return;
+    }
+    resets += 1;
+    resetAfter([], '[a')(socket, request, place);
+  };
+  return withEdge(
+    serve,
+    async (edge) => {
+      const client = await edge.connect();
+      client.socket.write(earlierRequests);
+      await client.until('[e7]');
+      client.socket.write(post('/idem/x'));
+      assert.match(await client.until('[a1]'), '[a1]');
+      assert.is(resets, 1);
+    },
+    2,
+  );
+});
+
+test('a page of the list that is cut fails, and no server vanishes by it', async () => {
+  const page = JSON.stringify({ servers: [], next_cursor: null });
+  for (const [text, isWhole] of [
+    [page, true],
+    [page.slice(0, -3), false],
+  ] as const) {
+    const server = await openRawServer((socket) =>
+      socket.write(`HTTP/1.1 200 OK\r\n\r\n${text}`, () => setTimeout(() => ended.cut(socket), waitBeforeCutMs)),
+    );
+    assert.is((await openListSource(server.address).read()).isRight(), isWhole);
+    server.close();
+  }
+});
+
+test.run();
--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -40,6 +40,7 @@
 
 const misdeeds: readonly Misdeed[] = [
   'reset',
+  'reset-without-length',
   'surplus',
   'other-id',
   'no-seal',
--- a/tests/platform/stand-in/misdeed.ts
+++ b/tests/platform/stand-in/misdeed.ts
@@ -1,2 +1,3 @@
 /** How a stand-in server misbehaves with its next answer. */
-export type Misdeed = 'reset' | 'surplus' | 'other-id' | 'no-seal' | 'encoded' | 'silence' | 'close-before-answer';
+export type Misdeed =
+  'reset' | 'reset-without-length' | 'surplus' | 'other-id' | 'no-seal' | 'encoded' | 'silence' | 'close-before-answer';
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -77,6 +77,14 @@
     };
   };
 
+  const isReset = (misdeed: Misdeed | undefined): boolean => misdeed === 'reset' || misdeed === 'reset-without-length';
+
+  /** Lets an answer tell no length, so that it ends with its connection. */
+  const leaveLengthOut = (response: ServerResponse): void => {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  };
+
   const finish = (message: IncomingMessage, response: ServerResponse, misdeed: Misdeed | undefined): void => {
     const { socket } = message;
     response.end(() => {
@@ -116,6 +124,7 @@
         began: (beganVersion) => {
           arrival.ran = true;
           shownVersion = beganVersion;
+          if (misdeed === 'reset-without-length') leaveLengthOut(response);
           if (!isMute(message, arrival, misdeed))
             response.writeHead(200, { ...headOf(arrival.attempt, misdeed), 'Content-Type': 'text/event-stream' });
         },
@@ -124,7 +133,7 @@
           response.write(eventText(arrival.body, piece + 1, pieceVersion === shownVersion ? undefined : pieceVersion));
           shownVersion = pieceVersion;
           given += 1;
-          if (misdeed === 'reset' && given === 2) message.socket.resetAndDestroy();
+          if (isReset(misdeed) && given === 2) message.socket.resetAndDestroy();
         },
         done: () => {
           if (response.headersSent) finish(message, response, misdeed);
@@ -156,8 +165,10 @@
         done: () => {
           if (isMute(message, arrival, misdeed)) return;
           const bytes = plainBytes(service, arrival.body);
-          response.writeHead(200, { ...headOf(arrival.attempt, misdeed), 'Content-Length': bytes.length });
-          if (misdeed !== 'reset') {
+          const length = misdeed === 'reset-without-length' ? {} : { 'Content-Length': bytes.length };
+          if (misdeed === 'reset-without-length') leaveLengthOut(response);
+          response.writeHead(200, { ...headOf(arrival.attempt, misdeed), ...length });
+          if (!isReset(misdeed)) {
             response.write(bytes);
             finish(message, response, misdeed);
             return;
