--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -41,6 +41,7 @@
 const misdeeds: readonly Misdeed[] = [
   'reset',
   'reset-without-length',
+  'no-status',
   'surplus',
   'other-id',
   'no-seal',
--- a/tests/platform/stand-in/launch-fleet.ts
+++ b/tests/platform/stand-in/launch-fleet.ts
@@ -7,7 +7,8 @@
 import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
 import { settingsVariable } from '../../../platform/settings/read-settings.js';
 
-const mainPath = fileURLToPath(new URL('../../../platform/main.js', import.meta.url));
+/** The program as compiled, module by module. */
+const compiledMain = fileURLToPath(new URL('../../../platform/main.js', import.meta.url));
 
 /** A process of the system on an address of its own, and where it is reached. */
 export type FleetNode = {
@@ -31,7 +32,7 @@
 const zones = ['vault-hall', 'scan-hall', 'reading-room'] as const;
 
 /** Plans three processes of each role; every one has an address of its own, and the ports are the same on all. */
-export const launchFleet = async (): Promise<Fleet> => {
+export const launchFleet = async (mainPath = compiledMain): Promise<Fleet> => {
   const folder = mkdtempSync(join(tmpdir(), 'ledgehill-stand-'));
   const network = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
   const [edgePort, readyPort, ctlPort, partnerPort = 0, providerPort] = await freePorts(5, `${network}.1`);
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -99,7 +99,11 @@
   const isMute = (message: IncomingMessage, arrival: ServerArrival, misdeed: Misdeed | undefined): boolean => {
     if (misdeed !== undefined && misdeed !== 'surplus') arrival.broken = true;
     if (misdeed === 'close-before-answer') message.socket.resetAndDestroy();
-    return misdeed === 'silence' || misdeed === 'close-before-answer';
+    if (misdeed === 'no-status') {
+      const fields = Object.entries(headOf(arrival.attempt, misdeed)).map(([name, value]) => `${name}: ${value}\r\n`);
+      message.socket.write(`HTTP/1.1 000 OK\r\n${fields.join('')}Content-Length: 5\r\n\r\nplate`);
+    }
+    return misdeed === 'silence' || misdeed === 'close-before-answer' || misdeed === 'no-status';
   };
 
   const stream = (message: IncomingMessage, response: ServerResponse, arrival: ServerArrival): void => {
