--- a/tests/platform/bundled-program.test.ts
+++ b/tests/platform/bundled-program.test.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import fc from 'fast-check';
 import { request } from 'undici';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -9,9 +10,10 @@
 import { steadyNow, type Micros } from '../../src/common/micros.js';
 import { firstDocument, places } from './stand-in/documents.js';
 import { launchFleet, type FleetNode } from './stand-in/launch-fleet.js';
-import { openClients } from './stand-in/open-clients.js';
+import { noStatus, type SpoiledAnswer } from './stand-in/misdeed.js';
+import { openClients, type ClientEnd } from './stand-in/open-clients.js';
 import { openOperator } from './stand-in/open-operator.js';
-import { openPlatformServer } from './stand-in/open-platform-server.js';
+import { openPlatformServer, type PlatformServer } from './stand-in/open-platform-server.js';
 import { openProvider } from './stand-in/open-provider.js';
 import { openSeen } from './stand-in/seen.js';
 import { openWebDesk } from './stand-in/work-desk.js';
@@ -29,22 +31,37 @@
 /** A pause this long makes requests miss the time-outs of their routes. */
 const mostSilenceUs: Micros = 1_000_000;
 const setupUs: Micros = 12_000_000;
+const spoiledAnswers = 40;
+const spoiledBudgetUs: Micros = 200_000;
 
-/** How long a router was silent at most, asked again and again for a span of time. */
-const longestSilence = async ({ readyz }: FleetNode): Promise<Micros> => {
-  const endUs = steadyNow() + watchedUs;
+/** How long a router was silent at most while something was done and for some time after, asked again and again. */
+const longestSilence = async ({ readyz }: FleetNode, work: () => Promise<unknown>): Promise<Micros> => {
+  let isDone = false;
+  const working = work().finally(() => {
+    isDone = true;
+  });
+  let doneUs = steadyNow();
   let longestUs = 0;
-  while (steadyNow() < endUs) {
+  while (!isDone || steadyNow() < doneUs + watchedUs) {
+    if (!isDone) doneUs = steadyNow();
     const askedUs = steadyNow();
     await (await request(`http://${readyz}/ledgehill/readyz`)).body.dump();
     longestUs = Math.max(longestUs, steadyNow() - askedUs);
     await paused(steadyClock, probeSpanUs);
   }
+  await working;
   return longestUs;
 };
 
-// Guards against: one spoiled answer of a server stops a router for seconds, in the bundled program alone.
-test('an answer whose status line holds no status does not stop the router that reads it', async () => {
+/** A fleet on the bundle: the core, one router, one server, and clients of that router. */
+type BundledFleet = {
+  readonly router: FleetNode;
+  readonly server: PlatformServer;
+  readonly ask: (target: string, budgetUs?: Micros) => Promise<ClientEnd>;
+  readonly close: () => Promise<void>;
+};
+
+const openBundledFleet = async (): Promise<BundledFleet> => {
   const loaded: unknown = await import(bundlerUrl);
   if (!isBundler(loaded)) throw new Error('deploy/bundle.mjs builds nothing');
   const folder = mkdtempSync(join(tmpdir(), 'ledgehill-bundle-'));
@@ -53,7 +70,7 @@
   const fleet = await launchFleet(join(folder, 'ledgehill.js'));
   const provider = openProvider({ address: fleet.providerAddress, lagUs: 0, pageSize: 4, mostCallsASecond: 40 });
   const [router] = fleet.routers;
-  assert.ok(router !== undefined);
+  if (router === undefined) throw new Error('the fleet has no router');
   const clients = openClients(seen, () => router.edge);
   const server = await openPlatformServer({
     id: 'i-1',
@@ -65,35 +82,94 @@
     desk: openWebDesk(webFigures, webWorkUs),
     seen,
   });
-  try {
-    await provider.listen();
-    provider.show([server]);
-    for (const { launched } of [...fleet.controls, router]) launched.start();
-    const operator = openOperator(fleet.controls.map(({ ctl }) => ctl));
-    assert.is((await operator.put(firstDocument, 0, setupUs)).status, 200);
-    const ask = (target: string) =>
+  await provider.listen();
+  provider.show([server]);
+  for (const { launched } of [...fleet.controls, router]) launched.start();
+  const operator = openOperator(fleet.controls.map(({ ctl }) => ctl));
+  const { status } = await operator.put(firstDocument, 0, setupUs);
+  return {
+    router,
+    server,
+    ask: (target, budgetUs = watchedUs) =>
       clients.ask({
         route: 'idem',
         kind: 'idem',
         host: places.idem.host,
         target: `${places.idem.prefix}${target}`,
-        body: target,
-        budgetUs: watchedUs,
+        body: `${target}, configuration ${status}`,
+        budgetUs,
         mostTries: 20,
-      });
-    assert.ok((await ask('sound')).isServed);
-    server.misbehave('no-status');
-    const [silenceUs] = await Promise.all([longestSilence(router), ask('spoiled')]);
-    assert.is(server.misdeedsLeft(), 0);
-    assert.ok(silenceUs < mostSilenceUs, `the router was silent for ${silenceUs / 1_000} ms`);
-    assert.ok((await ask('later')).isServed);
+      }),
+    close: async () => {
+      await clients.close();
+      await server.crash();
+      provider.close();
+      await fleet.close();
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+};
+
+const withBundledFleet = async (use: (fleet: BundledFleet) => Promise<void>): Promise<void> => {
+  const fleet = await openBundledFleet();
+  try {
+    assert.ok((await fleet.ask('sound')).isServed);
+    await use(fleet);
+    assert.ok((await fleet.ask('later')).isServed);
+    assert.ok(fleet.router.launched.isRunning());
   } finally {
-    await clients.close();
-    await server.crash();
-    provider.close();
     await fleet.close();
-    rmSync(folder, { recursive: true, force: true });
   }
+};
+
+// Guards against: one spoiled answer of a server stops a router for seconds, in the bundled program alone.
+test('an answer whose status line holds no status does not stop the router that reads it', () =>
+  withBundledFleet(async ({ router, server, ask }) => {
+    server.misbehave(noStatus);
+    const silenceUs = await longestSilence(router, () => ask('spoiled'));
+    assert.is(server.misdeedsLeft(), 0);
+    assert.ok(silenceUs < mostSilenceUs, `the router was silent for ${silenceUs / 1_000} ms`);
+  }));
+
+const statusLine = fc.oneof(
+  fc.constantFrom('HTTP/1.1 000 OK', 'HTTP/1.1 099 OK', 'HTTP/1.1 1000 OK', 'HTTP/1.1 -20 OK', 'HTTP/9.9 200 OK', ''),
+  fc.integer({ min: 0, max: 999 }).map((status) => `HTTP/1.1 ${String(status).padStart(3, '0')} X`),
+  fc.string({ maxLength: 40 }),
+);
+const spoiledField = fc.oneof(
+  fc.constantFrom(
+    'Content-Length: -1',
+    'Content-Length: 5\r\nContent-Length: 6',
+    'Content-Length: 99999999999999999999',
+  ),
+  fc.constantFrom(
+    'Transfer-Encoding: chunked\r\nContent-Length: 5',
+    'Transfer-Encoding: gzip',
+    ': empty',
+    'Bad Name: x',
+  ),
+  fc.integer({ min: 1, max: 100_000 }).map((length) => `X-Long: ${'x'.repeat(length)}`),
+);
+const spoiledBody = fc.oneof(
+  fc.constantFrom('zz\r\nhello\r\n0\r\n\r\n', 'ffffffffffffffff\r\nhello', '5;x\r\nhel', '\0\0\0\0'),
+  fc.string({ maxLength: 200 }),
+);
+const spoiledAnswer = fc.tuple(statusLine, spoiledField, spoiledBody).map(([line, field, body]): SpoiledAnswer => {
+  const bytesOf = (fields: string): string => `${line}\r\n${fields}${field}\r\n\r\n${body}`;
+  return { type: 'spoiled', bytesOf };
 });
 
+// Guards against: any other answer of a server that ends a router or stops it.
+test('no spoiled answer ends the router that reads it, or stops it', () =>
+  withBundledFleet(async ({ router, server, ask }) => {
+    const play = async (answer: SpoiledAnswer): Promise<void> => {
+      server.misbehave(answer);
+      await ask('spoiled', spoiledBudgetUs);
+    };
+    const silenceUs = await longestSilence(router, () =>
+      fc.assert(fc.asyncProperty(spoiledAnswer, play), { seed: 7, numRuns: spoiledAnswers }),
+    );
+    assert.ok(silenceUs < mostSilenceUs, `the router was silent for ${silenceUs / 1_000} ms`);
+  }));
+
 test.run();
--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -1,7 +1,7 @@
 import { oneOf, wholeBelow } from '../../../src/common/chance.js';
 import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
 import type { FleetNode } from '../stand-in/launch-fleet.js';
-import type { Misdeed } from '../stand-in/misdeed.js';
+import { noStatus, type Misdeed, type SpoiledAnswer } from '../stand-in/misdeed.js';
 import type { SoakWorld } from './soak-world.js';
 
 /** Something that goes wrong, or a piece of planned work; it ends when all is whole again. */
@@ -38,10 +38,10 @@
 
 const launchedOf = (nodes: readonly FleetNode[]): readonly LaunchedNode[] => nodes.map(({ launched }) => launched);
 
-const misdeeds: readonly Misdeed[] = [
+const misdeeds: readonly (Misdeed | SpoiledAnswer)[] = [
   'reset',
   'reset-without-length',
-  'no-status',
+  noStatus,
   'surplus',
   'other-id',
   'no-seal',
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -4,7 +4,7 @@
 import { readOpening } from '../../../platform/caller/read-opening.js';
 import { steadyNow } from '../../../src/common/micros.js';
 import { addressParts } from '../../../src/spread/link/address-parts.js';
-import type { Misdeed } from './misdeed.js';
+import type { Misdeed, SpoiledAnswer } from './misdeed.js';
 import type { Seen, ServerArrival } from './seen.js';
 import { eventText, plainBytes } from './server-text.js';
 import type { WorkDesk } from './work-desk.js';
@@ -18,7 +18,7 @@
   readonly type: 'model' | 'web';
   readonly slots: number;
   /** Misbehaves with its next answers, one after the other. */
-  readonly misbehave: (...misdeeds: readonly Misdeed[]) => void;
+  readonly misbehave: (...misdeeds: readonly AnyMisdeed[]) => void;
   readonly misdeedsLeft: () => number;
   readonly drain: () => void;
   readonly isDraining: () => boolean;
@@ -28,6 +28,8 @@
   readonly crash: () => Promise<void>;
 };
 
+type AnyMisdeed = Misdeed | SpoiledAnswer;
+
 export type PlatformServerPlan = {
   readonly id: string;
   readonly service: string;
@@ -47,7 +49,7 @@
 /** Starts a server that speaks as the platform's page says. */
 export const openPlatformServer = async (plan: PlatformServerPlan): Promise<PlatformServer> => {
   const { id, service, address, zone, type, slots, desk, seen } = plan;
-  const misdeeds: Misdeed[] = [];
+  const misdeeds: AnyMisdeed[] = [];
   let isDraining = false;
   let version = 1;
   let seals = 0;
@@ -68,7 +70,7 @@
   };
 
   /** The head of an answer, spoiled as the misdeed says. */
-  const headOf = (attempt: string, misdeed: Misdeed | undefined): Record<string, string> => {
+  const headOf = (attempt: string, misdeed: AnyMisdeed | undefined): Record<string, string> => {
     seals += 1;
     return {
       ...baseOf(misdeed === 'other-id' ? `${attempt}-other` : attempt),
@@ -77,7 +79,8 @@
     };
   };
 
-  const isReset = (misdeed: Misdeed | undefined): boolean => misdeed === 'reset' || misdeed === 'reset-without-length';
+  const isReset = (misdeed: AnyMisdeed | undefined): boolean =>
+    misdeed === 'reset' || misdeed === 'reset-without-length';
 
   /** Lets an answer tell no length, so that it ends with its connection. */
   const leaveLengthOut = (response: ServerResponse): void => {
@@ -85,7 +88,7 @@
     response.shouldKeepAlive = false;
   };
 
-  const finish = (message: IncomingMessage, response: ServerResponse, misdeed: Misdeed | undefined): void => {
+  const finish = (message: IncomingMessage, response: ServerResponse, misdeed: AnyMisdeed | undefined): void => {
     const { socket } = message;
     response.end(() => {
       if (misdeed !== 'surplus') return;
@@ -96,14 +99,15 @@
     });
   };
 
-  const isMute = (message: IncomingMessage, arrival: ServerArrival, misdeed: Misdeed | undefined): boolean => {
+  const isMute = (message: IncomingMessage, arrival: ServerArrival, misdeed: AnyMisdeed | undefined): boolean => {
     if (misdeed !== undefined && misdeed !== 'surplus') arrival.broken = true;
     if (misdeed === 'close-before-answer') message.socket.resetAndDestroy();
-    if (misdeed === 'no-status') {
+    if (typeof misdeed === 'object') {
       const fields = Object.entries(headOf(arrival.attempt, misdeed)).map(([name, value]) => `${name}: ${value}\r\n`);
-      message.socket.write(`HTTP/1.1 000 OK\r\n${fields.join('')}Content-Length: 5\r\n\r\nplate`);
+      message.socket.write(misdeed.bytesOf(fields.join('')), 'latin1');
+      return true;
     }
-    return misdeed === 'silence' || misdeed === 'close-before-answer' || misdeed === 'no-status';
+    return misdeed === 'silence' || misdeed === 'close-before-answer';
   };
 
   const stream = (message: IncomingMessage, response: ServerResponse, arrival: ServerArrival): void => {
