HTTP: every request that is taken of a connection is answered before it ends

Cause: each response that began after the signal was made the last of its connection as its request arrived, also where further requests followed; these were passed on all the same, and Node dropped their answers with the connection.

Ruled out: SIGHUP (it changes no connection); the idle timeout (Node starts it only once nothing is to be answered).

Change: a module keeps the requests of each connection in order. The newest one taken carries the close and gives it on; nothing is taken behind an answer that closes; a fault on a connection ends it only after the answers that are due; a stop waits until the last byte of each answer has left. Requests that wait behind another learn that their client has left. The test "bytes that are no head are no answer to the one before them" expected nothing at all, since the connection was cut; it now expects exactly the one answer that is due, and no other.

--- a/src/process/http/caller-over-http.ts
+++ b/src/process/http/caller-over-http.ts
@@ -30,7 +30,7 @@
     },
     receipt: (exchange, text) => reply(response, 200, { exchange, receipt: text }, { 'x-exchange-id': exchange }),
     refuse: (error, exchange, retryAfterUs) => {
-      if (error.type === 'oversized-body') response.setHeader('connection', 'close');
+      if (error.type === 'oversized-body') response.shouldKeepAlive = false;
       replyError(
         response,
         refusalStatusOf(error.type),
--- a/src/process/router/exchange-paths.ts
+++ b/src/process/router/exchange-paths.ts
@@ -13,7 +13,6 @@
 /** What callers use, and what explains where their exchanges went. */
 export const addExchangePaths = ({ app }: HttpServer, node: RouterNode): void => {
   app.post('/exchanges', async (message, response) => {
-    if (node.isStopping()) response.setHeader('connection', 'close');
     await node.arrive(
       await readJsonBody(message, mostBodyBytes, 'bad-exchange'),
       message.headers['idempotency-key'],
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -5,6 +5,7 @@
 import { openCoreClient, type CoreClient } from '../core-client.js';
 import { openCounters, type Counters } from '../counters.js';
 import { openFailureReport } from '../failure-report.js';
+import type { CallersAtStop } from '../http/caller-connections.js';
 import type { Log } from '../log.js';
 import { linkOptionsOf, type NodeSettings } from '../settings/node-settings.js';
 import { openSourceTask } from '../source-task.js';
@@ -27,8 +28,8 @@
   /** Whether the node is about to stop, so that callers should look for another. */
   readonly isStopping: () => boolean;
   readonly start: () => Promise<void>;
-  /** Ends in order: unready, in flight to their end or the bound, then gone. */
-  readonly stop: (retire?: () => void) => Promise<void>;
+  /** Ends in order: unready, in flight to their last byte or the bound, then gone. */
+  readonly stop: (callers?: CallersAtStop) => Promise<void>;
   /** Ends at once, and breaks off what is in flight. */
   readonly end: () => void;
 };
@@ -162,17 +163,19 @@
       log.change('started', {});
       void confirm();
     },
-    stop: async (retire) => {
+    stop: async (callers) => {
       isStopping = true;
+      callers?.retire();
       log.change('stopping', { inFlight: router.inFlight() });
       const stopDueUs = clock.now() + drainBudgetUs;
       await paused(clock, lameDuckUs);
-      retire?.();
+      callers?.endIdle();
       isDraining = true;
       while (admission.underWay() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
       router.drain();
-      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
-      log.change('stopped', { cutOff: router.inFlight() });
+      const isAnswered = (): boolean => router.inFlight() === 0 && (callers?.unanswered() ?? 0) === 0;
+      while (!isAnswered() && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
+      log.change('stopped', { cutOff: router.inFlight(), unanswered: callers?.unanswered() ?? 0 });
       end();
     },
     end,
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -25,6 +25,27 @@
     put: 'withholdsKey: false,',
     by: test('tests/platform/keys.test.js'),
   },
+  {
+    name: 'each answer of a stopping router closes its connection, also where another one is to follow',
+    file: 'src/process/http/caller-connections.ts',
+    find: '    if (newest !== undefined) newest.response.shouldKeepAlive = true;\n',
+    put: '',
+    by: test('tests/platform/pipelined.test.js'),
+  },
+  {
+    name: 'a request is taken behind an answer that closes its connection',
+    file: 'src/process/http/caller-connections.ts',
+    find: 'if (connection.isClosing || (newest !== undefined && isLast(newest))) return false;',
+    put: '',
+    by: test('tests/platform/pipelined.test.js'),
+  },
+  {
+    name: 'a stopping router does not wait until its answers were read',
+    file: 'src/process/router/router-node.ts',
+    find: ' && (callers?.unanswered() ?? 0) === 0;',
+    put: ';',
+    by: test('tests/platform/pipelined.test.js'),
+  },
   {
     name: 'a reset that is read by itself ends an answer without a length',
     file: 'platform/server/watch-for-reset.ts',
@@ -511,7 +532,7 @@
   {
     name: 'a draining node takes new exchanges and never ends them',
     file: 'src/process/router/router-node.ts',
-    find: '      while (router.inFlight() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);\n',
+    find: '      while (!isAnswered() && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);\n',
     put: '',
     by: seeds('rolling', 'planned-changes-cut-nothing', 2),
   },
--- a/tests/platform/caller.test.ts
+++ b/tests/platform/caller.test.ts
@@ -158,17 +158,24 @@
     },
   ));
 
-test('bytes that are no head are no answer to the one before them', () =>
-  withEdge(
-    () => undefined,
-    async (edge, server) => {
-      const client = await edge.connect();
-      client.socket.write(post('/once/x'));
-      await seen(() => server.received() !== '');
-      client.socket.write('nonsense\r\n\r\n');
-      assert.is(await client.ended(), '');
-    },
-  ));
+test('bytes that are no head are no answer to the one before them, and do not keep its own answer away', () => {
+  let answer = (): void => undefined;
+  const serve: Serve = (socket, request) => {
+    answer = () => void socket.write(answerTo(request, 'own'));
+  };
+  return withEdge(serve, async (edge, server) => {
+    const client = await edge.connect();
+    client.socket.write(post('/once/x'));
+    await seen(() => server.received() !== '');
+    client.socket.write('nonsense\r\n\r\n');
+    await seen(() => edge.node.counters.read()['http.bad.HPE_INVALID_METHOD'] === 1);
+    assert.is(client.received(), '');
+    answer();
+    const text = await client.ended();
+    assert.match(text, /^HTTP\/1.1 200 [^]*own$/);
+    assert.is(text.match(/HTTP\/1.1/g)?.length, 1, text);
+  });
+});
 
 test('without a server the client is told when to come back, in fractions of a second', () =>
   withEdge(ok, async (edge) => {
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -22,6 +22,8 @@
   readonly node: RouterNode;
   readonly show: (servers: readonly ListedServer[]) => void;
   readonly retire: () => void;
+  /** Stops the node as a signal does; its clients' connections stay open meanwhile. */
+  readonly stop: () => Promise<void>;
   readonly connect: () => Promise<RawClient>;
   readonly close: () => void;
 };
@@ -164,10 +166,11 @@
     surroundings: { ...realSurroundings, dial: dialServer, probesNothing: true },
     coreOf: () => core,
   });
-  const callers = openCallerServer(http, node);
+  const server = openCallerServer(http, node);
+  const { callers } = server;
   const sockets: Socket[] = [];
   let version = 0;
-  await callers.listen();
+  await server.listen();
   await node.start();
   for (let look = 0; look < 600 && waitsForCore && node.router.view().record === undefined; look += 1)
     await paused(steadyClock, 5_000);
@@ -177,7 +180,11 @@
       version += 1;
       node.spread.offerList({ version, atUs: steadyNow() + version, servers });
     },
-    retire: callers.retire,
+    retire: () => {
+      callers.retire();
+      callers.endIdle();
+    },
+    stop: () => node.stop(callers),
     connect: () =>
       new Promise((resolve, reject) => {
         const socket = createConnection({ host: '127.0.0.1', port: edgePort, noDelay: true });
@@ -188,7 +195,7 @@
     close: () => {
       for (const socket of sockets) socket.destroy();
       node.end();
-      callers.close();
+      server.close();
     },
   };
 };
