Router: bodies are held within a part of the memory; beyond it they wait unread

Cause: each body was read whole before anything else was looked at, in pieces and once more in one; only its own size was bounded, not the sum.

Ruled out: admission by the number of requests (2,000 slots): it comes after the body was read, and counts no bytes.

A refusal is followed by reading the rest of the body: closed with unread bytes, a connection is reset and the refusal lost. A stop refuses what waits.

--- a/src/common/error-type.ts
+++ b/src/common/error-type.ts
@@ -10,6 +10,7 @@
   | 'state-full'
   | 'not-ready'
   | 'over-pressure'
+  | 'over-memory'
   | 'no-server'
   | 'no-claim'
   | 'repeated-key'
--- a/src/process/http/reply.ts
+++ b/src/process/http/reply.ts
@@ -2,6 +2,7 @@
 import type { Micros } from '../../common/micros.js';
 import { toRetrySeconds } from '../../common/micros.js';
 import type { TypedError } from '../../common/typed-error.js';
+import { endAfterRequest } from './end-after-request.js';
 
 /** Answers with JSON and ends. */
 export const reply = (
@@ -17,7 +18,7 @@
     'content-length': Buffer.byteLength(text),
     ...headers,
   });
-  response.end(text);
+  endAfterRequest(response, text);
 };
 
 export const replyError = (
--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -147,7 +147,7 @@
       ),
     );
     if (parsed.isLeft()) {
-      parsed.ifLeft((error) => refuse(caller, error));
+      parsed.ifLeft((error) => refuse(caller, error, error.type === 'over-memory' ? comeBackUs : undefined));
       return;
     }
     const body = parsed.unsafeCoerce();
--- a/src/process/router/exchange-paths.ts
+++ b/src/process/router/exchange-paths.ts
@@ -1,20 +1,36 @@
-import { typedError } from '../../common/typed-error.js';
+import type { IncomingMessage } from 'node:http';
+import type { Either } from 'purify-ts';
+import { parseJson } from '../../common/json.js';
+import type { Micros } from '../../common/micros.js';
+import { typedError, type TypedError } from '../../common/typed-error.js';
 import { platformUsOf } from '../../decision/machine/view/decision-view.js';
 import type { HttpServer } from '../http/http-server.js';
 import { callerOverHttp } from '../http/caller-over-http.js';
-import { readJsonBody } from '../http/read-body.js';
+import { receiveBody, type ReceivedBody } from '../http/receive-body.js';
 import { reply, replyError } from '../http/reply.js';
 import { bearerTokenOf } from '../../router/access/bearer-token.js';
 import { journalTextOf } from '../../router/explain/saved-journal.js';
 import type { RouterNode } from './router-node.js';
 
 const mostBodyBytes = 1 << 20;
+const memoryWaitUs: Micros = 1_000_000;
+
+/** The JSON of a request. Its text is not held any longer than it takes to read it. */
+const readRequest = async (message: IncomingMessage, { bodies }: RouterNode): Promise<Either<TypedError, unknown>> => {
+  const received = await new Promise<Either<TypedError, ReceivedBody>>((resolve) =>
+    receiveBody(message, bodies, { mostBytes: mostBodyBytes, mostWaitUs: memoryWaitUs }, resolve),
+  );
+  return received.chain(({ bytes, release }) => {
+    release();
+    return parseJson(Buffer.from(bytes).toString('utf8'), 'bad-exchange');
+  });
+};
 
 /** What callers use, and what explains where their exchanges went. */
 export const addExchangePaths = ({ app }: HttpServer, node: RouterNode): void => {
   app.post('/exchanges', async (message, response) => {
     await node.arrive(
-      await readJsonBody(message, mostBodyBytes, 'bad-exchange'),
+      await readRequest(message, node),
       message.headers['idempotency-key'],
       callerOverHttp(response),
       bearerTokenOf(message.headers.authorization),
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -7,7 +7,8 @@
 import { openFailureReport } from '../failure-report.js';
 import type { CallersAtStop } from '../http/caller-connections.js';
 import type { Log } from '../log.js';
-import { linkOptionsOf, type NodeSettings } from '../settings/node-settings.js';
+import { openBodyMemory, type BodyMemory } from '../memory/body-memory.js';
+import { linkOptionsOf, usualMemoryBytes, type NodeSettings } from '../settings/node-settings.js';
 import { openSourceTask } from '../source-task.js';
 import { openSpreadTask, type SpreadTask } from '../spread-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
@@ -22,6 +23,8 @@
   readonly spread: SpreadTask;
   readonly router: RouterTask;
   readonly counters: Counters;
+  /** The memory for the bodies of requests. */
+  readonly bodies: BodyMemory;
   readonly arrive: Admission['arrive'];
   readonly arriveOpaque: Admission['arriveOpaque'];
   readonly unready: () => string | undefined;
@@ -60,6 +63,7 @@
 }: RouterNodePlan): RouterNode => {
   const { clock } = surroundings;
   const counters = openCounters();
+  const bodies = openBodyMemory(settings.memoryBytes ?? usualMemoryBytes, clock, counters);
   const spread = openSpreadTask(
     {
       node: settings.node,
@@ -144,6 +148,7 @@
     spread,
     router,
     counters,
+    bodies,
     arrive: admission.arrive,
     arriveOpaque: admission.arriveOpaque,
     isStopping: () => isStopping,
@@ -171,6 +176,7 @@
       await paused(clock, lameDuckUs);
       callers?.endIdle();
       isDraining = true;
+      bodies.endWaits();
       while (admission.underWay() > 0 && clock.now() < stopDueUs) await paused(clock, drainLookSpanUs);
       router.drain();
       const isAnswered = (): boolean => router.inFlight() === 0 && (callers?.unanswered() ?? 0) === 0;
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -26,6 +26,11 @@
   partners: address(),
   partnersListen: string().optional().matches(addressForm, '${path} must be IP:port'),
   fleet: plainName().optional(),
+  memoryBytes: number()
+    .integer()
+    .min(16 << 20)
+    .max(1e15)
+    .optional(),
   seeds: array(address())
     .required()
     .min(1, 'seeds must be one to three addresses')
--- a/src/process/settings/node-settings.ts
+++ b/src/process/settings/node-settings.ts
@@ -13,8 +13,13 @@
   readonly seeds: readonly string[];
   /** The name of its fleet; nodes of other fleets are not listened to. One name for all where it is not told. */
   readonly fleet?: string;
+  /** The memory that the process may use; `usualMemoryBytes` where it is not told. */
+  readonly memoryBytes?: number;
 };
 
+/** The memory of a process that is told no bound. */
+export const usualMemoryBytes = 256 << 20;
+
 /** What the links of a node are told. */
 export const linkOptionsOf = ({ partnersListen, fleet }: NodeSettings): LinkOptions => ({
   ...(partnersListen === undefined ? {} : { listenAddress: partnersListen }),
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -46,6 +46,20 @@
     put: ';',
     by: test('tests/platform/pipelined.test.js'),
   },
+  {
+    name: 'the memory for bodies has no bound',
+    file: 'src/process/memory/memory-pool.ts',
+    find: 'heldBytes + bytes <= capacityBytes;',
+    put: 'heldBytes + bytes >= 0;',
+    by: test('tests/platform/body-memory.test.js'),
+  },
+  {
+    name: 'a body whose caller left keeps its memory',
+    file: 'src/process/http/receive-body.ts',
+    find: '      reservation?.release();\n      buffer.clear();\n',
+    put: '',
+    by: test('tests/platform/body-memory.test.js'),
+  },
   {
     name: 'a reset that is read by itself ends an answer without a length',
     file: 'platform/server/watch-for-reset.ts',
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -12,6 +12,7 @@
 import type { CoreClient } from '../../../src/process/core-client.js';
 import type { Log } from '../../../src/process/log.js';
 import { openRouterNode, type RouterNode } from '../../../src/process/router/router-node.js';
+import { usualMemoryBytes } from '../../../src/process/settings/node-settings.js';
 import { realSurroundings } from '../../../src/process/surroundings/real-surroundings.js';
 import { freePorts } from '../../../src/rehearsal/launcher/free-ports.js';
 import type { ListedServer } from '../../../src/servers/list/listed-server.js';
@@ -156,12 +157,13 @@
   core: CoreClient = coreWith(edgeDocument),
   waitsForCore = true,
   log: Log = { change: () => undefined },
+  memoryBytes: number = usualMemoryBytes,
 ): Promise<Edge> => {
   const [edgePort = 0, partnerPort] = await freePorts(2);
   const http = `127.0.0.1:${edgePort}`;
   const partners = `127.0.0.1:${partnerPort}`;
   const node = openRouterNode({
-    settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners] },
+    settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners], memoryBytes },
     log,
     surroundings: { ...realSurroundings, dial: dialServer, probesNothing: true },
     coreOf: () => core,
