Tests: a stop that cuts answers of a slow reader is found, also where the process ends at once

The deliberate fault of a stop that does not wait for its answers was missed: the test left the connections open behind the stop. It closes them now, as the process does, and lets the client read only once idle connections were ended.

--- a/tests/platform/pipelined.test.ts
+++ b/tests/platform/pipelined.test.ts
@@ -133,8 +133,9 @@
     await seen(() => (edge.node.counters.read()['exchanges.done'] ?? 0) > manyAnswers / 2);
     await seen(() => edge.node.router.inFlight() === 0);
     const taken = edge.node.counters.read()['exchanges.done'] ?? 0;
+    const idle = await edge.connect();
     const stopped = edge.stop();
-    edge.retire();
+    await idle.ended();
     client.socket.resume();
     const text = await client.ended();
     assert.equal(answersIn(text).slice(0, taken), ids.slice(0, taken));
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -23,7 +23,7 @@
   readonly node: RouterNode;
   readonly show: (servers: readonly ListedServer[]) => void;
   readonly retire: () => void;
-  /** Stops the node as a signal does; its clients' connections stay open meanwhile. */
+  /** Stops the node as a signal does, and closes what is left of its clients' connections. */
   readonly stop: () => Promise<void>;
   readonly connect: () => Promise<RawClient>;
   readonly close: () => void;
@@ -186,7 +186,10 @@
       callers.retire();
       callers.endIdle();
     },
-    stop: () => node.stop(callers),
+    stop: async () => {
+      await node.stop(callers);
+      server.close();
+    },
     connect: () =>
       new Promise((resolve, reject) => {
         const socket = createConnection({ host: '127.0.0.1', port: edgePort, noDelay: true });
