Data folder: no loss of power while it is made keeps a core machine from starting

On a related path, what a machine acknowledged could be gone (LOST).

Cause: the mark that the files are made was synced before the folder that names them; and a process that found the mark of a killed one never synced it.

Ruled out: the files' own content, which is synced before it counts.

--- a/src/disk/open-folder.ts
+++ b/src/disk/open-folder.ts
@@ -1,84 +1,96 @@
-import { mkdir, open, readdir, stat } from 'node:fs/promises';
-import { join } from 'node:path';
-import { EitherAsync, Left } from 'purify-ts';
+import { EitherAsync, Left, Right, type Either } from 'purify-ts';
 import { messageOf, typedError, type TypedError } from '../common/typed-error.js';
+import type { DataFile, DataFolder } from './data-folder.js';
 import { openDiskRing, type DiskRing } from './disk-ring.js';
 import { noTrouble, troubledFile, type DiskTrouble } from './disk-trouble.js';
+import { nodeFolder } from './node-folder.js';
 import type { RingFile } from './ring-file.js';
 import type { RingSizes } from './ring-sizes.js';
 
 const zeroChunk = Buffer.alloc(1 << 20);
 
-const syncFolder = async (folder: string): Promise<void> => {
-  const folderHandle = await open(folder, 'r');
-  await folderHandle.sync();
-  await folderHandle.close();
-};
+const readyMark = 'ring.ready';
 
-const preallocated = async (path: string, size: number): Promise<void> => {
-  const handle = await open(path, 'w');
+const ringFileNames = ({ files }: RingSizes): readonly string[] =>
+  Array.from({ length: files }, (_, index) => `ring-${index}.bin`);
+
+/** Makes a file of zeros, so that no later write has to find room. */
+const preallocate = async (folder: DataFolder, name: string, size: number): Promise<void> => {
+  const file = await folder.create(name);
   for (let offset = 0; offset < size; offset += zeroChunk.length)
-    await handle.write(zeroChunk, 0, Math.min(zeroChunk.length, size - offset), offset);
-  await handle.sync();
-  await handle.close();
+    await file.write(offset, zeroChunk.subarray(0, Math.min(zeroChunk.length, size - offset)));
+  await file.sync();
+  await file.close();
 };
 
-const openRingFile = async (path: string, size: number): Promise<RingFile> => {
-  const handle = await open(path, 'r+');
-  return {
-    name: path,
-    size,
-    read: async () => {
-      const bytes = Buffer.alloc(size);
-      await handle.read(bytes, 0, size, 0);
-      return bytes;
-    },
-    write: async (offset, bytes) => {
-      await handle.write(bytes, 0, bytes.length, offset);
-    },
-    sync: () => handle.datasync(),
-    close: () => handle.close(),
-  };
+/**
+ * Makes the files of a ring, and then the mark that they are made. The folder is synced in between: whatever a loss of
+ * power leaves, no mark is there without all files.
+ */
+const makeFiles = async (folder: DataFolder, sizes: RingSizes): Promise<void> => {
+  for (const name of ringFileNames(sizes)) await preallocate(folder, name, sizes.fileBytes);
+  await folder.sync();
+  const mark = await folder.create(readyMark);
+  await mark.sync();
+  await mark.close();
 };
 
-const readyMark = 'ring.ready';
+const ringFileOver = (file: DataFile, name: string, size: number): RingFile => ({ ...file, name, size });
+
+const closeAll = async (files: readonly RingFile[]): Promise<void> => {
+  for (const file of files) await file.close();
+};
+
+/** Opens the files of a ring; one that is missing or of another size is damage. */
+const openFiles = async (folder: DataFolder, sizes: RingSizes): Promise<Either<TypedError, readonly RingFile[]>> => {
+  const found = await folder.sizes();
+  const names = ringFileNames(sizes);
+  const damagedName = names.find((name) => found.get(name) !== sizes.fileBytes);
+  if (damagedName !== undefined)
+    return Left(
+      typedError(
+        'damaged-disk',
+        `${folder.pathOf(damagedName)} has ${found.get(damagedName) ?? 0} bytes and should have ${sizes.fileBytes}`,
+      ),
+    );
+  const files: RingFile[] = [];
+  try {
+    for (const name of names) files.push(ringFileOver(await folder.open(name), folder.pathOf(name), sizes.fileBytes));
+  } catch (thrown) {
+    await closeAll(files);
+    throw thrown;
+  }
+  return Right(files);
+};
 
 /**
- * Opens the ring in a data folder, making its files first where the folder is new. The mark file is
- * written last, so a folder whose making was cut short is made again, and a missing file is damage.
+ * Opens the ring in a data folder, making its files first where they were never made whole. The folder is synced each time: a
+ * process that was killed may have left the mark without a sync, and without the mark the files would be made anew.
  */
-export const openRingFolder = (
-  folder: string,
+export const openRingIn = (
+  folder: DataFolder,
   sizes: RingSizes,
   trouble: () => DiskTrouble = () => noTrouble,
 ): EitherAsync<TypedError, DiskRing> =>
   EitherAsync(async ({ throwE, fromPromise }) => {
-    const paths = Array.from({ length: sizes.files }, (_, index) => join(folder, `ring-${index}.bin`));
-    const files: RingFile[] = [];
-    let damage: TypedError | undefined;
+    let opened: Either<TypedError, readonly RingFile[]>;
     try {
-      await mkdir(folder, { recursive: true });
-      const presentNames = new Set(await readdir(folder));
-      if (!presentNames.has(readyMark)) {
-        for (const path of paths) await preallocated(path, sizes.fileBytes);
-        const markHandle = await open(join(folder, readyMark), 'w');
-        await markHandle.sync();
-        await markHandle.close();
-        await syncFolder(folder);
-      }
-      for (const path of paths) {
-        const size = await stat(path).then(
-          (found) => found.size,
-          () => 0,
-        );
-        if (size !== sizes.fileBytes)
-          damage = typedError('damaged-disk', `${path} has ${size} bytes and should have ${sizes.fileBytes}`);
-        else files.push(troubledFile(await openRingFile(path, sizes.fileBytes), trouble));
-      }
+      await folder.make();
+      if (!(await folder.sizes()).has(readyMark)) await makeFiles(folder, sizes);
+      await folder.sync();
+      opened = await openFiles(folder, sizes);
     } catch (thrown) {
       return throwE(typedError('disk-error', messageOf(thrown)));
     }
-    const ring = damage === undefined ? await openDiskRing(files) : Left<TypedError, DiskRing>(damage);
-    if (ring.isLeft()) for (const file of files) await file.close();
+    const files = await fromPromise(Promise.resolve(opened));
+    const ring = await openDiskRing(files.map((file) => troubledFile(file, trouble)));
+    if (ring.isLeft()) await closeAll(files);
     return fromPromise(Promise.resolve(ring));
   });
+
+/** The same, in the folder at a path of this machine. */
+export const openRingFolder = (
+  path: string,
+  sizes: RingSizes,
+  trouble?: () => DiskTrouble,
+): EitherAsync<TypedError, DiskRing> => openRingIn(nodeFolder(path), sizes, trouble);
--- a/tests/mutants/mutants.ts
+++ b/tests/mutants/mutants.ts
@@ -60,6 +60,20 @@
     put: '',
     by: test('tests/platform/body-memory.test.js'),
   },
+  {
+    name: 'the mark of a data folder is made before its files are synced into it',
+    file: 'src/disk/open-folder.ts',
+    find: '  await folder.sync();\n  const mark',
+    put: '  const mark',
+    by: test('tests/disk/folder-crash.test.js'),
+  },
+  {
+    name: 'a mark that a killed process left is never synced',
+    file: 'src/disk/open-folder.ts',
+    find: 'await folder.sync();\n      opened =',
+    put: 'opened =',
+    by: test('tests/disk/folder-crash.test.js'),
+  },
   {
     name: 'a reset that is read by itself ends an answer without a length',
     file: 'platform/server/watch-for-reset.ts',
