Soak: several requests on a connection, slow and large bodies, and the memory of each process

Change: clients that send up to four requests together, some large or slow, and use their connection until it ends; a trouble of 40 callers with 2.5 MB each at one router; a request that ran and was not answered is LOST unless its router was killed or frozen; more than 350 MB resident is a fault.

--- a/src/rehearsal/launcher/launch.ts
+++ b/src/rehearsal/launcher/launch.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { OutageType } from '../history/outage-type.js';
@@ -29,6 +29,17 @@
   readonly tell: (type: 'begins' | 'ends', what: OutageType) => void;
 };
 
+const bytesOfKb = 1_024;
+
+const residentBytesOf = (pid: number | undefined): number => {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0) * bytesOfKb;
+  } catch {
+    return 0;
+  }
+};
+
 /** What is still to be ended when this process ends. */
 const endings = new Set<() => void>();
 process.once('exit', () => {
@@ -137,6 +148,7 @@
       seeds = newSeeds;
     },
     isRunning,
+    residentBytes: () => (isRunning() ? residentBytesOf(child?.pid) : 0),
     endedBy: () => {
       if (child === undefined || isRunning()) return undefined;
       return child.signalCode ?? `exit code ${child.exitCode}`;
--- a/src/rehearsal/launcher/launched-node.ts
+++ b/src/rehearsal/launcher/launched-node.ts
@@ -31,6 +31,8 @@
   /** Gives the next life other seeds. */
   readonly reseed: (seeds: readonly string[]) => void;
   readonly isRunning: () => boolean;
+  /** The memory that its process has resident; none while it does not run. */
+  readonly residentBytes: () => number;
   /** The signal or the exit code that its last life ended with; none while it runs. */
   readonly endedBy: () => string | undefined;
 };
--- a/tests/platform/soak/judge-soak.ts
+++ b/tests/platform/soak/judge-soak.ts
@@ -1,6 +1,7 @@
 import type { Micros } from '../../../src/common/micros.js';
 import { judge } from '../stand-in/judge.js';
 import { allowedOf } from './soak-document.js';
+import type { PipelinedRequest } from './pipelined-clients.js';
 import type { PutRecord, ReadRecord, SoakOperator } from './soak-operator.js';
 import { quiesceUs, type SoakRequest, type SoakWorld } from './soak-world.js';
 
@@ -11,6 +12,11 @@
 /** The share of requests that must be served once all is whole again. */
 const leastServedShare = 0.95;
 
+/** A process that was frozen answers late for so long. */
+const wakeUs: Micros = 1_000_000;
+/** What the settings of the soak allow a process. */
+const mostMemoryBytes = 350 << 20;
+
 const refusedStatuses: ReadonlySet<number> = new Set([400, 409, 412, 413, 422]);
 /** Final answers that say that the client is wrong; these clients never are. */
 const wrongClient: ReadonlySet<number> = new Set([400, 401, 403, 404, 405, 413, 431]);
@@ -77,6 +83,25 @@
     launched.isRunning() ? [] : [`ENDED ${launched.node} by ${launched.endedBy() ?? 'nothing known'}`],
   );
 
+/**
+ * What a router passed on is answered, also where it was sent behind others and its router stops meanwhile. Requests whose
+ * router was killed or frozen, or whose server broke off, do not count.
+ */
+const lostFaults = ({ pipelined, seen, hits, fleet }: SoakWorld): readonly string[] => {
+  const names = new Map(fleet.routers.map(({ edge, launched }) => [edge, launched.node]));
+  const ran = new Set(seen.arrivals.filter((arrival) => arrival.ran && !arrival.broken).map(({ attempt }) => attempt));
+  const isHit = ({ node, sentUs, endUs }: PipelinedRequest): boolean =>
+    hits.some((hit) => hit.node === names.get(node) && hit.fromUs <= endUs && hit.untilUs + wakeUs >= sentUs);
+  return pipelined.requests
+    .filter((request) => request.status === 0 && ran.has(request.attempt) && !isHit(request))
+    .map(({ attempt, node, sentUs, endUs }) => `LOST ${attempt} ran, ${node} ended it after ${endUs - sentUs} us`);
+};
+
+const memoryFaults = ({ mostResidentBytes }: SoakWorld): readonly string[] =>
+  [...mostResidentBytes].flatMap(([node, bytes]) =>
+    bytes > mostMemoryBytes ? [`MEMORY ${node} had ${Math.round(bytes / (1 << 20))} MB`] : [],
+  );
+
 /** What a soak was, for its judge. */
 export type PlayedSoak = {
   readonly world: SoakWorld;
@@ -93,5 +118,7 @@
   ...deniedFaults(world),
   ...(forgot ? [] : leaveFaults(world)),
   ...recoverFaults(world, wholeUs),
+  ...lostFaults(world),
+  ...memoryFaults(world),
   ...endedFaults(world),
 ];
--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -1,8 +1,9 @@
 import { oneOf, wholeBelow } from '../../../src/common/chance.js';
+import { steadyNow } from '../../../src/common/micros.js';
 import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
 import type { FleetNode } from '../stand-in/launch-fleet.js';
 import { noStatus, type Misdeed, type SpoiledAnswer } from '../stand-in/misdeed.js';
-import type { SoakWorld } from './soak-world.js';
+import type { Hit, SoakWorld } from './soak-world.js';
 
 /** Something that goes wrong, or a piece of planned work; it ends when all is whole again. */
 export type Trouble = {
@@ -17,18 +18,29 @@
 const oneNode = ({ chance }: SoakWorld, nodes: readonly FleetNode[]): LaunchedNode | undefined =>
   oneOf(chance, nodes)?.launched;
 
-const restarted = async (world: SoakWorld, nodes: readonly LaunchedNode[]): Promise<void> => {
-  const downUs = 300_000 + wholeBelow(world.chance, 1_500_000);
-  await Promise.all(nodes.map((node) => node.kill()));
-  await world.pause(downUs);
-  for (const node of nodes) node.start();
+/** Notes from when to when processes are hit by what is done to them. */
+const hit = async (world: SoakWorld, nodes: readonly LaunchedNode[], act: () => Promise<void>): Promise<void> => {
+  const hits = nodes.map(({ node }): Hit => ({ node, fromUs: steadyNow(), untilUs: Number.POSITIVE_INFINITY }));
+  world.hits.push(...hits);
+  await act();
+  for (const noted of hits) noted.untilUs = steadyNow();
 };
 
+const restarted = (world: SoakWorld, nodes: readonly LaunchedNode[]): Promise<void> =>
+  hit(world, nodes, async () => {
+    const downUs = 300_000 + wholeBelow(world.chance, 1_500_000);
+    await Promise.all(nodes.map((node) => node.kill()));
+    await world.pause(downUs);
+    for (const node of nodes) node.start();
+  });
+
 const frozen = async (world: SoakWorld, node: LaunchedNode | undefined): Promise<void> => {
   if (node === undefined) return;
-  node.freeze();
-  await world.pause(second + wholeBelow(world.chance, 4 * second));
-  node.wake();
+  await hit(world, [node], async () => {
+    node.freeze();
+    await world.pause(second + wholeBelow(world.chance, 4 * second));
+    node.wake();
+  });
 };
 
 const stopped = async (node: LaunchedNode): Promise<void> => {
@@ -125,6 +137,7 @@
       },
     },
   ],
+  [{ name: 'many callers send large bodies to one router', act: (world) => world.sendLargeBodies() }],
   [
     {
       name: 'servers misbehave',
--- a/tests/platform/soak/soak-world.ts
+++ b/tests/platform/soak/soak-world.ts
@@ -12,6 +12,7 @@
 import { openSeen, type Seen } from '../stand-in/seen.js';
 import { openEngineDesk, openWebDesk } from '../stand-in/work-desk.js';
 import { places } from './soak-document.js';
+import { openPipelinedClients, type PipelinedClients } from './pipelined-clients.js';
 import { openSoakOperator, type SoakOperator } from './soak-operator.js';
 
 /** A request of the soak, and when its client first sent it. */
@@ -20,6 +21,9 @@
 /** A server that was shown as leaving, and from when on. */
 export type Leave = { readonly server: string; readonly shownUs: Micros };
 
+/** A span in which a process was killed or frozen. */
+export type Hit = { readonly node: string; readonly fromUs: Micros; untilUs: Micros };
+
 /** All that troubles may reach: processes, servers, operators. */
 export type SoakWorld = {
   readonly chance: Chance;
@@ -28,6 +32,12 @@
   readonly seen: Seen;
   readonly requests: SoakRequest[];
   readonly leaves: Leave[];
+  readonly hits: Hit[];
+  readonly pipelined: PipelinedClients;
+  /** The most memory that any process has had resident, by node. */
+  readonly mostResidentBytes: ReadonlyMap<string, number>;
+  /** Sends large bodies to one router, all at once, and waits for their answers. */
+  readonly sendLargeBodies: () => Promise<void>;
   readonly servers: () => readonly PlatformServer[];
   /** Starts a server and shows it. */
   readonly openServer: (service: string) => Promise<PlatformServer>;
@@ -55,6 +65,9 @@
 /** So many requests of a hundred come from clients that give up after their first piece or a moment. */
 const rudePercent = 4;
 const rudeBudgetUs: Micros = 150_000;
+const memoryLookUs: Micros = 100_000;
+const largeBodies = 40;
+const largeBodyBytes = 2_500_000;
 
 const routes = ['resumed', 'stream', 'idem', 'once'] as const;
 
@@ -106,6 +119,15 @@
   for (const service of ['readers', 'readers', 'readers', 'readers', 'gallery', 'gallery', 'office', 'office'])
     await openServer(service);
   const readiness = openReadiness(fleet.routers);
+  const pipelined = openPipelinedClients(seen, chance, () => oneOf(chance, readiness.ready()));
+  const mostResidentBytes = new Map<string, number>();
+  const endMemoryLooks = every(steadyClock, memoryLookUs, () => {
+    for (const { launched } of [...fleet.controls, ...fleet.routers])
+      mostResidentBytes.set(
+        launched.node,
+        Math.max(mostResidentBytes.get(launched.node) ?? 0, launched.residentBytes()),
+      );
+  });
   const clients = openClients(seen, (tried) => {
     const ready = readiness.ready();
     const fresh = ready.filter((node) => !tried.includes(node));
@@ -135,6 +157,16 @@
     };
   };
 
+  const sendLargeBodies = async (): Promise<void> => {
+    const node = oneOf(chance, readiness.ready());
+    const callers = openClients(seen, () => node, largeBodies);
+    const wanted = Array.from({ length: largeBodies }, () => wantedOf('idem'));
+    await Promise.all(
+      wanted.map((one) => callers.ask({ ...one, body: one.body.padEnd(largeBodyBytes, 'x'), mostTries: 1 })),
+    );
+    await callers.close();
+  };
+
   const askOne = (route: (typeof routes)[number]): void => {
     const sentUs = steadyNow();
     const running = clients.ask(wantedOf(route)).then((end) => {
@@ -151,6 +183,10 @@
     seen,
     requests,
     leaves,
+    hits: [],
+    pipelined,
+    mostResidentBytes,
+    sendLargeBodies,
     servers: () => servers,
     openServer,
     crashServer: async (server) => {
@@ -169,14 +205,17 @@
     pause,
     startTraffic: () => {
       endTraffic = every(steadyClock, requestSpanUs, () => routes.forEach(askOne));
+      pipelined.start();
     },
     stopTraffic: async () => {
       endTraffic();
-      await Promise.all(underWay);
+      await Promise.all([...underWay, pipelined.stop()]);
     },
     areAllReady: () => readiness.ready().length === fleet.routers.length,
     close: async () => {
       endTraffic();
+      endMemoryLooks();
+      await pipelined.stop();
       readiness.close();
       await clients.close();
       await fleet.close();
--- a/tests/platform/stand-in/open-clients.ts
+++ b/tests/platform/stand-in/open-clients.ts
@@ -30,6 +30,8 @@
 };
 
 const stride = 7;
+/** How many connections to one node clients keep. */
+const usualConnections = 16;
 const ownPromises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const endings: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
 
@@ -42,10 +44,14 @@
 const wholeEvents = (text: string): string => text.slice(0, text.lastIndexOf('\n\n') + 2 || 0);
 
 /** Clients that try again as the platform's page says; `pick` gives the node for a new connection. */
-export const openClients = (seen: Seen, pick: (tried: readonly string[]) => string | undefined) => {
+export const openClients = (
+  seen: Seen,
+  pick: (tried: readonly string[]) => string | undefined,
+  connections = usualConnections,
+) => {
   const agent = new Agent({
     pipelining: 1,
-    connections: 16,
+    connections,
     headersTimeout: 0,
     bodyTimeout: 0,
     connect: { timeout: 1_000 },
