Counters, failure report: for how long the event loop was held

Change: delays of a look every 0.1 s, on the same moments as the looks that are there already, go into a histogram of node:perf_hooks; the counters have its mean, 99th percentile and maximum, the line of failures the longest one since the last line.

--- a/src/process/control/control-node.ts
+++ b/src/process/control/control-node.ts
@@ -6,6 +6,7 @@
 import { openCounters, type Counters } from '../counters.js';
 import { openFailureReport } from '../failure-report.js';
 import type { Log } from '../log.js';
+import { openLoopDelay } from '../loop-delay.js';
 import { countedOperatorService } from '../operator/counted-operator-service.js';
 import { openOperatorService, type OperatorService } from '../operator/operator-service.js';
 import type { ControlSettings } from '../settings/control-settings.js';
@@ -74,9 +75,16 @@
       ...(settings.quota === undefined ? {} : { tolerance: settings.quota }),
     });
     let closeReport = (): void => undefined;
+    const loopDelay = openLoopDelay(surroundings.clock, counters);
     const state = () => {
       const { role, term, commit } = control.replica();
-      return { role, term, commit, revision: spread.view().record?.revision ?? 0 };
+      return {
+        role,
+        term,
+        commit,
+        revision: spread.view().record?.revision ?? 0,
+        loopDelayUs: loopDelay.takeLongestUs(),
+      };
     };
     return {
       spread,
@@ -105,6 +113,7 @@
         await paused(surroundings.clock, handOverUs);
         source.close();
         closeReport();
+        loopDelay.close();
         await control.close();
         spread.close();
       },
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -6,6 +6,7 @@
 import { openCounters, type Counters } from '../counters.js';
 import { openFailureReport } from '../failure-report.js';
 import type { CallersAtStop } from '../http/caller-connections.js';
+import { openLoopDelay } from '../loop-delay.js';
 import type { Log } from '../log.js';
 import { openBodyMemory, type BodyMemory } from '../memory/body-memory.js';
 import { linkOptionsOf, usualMemoryBytes, type NodeSettings } from '../settings/node-settings.js';
@@ -103,6 +104,7 @@
   let isDraining = false;
   let endLooks = (): void => undefined;
   let closeReport = (): void => undefined;
+  const loopDelay = openLoopDelay(clock, counters);
 
   const closedBy = (): ErrorType | undefined => {
     if (isDraining) return 'draining';
@@ -131,6 +133,7 @@
     darkServers: router.view().dark.size,
     partners: spread.view().partners.size,
     isolated: spread.view().isolated,
+    loopDelayUs: loopDelay.takeLongestUs(),
   });
 
   const end = (): void => {
@@ -140,6 +143,7 @@
     router.close();
     quota.close();
     closeReport();
+    loopDelay.close();
     spread.close();
   };
 
