--- a/src/process/router/admission.ts
+++ b/src/process/router/admission.ts
@@ -24,11 +24,11 @@
 
 /** What an exchange passes on its way in. */
 export type Admission = {
-  /** Takes what a caller sent, and answers every exchange in the end. */
   /** How many have come in and are neither taken in nor answered, such as those that wait for their claim. */
   readonly underWay: () => number;
   /** Takes an exchange whose text passes unread; its rule is found by host and path. */
   readonly arriveOpaque: (exchange: OpaqueExchange, caller: CallerLink) => Promise<void>;
+  /** Takes what a caller sent, and answers every request in the end. */
   readonly arrive: (
     sent: Either<TypedError, unknown>,
     givenKey: unknown,
@@ -65,6 +65,15 @@
     caller.refuse(error, exchange, retryAfterUs);
   };
 
+  /** Whether this node takes requests now; one that comes while it does not is refused. */
+  const isOpenTo = async (caller: CallerLink): Promise<boolean> => {
+    const isFresh = await gate.pass();
+    const closing = isFresh ? closedBy() : 'not-ready';
+    if (closing === undefined) return true;
+    refuse(caller, typedError(closing, 'refused: this node takes no exchanges now'), comeBackUs);
+    return false;
+  };
+
   /** Whom a request comes from; one without a key that it needs is refused at once, before anything is counted or held. */
   const authenticated = (
     setup: Setup,
@@ -155,12 +164,7 @@
       refuse(caller, typedError('bad-exchange', 'Idempotency-Key must be 1 to 200 visible characters'));
       return;
     }
-    const isFresh = await gate.pass();
-    const closing = isFresh ? closedBy() : 'not-ready';
-    if (closing !== undefined) {
-      refuse(caller, typedError(closing, 'refused: this node takes no exchanges now'), comeBackUs);
-      return;
-    }
+    if (!(await isOpenTo(caller))) return;
     const setup = router.view().record?.setup;
     const rule = setup?.rules.find((knownRule) => knownRule.kind === body.kind);
     if (setup === undefined || rule === undefined) {
@@ -195,12 +199,7 @@
   };
 
   const admitOpaque: Admission['arriveOpaque'] = async (exchange, caller) => {
-    const isFresh = await gate.pass();
-    const closing = isFresh ? closedBy() : 'not-ready';
-    if (closing !== undefined) {
-      refuse(caller, typedError(closing, 'refused: this node takes no exchanges now'), comeBackUs);
-      return;
-    }
+    if (!(await isOpenTo(caller))) return;
     const setup = router.view().record?.setup;
     const rule = setup === undefined ? undefined : ruleAt(setup, exchange.host, exchange.path);
     if (setup === undefined || rule === undefined) {
@@ -227,19 +226,17 @@
     });
   };
 
+  /** Counts a request while it is on its way in. */
+  const counted = async (admitting: Promise<void>): Promise<void> => {
+    underWay += 1;
+    await admitting.finally(() => {
+      underWay -= 1;
+    });
+  };
+
   return {
-    arriveOpaque: async (exchange, caller) => {
-      underWay += 1;
-      await admitOpaque(exchange, caller).finally(() => {
-        underWay -= 1;
-      });
-    },
+    arriveOpaque: (exchange, caller) => counted(admitOpaque(exchange, caller)),
     underWay: () => underWay,
-    arrive: async (sent, givenKey, caller, apiKey) => {
-      underWay += 1;
-      await admit(sent, givenKey, caller, apiKey).finally(() => {
-        underWay -= 1;
-      });
-    },
+    arrive: (sent, givenKey, caller, apiKey) => counted(admit(sent, givenKey, caller, apiKey)),
   };
 };
