--- a/src/sim/core/replacements-scenario.ts
+++ b/src/sim/core/replacements-scenario.ts
@@ -9,7 +9,7 @@
 
 const second: Micros = 1_000_000;
 const lossCount = 7;
-/** A machine that is back counts as lost for `sync_s`: 4 s or 6 s on the platforms' pages. */
+/** A machine that is back still counts as lost for so long, by the platforms that are known. */
 const leastSyncUs: Micros = 4 * second;
 const mostSyncUs: Micros = 6 * second;
 const committedBoundUs: Micros = 6 * second;
