--- /dev/null
+++ b/tests/mutants/platform-mutants.ts
@@ -0,0 +1,34 @@
+import { test } from './finders.js';
+import type { Mutant } from './mutant.js';
+
+/** Deliberate faults in the way to and from a platform's words. */
+export const platformMutants: readonly Mutant[] = [
+  {
+    name: 'a reset that is read by itself ends an answer without a length',
+    file: 'platform/server/watch-for-reset.ts',
+    find: "  socket.once('error', () => {\n    isReset = true;\n  });\n",
+    put: '',
+    by: test('tests/platform/answer-framing.test.js'),
+  },
+  {
+    name: 'a reset that comes with the last bytes ends an answer without a length',
+    file: 'platform/server/watch-for-reset.ts',
+    find: 'if (socket.remoteAddress === undefined) isReset = true;',
+    put: '',
+    by: test('tests/platform/answer-framing.test.js'),
+  },
+  {
+    name: 'a settings file that changes without a signal is not seen',
+    file: 'platform/settings/on-settings-change.ts',
+    find: '    knownContent = content;\n    readAgain();',
+    put: '    knownContent = content;',
+    by: test('tests/platform/settings-change.test.js'),
+  },
+  {
+    name: 'an answer to another request is given on',
+    file: 'platform/server/server-link.ts',
+    find: "exchange.name !== '' && valueOf(raw, headerWords.attempt) !== exchange.name",
+    put: "exchange.name !== '' && raw.length === 0",
+    by: test('tests/platform/one-answer.test.js'),
+  },
+];
