--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -2,6 +2,7 @@
 import { steadyNow } from '../../../src/common/micros.js';
 import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
 import type { FleetNode } from '../stand-in/launch-fleet.js';
+import { losePowerIn } from './lose-power.js';
 import { noStatus, type Misdeed, type SpoiledAnswer } from '../stand-in/misdeed.js';
 import type { Hit, SoakWorld } from './soak-world.js';
 
@@ -18,6 +19,8 @@
 const oneNode = ({ chance }: SoakWorld, nodes: readonly FleetNode[]): LaunchedNode | undefined =>
   oneOf(chance, nodes)?.launched;
 
+const launchedOf = (nodes: readonly FleetNode[]): readonly LaunchedNode[] => nodes.map(({ launched }) => launched);
+
 /** Notes from when to when processes are hit by what is done to them. */
 const hit = async (world: SoakWorld, nodes: readonly LaunchedNode[], act: () => Promise<void>): Promise<void> => {
   const hits = nodes.map(({ node }): Hit => ({ node, fromUs: steadyNow(), untilUs: Number.POSITIVE_INFINITY }));
@@ -26,14 +29,24 @@
   for (const noted of hits) noted.untilUs = steadyNow();
 };
 
-const restarted = (world: SoakWorld, nodes: readonly LaunchedNode[]): Promise<void> =>
+const restarted = (
+  world: SoakWorld,
+  nodes: readonly LaunchedNode[],
+  whileDown: () => void = () => undefined,
+): Promise<void> =>
   hit(world, nodes, async () => {
     const downUs = 300_000 + wholeBelow(world.chance, 1_500_000);
     await Promise.all(nodes.map((node) => node.kill()));
+    whileDown();
     await world.pause(downUs);
     for (const node of nodes) node.start();
   });
 
+const powerLost = (world: SoakWorld, nodes: readonly FleetNode[]): Promise<void> =>
+  restarted(world, launchedOf(nodes), () => {
+    for (const { data } of nodes) losePowerIn(data, world.chance);
+  });
+
 const frozen = async (world: SoakWorld, node: LaunchedNode | undefined): Promise<void> => {
   if (node === undefined) return;
   await hit(world, [node], async () => {
@@ -48,8 +61,6 @@
   node.start();
 };
 
-const launchedOf = (nodes: readonly FleetNode[]): readonly LaunchedNode[] => nodes.map(({ launched }) => launched);
-
 const misdeeds: readonly (Misdeed | SpoiledAnswer)[] = [
   'reset',
   'reset-without-length',
@@ -59,6 +70,7 @@
   'no-seal',
   'encoded',
   'silence',
+  'slow-refusal',
   'close-before-answer',
 ];
 const misdeedsOfOne = 6;
@@ -96,6 +108,15 @@
           [oneNode(world, world.fleet.controls)].flatMap((node) => node ?? []),
         ),
     },
+    {
+      name: 'a core machine loses power',
+      act: (world) =>
+        powerLost(
+          world,
+          [oneOf(world.chance, world.fleet.controls)].flatMap((node) => node ?? []),
+        ),
+    },
+    { name: 'all core machines lose power', act: (world) => powerLost(world, world.fleet.controls) },
     { name: 'kill the core', act: (world) => restarted(world, launchedOf(world.fleet.controls)) },
     { name: 'freeze a core machine', act: (world) => frozen(world, oneNode(world, world.fleet.controls)) },
     {
--- a/tests/platform/stand-in/launch-fleet.ts
+++ b/tests/platform/stand-in/launch-fleet.ts
@@ -13,6 +13,8 @@
 /** A process of the system on an address of its own, and where it is reached. */
 export type FleetNode = {
   readonly launched: LaunchedNode;
+  /** The folder of its data; only core machines have one. */
+  readonly data: string;
   readonly edge: string;
   readonly readyz: string;
   readonly ctl: string;
@@ -42,6 +44,7 @@
     const inet = `${network}.${(role === 'control' ? 11 : 21) + index}`;
     const node = `${role}-${index + 1}`;
     const zone = zones[index % 3] ?? zones[0];
+    const data = join(folder, `${node}-data`);
     const addresses = { edge: `${inet}:${edgePort}`, readyz: `${inet}:${readyPort}`, ctl: `${inet}:${ctlPort}` };
     const settings = [
       `nodename=${node}`,
@@ -52,12 +55,7 @@
       'area=sofia-central',
       ...zones.map((name) => `zones.${name}=sofia-central`),
       ...(role === 'control'
-        ? [
-            `binds.ctl=${addresses.ctl}`,
-            `datadir=${join(folder, `${node}-data`)}`,
-            'limits.disk_cap_mb=128',
-            'quorum=true',
-          ]
+        ? [`binds.ctl=${addresses.ctl}`, `datadir=${data}`, 'limits.disk_cap_mb=128', 'quorum=true']
         : [`binds.edge=${addresses.edge}`, `binds.readyz=${addresses.readyz}`, 'limits.disk_cap_mb=0', 'quorum=false']),
       `port_range=${partnerPort},${partnerPort}`,
       `peers=${[11, 12, 13].map((last) => `${network}.${last}:${ctlPort}`).join(',')}`,
@@ -90,7 +88,7 @@
       folder,
       tell: () => undefined,
     });
-    return { launched, ...addresses };
+    return { launched, data, ...addresses };
   };
   const controls = [0, 1, 2].map((index) => planOne('control', index));
   const routers = [0, 1, 2].map((index) => planOne('router', index));
--- a/tests/platform/stand-in/misdeed.ts
+++ b/tests/platform/stand-in/misdeed.ts
@@ -1,6 +1,14 @@
 /** How a stand-in server misbehaves with its next answer. */
 export type Misdeed =
-  'reset' | 'reset-without-length' | 'surplus' | 'other-id' | 'no-seal' | 'encoded' | 'silence' | 'close-before-answer';
+  | 'reset'
+  | 'reset-without-length'
+  | 'surplus'
+  | 'other-id'
+  | 'no-seal'
+  | 'encoded'
+  | 'silence'
+  | 'slow-refusal'
+  | 'close-before-answer';
 
 /** An answer in bytes of the test's own; `fields` are the header lines of a sound one. */
 export type SpoiledAnswer = { readonly type: 'spoiled'; readonly bytesOf: (fields: string) => string };
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -2,7 +2,8 @@
 import type { Socket } from 'node:net';
 import { buffer } from 'node:stream/consumers';
 import { readOpening } from '../../../platform/caller/read-opening.js';
-import { steadyNow } from '../../../src/common/micros.js';
+import { steadyClock } from '../../../src/common/clock/steady-clock.js';
+import { steadyNow, type Micros } from '../../../src/common/micros.js';
 import { addressParts } from '../../../src/spread/link/address-parts.js';
 import type { Misdeed, SpoiledAnswer } from './misdeed.js';
 import type { Seen, ServerArrival } from './seen.js';
@@ -46,6 +47,8 @@
   return typeof value === 'string' ? value : undefined;
 };
 
+const slowRefusalUs: Micros = 1_000_000;
+
 /** Starts a server that speaks as the platform's page says. */
 export const openPlatformServer = async (plan: PlatformServerPlan): Promise<PlatformServer> => {
   const { id, service, address, zone, type, slots, desk, seen } = plan;
@@ -153,6 +156,11 @@
 
   const plain = (message: IncomingMessage, response: ServerResponse, arrival: ServerArrival): void => {
     const misdeed = misdeeds.shift();
+    if (misdeed === 'slow-refusal') {
+      arrival.broken = true;
+      steadyClock.after(slowRefusalUs, () => turnAway(response, 503, arrival.attempt));
+      return;
+    }
     response.once('close', () => desk.cancel(arrival.attempt));
     desk.take(
       {
