Review case 10: an event that does not end takes a router over its memory limit

Tried: 100 streams through three routers; in three of the answers the server sends, after a first event, bytes without the end of an event, at the rate of the machine's link and for five seconds at most.

Shows: the bytes of an event that has not ended are buffered without a limit.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the same without the trouble.
+cd "$(dirname "$0")" && exec node run.mjs
