--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -13,7 +13,10 @@
 const stepMs = 100;
 const steps = 50;
 
-runCase(dirname(fileURLToPath(import.meta.url)), async ({ note, end }) => {
+/** The record of what was sent, answered and run; run.sh names it. */
+const record = process.argv[2] ?? 'record.txt';
+
+runCase(dirname(fileURLToPath(import.meta.url)), record, async ({ note, end }) => {
   const fleet = await startFleet({ routers: 3 });
   const noEvent = Buffer.alloc(bytesPerStep, '0123456789abcdef');
   for (const zone of ['vault-hall', 'scan-hall', 'reading-room', 'vault-hall', 'scan-hall', 'reading-room']) {
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -10,7 +10,10 @@
 const brokenAfter = 5;
 const streams = 20;
 
-runCase(dirname(fileURLToPath(import.meta.url)), async ({ note, end }) => {
+/** The record of what was sent, answered and run; run.sh names it. */
+const record = process.argv[2] ?? 'record.txt';
+
+runCase(dirname(fileURLToPath(import.meta.url)), record, async ({ note, end }) => {
   const fleet = await startFleet({ routers: 1 });
   const [router] = fleet.routers;
   const brokenOff = new Set();
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -16,7 +16,10 @@
 /** Four times the aim: the silence that a client bears before it gives up a stream. */
 const silentMs = 4 * targetMs;
 
-runCase(dirname(fileURLToPath(import.meta.url)), async ({ note, end, elapsedMs }) => {
+/** The record of what was sent, answered and run; run.sh names it. */
+const record = process.argv[2] ?? 'record.txt';
+
+runCase(dirname(fileURLToPath(import.meta.url)), record, async ({ note, end, elapsedMs }) => {
   const fleet = await startFleet({ routers: 2 });
   const [stopped, other] = fleet.routers;
   const begun = new Map();
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -207,14 +207,14 @@
 
 export const isTroubled = process.env.TROUBLE !== '0';
 
-/** Writes the record, and ends the script: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-export const runCase = (folder, play) => {
+/** Writes the record to the file `record` of the case's folder, and ends the script: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+export const runCase = (folder, record, play) => {
   const startMs = Date.now();
   const lines = [];
   const note = (text) => void lines.push(`${((Date.now() - startMs) / 1000).toFixed(3)} ${text}`);
   const end = (status, text) => {
     note(text);
-    writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+    writeFileSync(join(folder, record), `${lines.join('\n')}\n`);
     process.stdout.write(`${text}\n`);
     process.exit(status);
   };
