--- a/src/decision/machine/event/delivery-error.ts
+++ b/src/decision/machine/event/delivery-error.ts
@@ -8,5 +8,9 @@
   | 'too-slow'
   | 'silent'
   | 'bad-stream'
+  /** An event of the stream exceeds the memory for one event. */
+  | 'oversized-event'
+  /** This node has no memory left for what it holds of the response. */
+  | 'over-memory'
   /** The API key of the client was revoked before the exchange was sent. */
   | 'key-revoked';
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -17,6 +17,8 @@
   'too-slow',
   'silent',
   'bad-stream',
+  'oversized-event',
+  'over-memory',
   'key-revoked',
 ] as const;
 
--- a/src/experiment/emulated-clients.ts
+++ b/src/experiment/emulated-clients.ts
@@ -133,6 +133,8 @@
           return true;
         },
         onDrain: () => undefined,
+        pendingBytes: () => 0,
+        abort: () => end('failed'),
         end: finish,
         whole: ({ status }) => {
           note();
--- a/src/experiment/emulated-routers.ts
+++ b/src/experiment/emulated-routers.ts
@@ -4,7 +4,9 @@
 import { Left } from 'purify-ts';
 import type { DecisionPolicy } from '../decision/policy.js';
 import { openCounters, type Counters } from '../process/counters.js';
+import { openResponseMemory } from '../process/memory/response-memory.js';
 import { openRouterTask, type RouterTask } from '../process/router/router-task.js';
+import { defaultMemoryBytes } from '../process/settings/node-settings.js';
 import type { GossipTaskEvents } from '../process/gossip-task-events.js';
 import type { GossipTask } from '../process/gossip-task.js';
 import type { ServerList } from '../servers/list/server-list.js';
@@ -105,6 +107,7 @@
       gate: { waitUntilOpen: () => Promise.resolve(true), isShut: () => false },
       log: { change: () => undefined },
       counters,
+      responseMemory: openResponseMemory(defaultMemoryBytes, counters),
       policy,
       surroundings: {
         clock: clockOf(world),
--- a/src/experiment/emulated-server.ts
+++ b/src/experiment/emulated-server.ts
@@ -54,7 +54,7 @@
 
 const dialTimeoutUs: Micros = 400_000;
 const usualUrgency = 5;
-const bytesOf = (piece: number): Uint8Array => Uint8Array.of(piece % 256);
+const eventOf = (id: number): Buffer => Buffer.from(`id: ${id}\ndata\n\n`);
 
 /** Wakes a machine whenever something in it falls due. */
 const openWaker = (world: World, dueUs: () => Micros | undefined, advance: () => void) => {
@@ -180,7 +180,9 @@
     if (made === undefined || made.hasHead) return;
     made.hasHead = true;
     const load = machine.load();
-    say(name, ({ head }) => head({ status: ran ? 200 : 503, headers: [], ran, sealed: true, load }));
+    say(name, ({ head }) =>
+      head({ status: ran ? 200 : 503, headers: [], ran, sealed: true, isEventStream: engine !== undefined, load }),
+    );
   };
 
   const tell = (effect: EngineEffect | WebEffect): void => {
@@ -191,7 +193,7 @@
         return;
       case 'piece': {
         const { piece } = effect;
-        say(name, (listener) => listener.piece(bytesOf(piece), piece + 1));
+        say(name, (listener) => listener.data(eventOf(piece + 1)));
         return;
       }
       case 'done':
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -9,6 +9,7 @@
 import { openLoopDelay } from '../loop-delay.js';
 import type { Log } from '../log.js';
 import { openBodyMemory, type BodyMemory } from '../memory/body-memory.js';
+import { openResponseMemory } from '../memory/response-memory.js';
 import { linkOptionsOf, defaultMemoryBytes, type NodeSettings } from '../settings/node-settings.js';
 import { openPollerTask } from '../poller-task.js';
 import { openGossipTask, type GossipTask } from '../gossip-task.js';
@@ -68,7 +69,8 @@
 }: RouterNodeOptions): RouterNode => {
   const { clock } = surroundings;
   const counters = openCounters();
-  const bodies = openBodyMemory(settings.memoryBytes ?? defaultMemoryBytes, clock, counters);
+  const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes;
+  const bodies = openBodyMemory(memoryBytes, clock, counters);
   const spread = openGossipTask(
     {
       node: settings.node,
@@ -95,6 +97,7 @@
     gate,
     log,
     counters,
+    responseMemory: openResponseMemory(memoryBytes, counters),
     surroundings,
     release: ({ key, exchange }) => {
       void core.ask(
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -13,7 +13,9 @@
 import type { ClientLink } from '../../router/delivery/client-link.js';
 import { deliver } from '../../router/delivery/deliver.js';
 import type { DeliveryResult } from '../../router/delivery/delivery-result.js';
+import { accountBacklog } from '../../router/delivery/account-backlog.js';
 import { forwardOpaque } from '../../router/delivery/forward-opaque.js';
+import type { ResponseMemory } from '../../router/delivery/response-memory.js';
 import type { OpaqueExchange } from '../../router/opaque/opaque-exchange.js';
 import { workOf } from '../../decision/work/work-of.js';
 import { chooseService } from '../../setup/match/choose-service.js';
@@ -91,6 +93,7 @@
   readonly gate: RefreshGate;
   readonly log: Log;
   readonly counters: Counters;
+  readonly responseMemory: ResponseMemory;
   readonly surroundings: Pick<Surroundings, 'clock' | 'dial' | 'freshName' | 'probesNothing'>;
   /** Which parts of the decision machine are enabled; all by default. */
   readonly policy?: DecisionPolicy;
@@ -105,6 +108,7 @@
   gate,
   log,
   counters,
+  responseMemory,
   surroundings,
   policy = defaultPolicy,
   release,
@@ -151,6 +155,7 @@
   const endExchange = (continuation: Continuation): void => {
     continuation.stream.running?.cancel();
     continuation.stream.running = undefined;
+    continuation.stream.errorResponse?.hold.close();
     handles.delete(continuation.exchange);
     slab.free(continuation.handle);
     continuation.quota.end();
@@ -361,7 +366,7 @@
         tenant: tenantNameOf(continuation.access),
         withholdsKey: continuation.access.type !== 'open',
       };
-      const outcome = await forwardOpaque(continuation, link, link.forward, order, signal, {
+      const outcome = await forwardOpaque(continuation, link, link.forward, order, signal, responseMemory, {
         piece: () => noteForwardedPiece(continuation, attempt),
         load: (load) => signals.load(decision.server, load),
       });
@@ -373,7 +378,7 @@
       pool.release(link);
       return;
     }
-    const outcome = await deliver(continuation, link, decision.fromPiece, signal, {
+    const outcome = await deliver(continuation, link, decision.fromPiece, signal, responseMemory, {
       piece: (line) => forwardPiece(continuation, attempt, line, signal),
       receipt: (text) => forwardResponse(continuation, attempt, text, signal),
     });
@@ -408,7 +413,7 @@
       case 'failed':
         addStep(exchange, 'failed', { attempt, ...outcome });
         counters.count(`tries.failed.${outcome.error}`);
-        if (outcome.notRun !== true) signals.reportFailure(server);
+        if (outcome.notRun !== true && outcome.error !== 'over-memory') signals.reportFailure(server);
         if (outcome.notRun === true) {
           continuation.watch.notRun();
           continuation.quota.notRun();
@@ -529,7 +534,9 @@
       const isModel = journal.view().topology.services.get(rule.service)?.type === 'model';
       const continuation = slab.put((handle) => {
         const exchange = claimed?.exchange ?? `${node}.${boot}.${handleText(handle)}`;
-        const monitor = monitorExchange(client, { exchange, repeatable: rule.repeatable }, guarantees);
+        const accountedClient =
+          client.opaque === undefined ? client : { ...client, opaque: accountBacklog(client.opaque, responseMemory) };
+        const monitor = monitorExchange(accountedClient, { exchange, repeatable: rule.repeatable }, guarantees);
         return {
           handle: handle,
           exchange,
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -1,11 +1,11 @@
 import type { Access } from '../access/access.js';
 import type { OpaqueExchange } from '../opaque/opaque-exchange.js';
-import type { ResponseHead } from '../opaque/response-head.js';
 import type { Micros } from '../../common/micros.js';
 import type { Rule } from '../../setup/document/rule.js';
 import type { ClientLink } from '../delivery/client-link.js';
 import type { ExchangeMonitor } from '../guarantees/exchange-monitor.js';
 import type { SlabHandle } from '../slab/slab-handle.js';
+import type { ErrorResponse } from './error-response.js';
 import type { ExchangeBody } from './exchange-body.js';
 import type { QuotaHold } from './quota-hold.js';
 import type { RunningAttempt } from './running-attempt.js';
@@ -39,6 +39,6 @@
     /** The number of the last forwarded piece, if the server numbers its pieces. */
     lastPiece: number | undefined;
     /** The last complete error response of a server. */
-    errorResponse: { readonly head: ResponseHead; readonly body: Uint8Array } | undefined;
+    errorResponse: ErrorResponse | undefined;
   };
 };
--- a/src/router/guarantees/exchange-monitor.ts
+++ b/src/router/guarantees/exchange-monitor.ts
@@ -49,6 +49,8 @@
       return writer.write(bytes);
     },
     onDrain: writer.onDrain,
+    pendingBytes: writer.pendingBytes,
+    abort: writer.abort,
     end: () => {
       noteWrite('end', true);
       writer.end();
--- a/src/router/opaque/opaque-response-writer.ts
+++ b/src/router/opaque/opaque-response-writer.ts
@@ -8,6 +8,10 @@
   readonly write: (bytes: Uint8Array) => boolean;
   /** Registers a callback for when the buffer has drained. */
   readonly onDrain: (callback: () => void) => void;
+  /** The bytes that were written and that the client has not taken yet. */
+  readonly pendingBytes: () => number;
+  /** Drops what the client has not taken, so that it sees the response as incomplete. */
+  readonly abort: () => void;
   readonly end: () => void;
   /** Sends a complete response at once. */
   readonly whole: (head: ResponseHead, body: Uint8Array) => void;
--- a/src/servers/link/opaque-response-head.ts
+++ b/src/servers/link/opaque-response-head.ts
@@ -7,6 +7,8 @@
   readonly ran: boolean;
   /** Whether the response carries the server's seal header; a success without it is rejected. */
   readonly sealed: boolean;
+  /** Whether the body is a stream of server-sent events. */
+  readonly isEventStream: boolean;
   /** The server's load, if the response reports it. */
   readonly load?: ServerLoad;
 };
--- a/src/servers/link/open-link.ts
+++ b/src/servers/link/open-link.ts
@@ -16,6 +16,7 @@
 const dialTimeoutUs: Micros = 1_000_000;
 const identityTimeoutUs: Micros = 2_000_000;
 const probeTimeoutUs: Micros = 1_000_000;
+const maxIdentityBytes = 1 << 16;
 
 const idleLimits: IdleLimits = { keepAliveTimeout: 600_000, keepAliveMaxTimeout: 600_000 };
 /** Keeps the HTTP library from pausing its parser on a full body buffer; the connection is paused instead. */
@@ -30,6 +31,19 @@
   }
 };
 
+/** The text of a body; throws if it has more than `maxBytes`. */
+const readText = async (body: AsyncIterable<unknown>, maxBytes: number): Promise<string> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    const part = Buffer.isBuffer(chunk) ? chunk : Buffer.from(String(chunk));
+    bytes += part.length;
+    if (bytes > maxBytes) throw new Error(`the response has more than ${maxBytes} bytes`);
+    chunks.push(part);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+};
+
 /** Whether a response is framed by a length or by chunks, so that a truncated body can be detected. */
 const isSelfDelimited = (headers: Readonly<Record<string, unknown>>): boolean =>
   headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
@@ -52,7 +66,7 @@
         path: '/identity',
         signal,
       });
-      await response.body.dump();
+      await response.body.dump({ limit: maxIdentityBytes });
       return response.statusCode === 200;
     } catch {
       return false;
@@ -99,7 +113,7 @@
       path: '/identity',
       signal,
     });
-    const verified = verifyIdentity(server, await response.body.text());
+    const verified = verifyIdentity(server, await readText(response.body, maxIdentityBytes));
     if (verified.isLeft()) {
       close();
       return verified;
--- a/tests/mutants/router-mutants.ts
+++ b/tests/mutants/router-mutants.ts
@@ -45,6 +45,20 @@
     put: 'heldBytes + bytes >= 0;',
     by: test('tests/platform/body-memory.test.js'),
   },
+  {
+    name: 'the memory for responses has no bound',
+    file: 'src/common/memory/byte-account.ts',
+    find: 'while (heldBytes > capacityBytes) {',
+    put: 'while (heldBytes < 0) {',
+    by: test('tests/platform/response-memory.test.js'),
+  },
+  {
+    name: 'a single event has no bound',
+    file: 'src/router/delivery/forward-opaque.ts',
+    find: 'if (heldBytes <= memory.maxEventBytes) updateHold();',
+    put: 'if (heldBytes >= 0) updateHold();',
+    by: test('tests/platform/response-memory.test.js'),
+  },
   {
     name: 'a body whose caller left keeps its memory',
     file: 'src/process/http/receive-body.ts',
--- a/tests/platform/raw/raw-listed.ts
+++ b/tests/platform/raw/raw-listed.ts
@@ -11,3 +11,10 @@
   isDraining: () => false,
   version: () => 1,
 });
+
+/** How the platform's list shows a model server whose bytes the test writes itself. */
+export const rawModelListed = (id: string, address: string, slots: number): ShownServer => ({
+  ...rawListed(id, address, slots),
+  service: 'readers',
+  type: 'model',
+});
--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -3,7 +3,14 @@
 import type { LaunchedNode } from '../../../src/rehearsal/launcher/launched-node.js';
 import type { FleetNode } from '../stand-in/launch-fleet.js';
 import { losePowerIn } from './lose-power.js';
-import { noStatus, type Misdeed, type SpoiledAnswer } from '../stand-in/misdeed.js';
+import {
+  endlessComments,
+  endlessError,
+  endlessEvent,
+  noStatus,
+  type Misdeed,
+  type SpoiledAnswer,
+} from '../stand-in/misdeed.js';
 import type { Hit, SoakWorld } from './soak-world.js';
 
 /** Something that goes wrong, or a piece of planned work; it ends when all is whole again. */
@@ -74,6 +81,9 @@
   'close-before-answer',
 ];
 const misdeedsOfOne = 6;
+const endlessAnswers = [endlessEvent, endlessComments, endlessError] as const;
+/** Enough of them to exceed the memory of all processes together, were they held. */
+const endlessOfOne = 24;
 
 /** Troubles of one kind; two of the same kind do not begin together. */
 export const troubleKinds: readonly (readonly Trouble[])[] = [
@@ -170,6 +180,16 @@
         return Promise.resolve();
       },
     },
+    {
+      name: 'many answers do not end',
+      act: (world) => {
+        for (const server of world.servers())
+          server.misbehave(
+            ...Array.from({ length: endlessOfOne }, () => randomItem(world.chance, endlessAnswers) ?? endlessEvent),
+          );
+        return Promise.resolve();
+      },
+    },
   ],
   [
     {
--- a/tests/router/guarantees.test.ts
+++ b/tests/router/guarantees.test.ts
@@ -14,6 +14,8 @@
     writeHead: () => undefined,
     write: () => true,
     onDrain: () => undefined,
+    pendingBytes: () => 0,
+    abort: () => undefined,
     end: () => undefined,
     whole: () => undefined,
   },
