--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -44,6 +44,8 @@
       readonly error: DeliveryError;
       /** The server guarantees that it has not run the request and never will. */
       readonly notRun?: boolean;
+      /** The client has received pieces after which no server can be asked to go on. */
+      readonly positionUnknown?: boolean;
     }
   | { readonly type: 'done'; readonly at: Micros; readonly exchange: string; readonly attempt: number }
   | { readonly type: 'abandoned'; readonly at: Micros; readonly exchange: string }
--- a/src/decision/machine/step/on-delivery.ts
+++ b/src/decision/machine/step/on-delivery.ts
@@ -78,7 +78,7 @@
 
 /**
  * Handles a failed attempt. If it cannot have run, the exchange is tried on another server; otherwise the rule of its
- * kind decides whether it may run again and, for a started stream, whether it may resume at the next piece.
+ * kind decides whether it may run again and, for a started stream whose position is known, whether it may resume there.
  */
 export const onFailed = (view: DecisionView, event: FailedEvent): DecisionStep => {
   const exchange = exchangeOf(view, event);
@@ -97,8 +97,8 @@
     andThen(step, (nextView) => releaseAll(nextView, ended.followers));
   if (event.error === 'key-revoked')
     return releaseFollowers(giveUp(withExchange(ended.view, failedExchange), failedExchange, 'unknown-key'));
-  const canTryAgain =
-    !mayHaveRun || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable));
+  const canResume = exchange.rule.resumable && event.positionUnknown !== true;
+  const canTryAgain = !mayHaveRun || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || canResume));
   if (!canTryAgain)
     return releaseFollowers(giveUp(withExchange(ended.view, failedExchange), failedExchange, 'outcome-unknown'));
   const freedView = withoutServer(ended.view, failedExchange);
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -59,6 +59,7 @@
     pieces: at(),
     error: string().required().oneOf(deliveryErrors),
     notRun: boolean(),
+    positionUnknown: boolean(),
   }).noUnknown(),
   done: object({ type: literalType('done'), at: at(), exchange: name(), attempt: attempt() }).noUnknown(),
   abandoned: object({ type: literalType('abandoned'), at: at(), exchange: name() }).noUnknown(),
--- a/src/experiment/emulated-clients.ts
+++ b/src/experiment/emulated-clients.ts
@@ -82,7 +82,7 @@
       target: `/${made.kind}/`,
       headers: [],
       body: new Uint8Array(0),
-      afterPiece: undefined,
+      lastEventId: undefined,
       opening,
       readTokens: opening.reduce((sum, { tokens }) => sum + tokens, 0),
       writeTokens:
--- a/src/experiment/emulated-server.ts
+++ b/src/experiment/emulated-server.ts
@@ -86,9 +86,9 @@
     () => take({ type: 'time', at: world.now() }),
   );
   return {
-    order: (name, { exchange, afterPiece = 0, urgency = usualUrgency }, dueUs) => {
+    order: (name, { exchange, resumeAfter = '0', urgency = usualUrgency }, dueUs) => {
       const { opening, readTokens, writeTokens } = exchange;
-      const order = { name, opening, readTokens, writeTokens, fromPiece: afterPiece, urgency, dueUs };
+      const order = { name, opening, readTokens, writeTokens, fromPiece: Number(resumeAfter), urgency, dueUs };
       take({ type: 'order', at: world.now(), order });
       plan();
     },
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -26,6 +26,7 @@
 import { openRoutingChecks } from '../../router/guarantees/routing-checks.js';
 import { monitorExchange } from '../../router/guarantees/exchange-monitor.js';
 import { openTraceStore, type TraceStore } from '../../router/explain/trace-store.js';
+import { startPosition } from '../../router/event-stream/stream-position.js';
 import { openSlab, type Slab } from '../../router/slab/slab.js';
 import { handleText, type SlabHandle } from '../../router/slab/slab-handle.js';
 import { openLinkPool } from '../../servers/link/link-pool.js';
@@ -358,10 +359,11 @@
     if (continuation.stream.pieces > 0) continuation.stream.dueUs = clock.now() + continuation.rule.firstPieceUs;
     const { opaque } = continuation;
     if (opaque !== undefined && link.forward !== undefined) {
+      const { resumePoint } = continuation.stream.position;
       const order = {
         exchange: opaque,
         budgetUs: Math.max(1_000, continuation.dueUs - clock.now()),
-        afterPiece: continuation.stream.lastPiece,
+        resumeAfter: resumePoint.type === 'after' ? resumePoint.id : undefined,
         urgency: decision.urgency,
         tenant: tenantNameOf(continuation.access),
         withholdsKey: continuation.access.type !== 'open',
@@ -427,6 +429,7 @@
           pieces: continuation.stream.pieces,
           error: outcome.error,
           ...(outcome.notRun === true ? { notRun: true } : {}),
+          ...(continuation.stream.position.resumePoint.type === 'unknown' ? { positionUnknown: true } : {}),
         });
         return;
     }
@@ -555,7 +558,7 @@
             pieces: 0,
             running: undefined,
             dueUs: Number.POSITIVE_INFINITY,
-            lastPiece: opaque?.afterPiece,
+            position: startPosition(opaque?.lastEventId),
             errorResponse: undefined,
           },
         };
--- a/src/router/delivery/forward-opaque.ts
+++ b/src/router/delivery/forward-opaque.ts
@@ -5,6 +5,7 @@
 import type { OpaqueRequest } from '../../servers/link/opaque-request.js';
 import type { ServerLink } from '../../servers/link/server-link.js';
 import { openEventSplitter, type EventSplitter, type StreamBlock } from '../event-stream/event-splitter.js';
+import { positionAfter, withUnknownPosition } from '../event-stream/stream-position.js';
 import type { Continuation } from '../exchange/continuation.js';
 import type { DeliveryResult } from './delivery-result.js';
 import type { ResponseMemory } from './response-memory.js';
@@ -22,10 +23,6 @@
 
 const isSuccess = (head: OpaqueResponseHead): boolean => head.status >= 200 && head.status < 300;
 
-/** The ID of an event as a number, if it has up to fifteen digits. */
-const numberOf = (id: string | undefined): number | undefined =>
-  id !== undefined && /^\d{1,15}$/.test(id) ? Number(id) : undefined;
-
 /** Keeps a complete error response as the possible answer, until it is replaced or evicted, or the exchange ends. */
 const keepErrorResponse = (
   { stream }: Continuation,
@@ -112,19 +109,25 @@
       chunks.forEach(write);
       onPiece();
     };
-    const onBlock = (passedHead: OpaqueResponseHead, { chunks, hasData, id }: StreamBlock): void => {
+    const onBlock = (passedHead: OpaqueResponseHead, block: StreamBlock): void => {
       if (hasEnded) return;
+      const { chunks, hasData, id } = block;
       if (!hasData && id === undefined) {
         chunks.forEach(isForwarding ? write : buffer);
         return;
       }
-      const number = numberOf(id);
-      if (number !== undefined && stream.lastPiece !== undefined && number <= stream.lastPiece) {
-        cancel('bad-stream', `piece ${number} received after piece ${stream.lastPiece}`);
-        return;
-      }
-      stream.lastPiece = number ?? stream.lastPiece;
-      forwardPiece(passedHead, chunks);
+      const isContinuation = !isForwarding && stream.pieces > 0;
+      positionAfter(stream.position, block, isContinuation)
+        .ifLeft((fault) => cancel('bad-stream', fault))
+        .ifRight((position) => {
+          stream.position = position;
+          forwardPiece(passedHead, chunks);
+        });
+    };
+    /** Forwards bytes of a stream whose format has no positions. */
+    const forwardWithoutPosition = (passedHead: OpaqueResponseHead, bytes: Uint8Array): void => {
+      stream.position = withUnknownPosition(stream.position);
+      forwardPiece(passedHead, [bytes]);
     };
     const onEvents = (events: EventSplitter, bytes: Buffer): void => {
       events.put(bytes);
@@ -145,6 +148,7 @@
       if (isSuccess(givenHead) && givenHead.ran) {
         startForwarding(givenHead);
         updateHold();
+        stream.position = withUnknownPosition(stream.position);
         stream.pieces += 1;
         onPiece();
       } else cancel('server-error', 'error response exceeds the buffer limit');
@@ -165,7 +169,7 @@
       data: (bytes) => {
         if (hasEnded || head === undefined) return;
         if (splitter !== undefined) onEvents(splitter, bytes);
-        else if (isSuccess(head) && head.ran && rule.streams === true) forwardPiece(head, [bytes]);
+        else if (isSuccess(head) && head.ran && rule.streams === true) forwardWithoutPosition(head, bytes);
         else onUnstreamedData(head, bytes);
       },
       end: () => {
--- a/src/router/exchange/continuation.ts
+++ b/src/router/exchange/continuation.ts
@@ -4,6 +4,7 @@
 import type { Rule } from '../../setup/document/rule.js';
 import type { ClientLink } from '../delivery/client-link.js';
 import type { ExchangeMonitor } from '../guarantees/exchange-monitor.js';
+import type { StreamPosition } from '../event-stream/stream-position.js';
 import type { SlabHandle } from '../slab/slab-handle.js';
 import type { ErrorResponse } from './error-response.js';
 import type { ExchangeBody } from './exchange-body.js';
@@ -36,8 +37,8 @@
     running: RunningAttempt | undefined;
     /** When the running attempt counts as silent unless another piece arrives. */
     dueUs: Micros;
-    /** The number of the last forwarded piece, if the server numbers its pieces. */
-    lastPiece: number | undefined;
+    /** Where the forwarded events of an opaque stream end. */
+    position: StreamPosition;
     /** The last complete error response of a server. */
     errorResponse: ErrorResponse | undefined;
   };
--- a/src/router/opaque/opaque-exchange.ts
+++ b/src/router/opaque/opaque-exchange.ts
@@ -15,8 +15,8 @@
   readonly body: Uint8Array;
   /** The API key of the request; never logged, and never forwarded if the configuration has tenants. */
   readonly apiKey?: string;
-  /** The number of the last piece that the client received, if it resumes a stream. */
-  readonly afterPiece: number | undefined;
+  /** The ID of the last event that the client received, as it wrote it, if it resumes a stream. */
+  readonly lastEventId: string | undefined;
   /** The parts of the prompt prefix in order; the last is specific to the exchange or its session. */
   readonly opening: readonly OpeningPart[];
   /** Input and output tokens that the client declared, 0 where it declared none. */
--- a/src/servers/link/opaque-request.ts
+++ b/src/servers/link/opaque-request.ts
@@ -6,8 +6,8 @@
   readonly exchange: OpaqueExchange;
   /** Time left for the exchange. */
   readonly budgetUs: Micros;
-  /** The last piece that the client has received, if a stream is resumed. */
-  readonly afterPiece: number | undefined;
+  /** The ID of the last event that was passed on, if the attempt resumes a stream; it replaces the client's own. */
+  readonly resumeAfter: string | undefined;
   /** From 0, the most urgent, to 9. */
   readonly urgency: number | undefined;
   /** The tenant of the client, if any. */
--- a/tests/decision/deliveries.test.ts
+++ b/tests/decision/deliveries.test.ts
@@ -43,6 +43,16 @@
   return deliver;
 };
 
+// Guards against: a stream whose position no server can be told is run again from an older place.
+test('a started stream whose position is not known is broken off, also where it may be resumed', () => {
+  const player = openNode();
+  const leader = first(send(player, 1, 'e1', 'ask', 'p'));
+  markSent(player, 2, leader);
+  player.play({ type: 'firstPiece', at: 3, exchange: 'e1', attempt: 1 });
+  const failed = { type: 'failed', exchange: 'e1', attempt: 1, sent: true, pieces: 2, error: 'link-lost' } as const;
+  assert.equal(decisionTypesOf(player.play({ ...failed, at: 4, positionUnknown: true })), ['breakOff']);
+});
+
 test('followers of a cold prefix are held until the first piece of the leader, then all are sent to its server', () => {
   const player = openNode();
   const leader = first(send(player, 1, 'e1', 'ask', 'p'));
--- a/tests/mutants/decision-mutants.ts
+++ b/tests/mutants/decision-mutants.ts
@@ -20,8 +20,8 @@
   {
     name: 'run-once work tried again',
     file: 'src/decision/machine/step/on-delivery.ts',
-    find: '!mayHaveRun || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || exchange.rule.resumable))',
-    put: '!mayHaveRun || !wasStarted || exchange.rule.resumable',
+    find: '!mayHaveRun || (view.policy.retries && exchange.rule.repeatable && (!wasStarted || canResume))',
+    put: '!mayHaveRun || !wasStarted || canResume',
     by: seeds('fleet', 'run-once', 5),
   },
   {
--- a/tests/mutants/router-mutants.ts
+++ b/tests/mutants/router-mutants.ts
@@ -45,6 +45,20 @@
     put: 'heldBytes + bytes >= 0;',
     by: test('tests/platform/body-memory.test.js'),
   },
+  {
+    name: 'a stream whose position is not known is resumed',
+    file: 'src/decision/machine/step/on-delivery.ts',
+    find: 'exchange.rule.resumable && event.positionUnknown !== true',
+    put: 'exchange.rule.resumable',
+    by: test('tests/platform/stream-order.test.js'),
+  },
+  {
+    name: "a client's last event ID is left out",
+    file: 'platform/server/server-link.ts',
+    find: '  headerNames.wantServer,\n  headerNames.urgency,',
+    put: '  headerNames.wantServer,\n  headerNames.lastEvent,\n  headerNames.urgency,',
+    by: test('tests/platform/stream-order.test.js'),
+  },
   {
     name: 'the memory for responses has no bound',
     file: 'src/common/memory/byte-account.ts',
@@ -223,7 +237,7 @@
   {
     name: 'a piece that came before is given on again',
     file: 'src/router/delivery/forward-opaque.ts',
-    find: 'number <= stream.lastPiece',
+    find: 'if (number <= highest)',
     put: 'number < 0',
     by: test('tests/router/carry.test.js'),
   },
--- a/tests/platform/raw/carried.ts
+++ b/tests/platform/raw/carried.ts
@@ -19,7 +19,7 @@
   target: '/p/x?a=%20b&&c=//',
   headers: ['Host', 'a.example', 'Ledgehill-Attempt-Id', name, 'Content-Length', '4', 'X-Own', 'One', 'x-own', 'two'],
   body: Buffer.from([0, 255, 13, 10]),
-  afterPiece: undefined,
+  lastEventId: undefined,
   opening: [],
   readTokens: 0,
   writeTokens: 0,
@@ -30,7 +30,7 @@
 export const orderOf = (name: string, more: Partial<OpaqueRequest> = {}): OpaqueRequest => ({
   exchange: exchangeOf(name),
   budgetUs: 1_234_567,
-  afterPiece: undefined,
+  resumeAfter: undefined,
   urgency: undefined,
   ...more,
 });
--- a/tests/platform/server-link.test.ts
+++ b/tests/platform/server-link.test.ts
@@ -48,7 +48,7 @@
   withLink(
     (socket) => socket.write(whole('a', 'ok')),
     async (link, server) => {
-      const made = await bounded(carried(link, orderOf('a', { afterPiece: 12, urgency: 3 })));
+      const made = await bounded(carried(link, orderOf('a', { resumeAfter: '12', urgency: 3 })));
       assert.equal(
         [made.ending, made.text, made.head?.status, made.head?.ran, made.head?.sealed],
         ['end', 'ok', 200, true, true],
--- a/tests/platform/stand-in/open-clients.ts
+++ b/tests/platform/stand-in/open-clients.ts
@@ -6,7 +6,7 @@
 import { messageOf } from '../../../src/common/typed-error.js';
 import { standInTenant } from './documents.js';
 import type { ClientTry, Seen } from './seen.js';
-import { streamText } from './server-text.js';
+import { idText, placeOfId, streamText } from './server-text.js';
 
 /** What a client wants. */
 export type Wanted = {
@@ -35,9 +35,10 @@
 const ownPromises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const endings: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
 
-const lastIdIn = (text: string, before: number): number => {
-  const ids = [...text.matchAll(/(?:^|\n)id: (\d+)\n[^]*?\n\n/g)].map((match) => Number(match[1]));
-  return ids.at(-1) ?? before;
+/** The place of the last whole event; 0 without one. */
+const lastPlaceIn = (body: string, events: string): number => {
+  const id = [...events.matchAll(/(?:^|\n)id: (.+)\n[^]*?\n\n/g)].at(-1)?.[1];
+  return id === undefined ? 0 : placeOfId(body, id);
 };
 
 /** Only whole events count as received. */
@@ -116,7 +117,7 @@
                 'Ledgehill-Prompt-Prefix': wanted.opening ?? '',
               }
             : {}),
-          ...(lastEventId > 0 ? { 'Last-Event-Id': String(lastEventId) } : {}),
+          ...(lastEventId > 0 ? { 'Last-Event-Id': idText(body, lastEventId) } : {}),
         },
         body: Buffer.from(body, 'latin1'),
         signal: AbortSignal.timeout(toMillis(leftUs)),
@@ -144,7 +145,7 @@
           tries.length === 0
             ? undefined
             : new Client(`http://${node}`, { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } });
-        const [made, retryUs] = await tryOnce(wanted, node, fresh ?? agent, lastIdIn(events, 0), dueUs);
+        const [made, retryUs] = await tryOnce(wanted, node, fresh ?? agent, lastPlaceIn(wanted.body, events), dueUs);
         await fresh?.destroy();
         tries.push(made);
         if (made.status >= 200 && made.status < 300)
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -8,7 +8,7 @@
 import type { Misdeed, SpoiledAnswer } from './misdeed.js';
 import type { Seen, ServerArrival } from './seen.js';
 import { largeAnswerIn, type AnswerFraming } from './large-answer.js';
-import { eventText, plainBytes } from './server-text.js';
+import { eventText, placeOfId, plainBytes } from './server-text.js';
 import type { WorkDesk } from './work-desk.js';
 
 /** A server of the platform on loopback. */
@@ -127,7 +127,7 @@
 
   const stream = (message: IncomingMessage, response: ServerResponse, arrival: ServerArrival): void => {
     const [read = 0, write = 0] = (textOf(message, 'ledgehill-token-count') ?? '').split(',').map(Number);
-    const after = Number(arrival.lastEventId ?? 0);
+    const after = arrival.lastEventId === undefined ? 0 : placeOfId(arrival.body, arrival.lastEventId);
     const misdeed = misdeeds.shift();
     let shownVersion = version;
     let given = 0;
--- a/tests/router/carry.test.ts
+++ b/tests/router/carry.test.ts
@@ -9,6 +9,7 @@
 import type { OpaqueResponseHead } from '../../src/servers/link/opaque-response-head.js';
 import type { OpaqueResponseListener } from '../../src/servers/link/opaque-response-listener.js';
 import type { ServerLink } from '../../src/servers/link/server-link.js';
+import { startPosition } from '../../src/router/event-stream/stream-position.js';
 import { unmeteredHold } from '../../src/router/exchange/quota-hold.js';
 import { openCounters } from '../../src/process/counters.js';
 import { openResponseMemory } from '../../src/process/memory/response-memory.js';
@@ -22,7 +23,7 @@
   target: '/p/',
   headers: [],
   body: Buffer.from('body'),
-  afterPiece: undefined,
+  lastEventId: undefined,
   opening: [],
   readTokens: 0,
   writeTokens: 0,
@@ -90,7 +91,7 @@
     client: client,
     watch: monitorExchange(client, { exchange: 'e1', repeatable: true }, { broken: () => undefined }),
     claimedKey: undefined,
-    stream: { pieces: 0, running: undefined, dueUs: 0, lastPiece: undefined, errorResponse: undefined },
+    stream: { pieces: 0, running: undefined, dueUs: 0, position: startPosition(undefined), errorResponse: undefined },
   }));
 
 type Server = (listener: OpaqueResponseListener) => void;
@@ -108,7 +109,7 @@
     deliver: () => Promise.reject(new Error('not here')),
     forward: startCarriage,
   };
-  const order = { exchange, budgetUs: 1, afterPiece: undefined, urgency: undefined };
+  const order = { exchange, budgetUs: 1, resumeAfter: undefined, urgency: undefined };
   return forwardOpaque(
     continuation,
     link,
@@ -245,7 +246,7 @@
       deliver: () => Promise.reject(new Error('not here')),
       forward: startCarriage,
     };
-    const order = { exchange, budgetUs: 1, afterPiece: undefined, urgency: undefined };
+    const order = { exchange, budgetUs: 1, resumeAfter: undefined, urgency: undefined };
     const events = { piece: () => undefined, load: () => undefined };
     const outcome = forwardOpaque(
       continuationOf(client, streams),
