--- a/tests/mutants/decision-mutants.ts
+++ b/tests/mutants/decision-mutants.ts
@@ -27,8 +27,8 @@
   {
     name: 'a stream of a kind that is not resumable goes on elsewhere',
     file: 'src/decision/machine/step/on-delivery.ts',
-    find: '(!wasStarted || exchange.rule.resumable))',
-    put: '(!wasStarted || wasStarted))',
+    find: 'const canResume = exchange.rule.resumable &&',
+    put: 'const canResume =',
     by: test('tests/decision/deliveries.test.js'),
   },
   {
