--- a/tests/mutants/router-mutants.ts
+++ b/tests/mutants/router-mutants.ts
@@ -236,9 +236,9 @@
   },
   {
     name: 'a piece that came before is given on again',
-    file: 'src/router/delivery/forward-opaque.ts',
+    file: 'src/router/event-stream/stream-position.ts',
     find: 'if (number <= highest)',
-    put: 'number < 0',
+    put: 'if (number < 0)',
     by: test('tests/router/carry.test.js'),
   },
   {
