--- a/src/decision/machine/event/decision-event.ts
+++ b/src/decision/machine/event/decision-event.ts
@@ -72,4 +72,7 @@
   | { readonly type: 'dark'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'light'; readonly at: Micros; readonly server: ServerKey }
   | { readonly type: 'tick'; readonly at: Micros }
-  | { readonly type: 'drain'; readonly at: Micros };
+  /** This node is stopping: new exchanges are refused. */
+  | { readonly type: 'drain'; readonly at: Micros }
+  /** This node is about to end: every exchange without a started response gets its final decision. */
+  | { readonly type: 'shutdown'; readonly at: Micros };
--- a/src/decision/machine/step/dispatch.ts
+++ b/src/decision/machine/step/dispatch.ts
@@ -93,6 +93,7 @@
   const exchange = view.exchanges.get(id);
   if (exchange === undefined || exchange.server !== undefined || exchange.followsFlight !== undefined)
     return withoutEffects(view);
+  if (view.startsNoAttempts) return giveUp(view, exchange, 'draining');
   if (exchange.sentCount >= (exchange.rule.mostTries ?? Number.POSITIVE_INFINITY))
     return giveUp(view, exchange, 'outcome-unknown');
   const placement = choosePlacement(view, exchange);
--- a/src/decision/machine/step/on-tick.ts
+++ b/src/decision/machine/step/on-tick.ts
@@ -2,28 +2,13 @@
 import { platformUsOf } from '../view/decision-view.js';
 import type { ExchangeView } from '../view/exchange-view.js';
 import { andThen, stepAll, withEffects, withoutEffects, type DecisionStep } from './decision-step.js';
-import { endFlight, leaveFlight } from './flights.js';
-import { giveUp } from './give-up.js';
+import { endExchange } from './end-exchange.js';
+import { leaveFlight } from './flights.js';
 import { onFailed } from './on-delivery.js';
 import { updateTopology } from './update-topology.js';
 import { dispatch } from './dispatch.js';
 import { firstPieceDeadlineUsOf, nextDeadlineUsOf } from './deadlines.js';
 
-/** Ends an exchange whose time budget has passed. */
-const expire = (view: DecisionView, exchange: ExchangeView): DecisionStep => {
-  const ended = endFlight(view, exchange);
-  const expiredExchange = ended.view.exchanges.get(exchange.exchange) ?? exchange;
-  const cancelStep =
-    exchange.server === undefined
-      ? withoutEffects(ended.view)
-      : withEffects(ended.view, { type: 'cancel', exchange: exchange.exchange, attempt: exchange.attempt });
-  return stepAll(
-    andThen(cancelStep, (cancelledView) => giveUp(cancelledView, expiredExchange, 'budget-passed')),
-    ended.followers,
-    dispatch,
-  );
-};
-
 /** Cancels an attempt without a first piece in time, and handles it as failed. */
 const failSlowAttempt = (view: DecisionView, exchange: ExchangeView): DecisionStep =>
   andThen(
@@ -43,7 +28,7 @@
 const onExchangeTick = (view: DecisionView, id: string): DecisionStep => {
   const exchange = view.exchanges.get(id);
   if (exchange === undefined) return withoutEffects(view);
-  if (view.atUs >= exchange.dueUs) return expire(view, exchange);
+  if (view.atUs >= exchange.dueUs) return endExchange(view, exchange, 'budget-passed');
   if (exchange.followsFlight !== undefined && view.atUs >= (exchange.holdUntilUs ?? exchange.dueUs))
     return dispatch(leaveFlight(view, exchange), id);
   return view.atUs >= firstPieceDeadlineUsOf(exchange) ? failSlowAttempt(view, exchange) : withoutEffects(view);
--- a/src/decision/machine/step/step.ts
+++ b/src/decision/machine/step/step.ts
@@ -10,6 +10,7 @@
 import { onExchange } from './on-exchange.js';
 import { onList, withPlatformUs } from './on-list.js';
 import { onSetup } from './on-setup.js';
+import { onShutdown } from './on-shutdown.js';
 import { onTick } from './on-tick.js';
 import { updateTopology } from './update-topology.js';
 
@@ -61,6 +62,8 @@
       return onTick(view);
     case 'drain':
       return withoutEffects({ ...view, draining: true });
+    case 'shutdown':
+      return onShutdown(view);
   }
 };
 
--- a/src/decision/machine/view/decision-view.ts
+++ b/src/decision/machine/view/decision-view.ts
@@ -58,7 +58,10 @@
   readonly loads: ServerLoads;
   /** Recent attempts by service, for the retry budget. */
   readonly tries: PersistentMap<string, AttemptWindow>;
+  /** Whether new exchanges are refused. */
   readonly draining: boolean;
+  /** Whether no attempt begins any more, since this node is about to end. */
+  readonly startsNoAttempts: boolean;
   /** Which parts of the decision are on; it never changes. */
   readonly policy: DecisionPolicy;
 };
@@ -88,6 +91,7 @@
   loads: emptyMap(),
   tries: emptyMap(),
   draining: false,
+  startsNoAttempts: false,
   policy: defaultPolicy,
 };
 
--- a/src/decision/trace/event-schemas.ts
+++ b/src/decision/trace/event-schemas.ts
@@ -84,4 +84,5 @@
   light: object({ type: literalType('light'), at: at(), server: name() }).noUnknown(),
   tick: object({ type: literalType('tick'), at: at() }).noUnknown(),
   drain: object({ type: literalType('drain'), at: at() }).noUnknown(),
+  shutdown: object({ type: literalType('shutdown'), at: at() }).noUnknown(),
 };
--- a/src/decision/trace/trace-reader.ts
+++ b/src/decision/trace/trace-reader.ts
@@ -77,6 +77,7 @@
       case 'light':
       case 'tick':
       case 'drain':
+      case 'shutdown':
         return undefined;
     }
   };
--- a/src/process/http/client-connections.ts
+++ b/src/process/http/client-connections.ts
@@ -9,6 +9,8 @@
   readonly closeAfterNewest: () => void;
   /** Closes the connections without an unanswered request. */
   readonly closeIdle: () => void;
+  /** Refuses the accepted requests whose response has not begun; none of them may run after that. */
+  readonly refuseUnanswered: () => void;
   /** The number of accepted requests whose response is not completely sent. */
   readonly unanswered: () => number;
 };
@@ -61,8 +63,11 @@
   }
 };
 
-/** Tracks the connections of a server. It must be opened before the server listens. */
-export const openClientConnections = (server: Server): ClientConnections => {
+/** Tracks the connections of a server, which must not listen yet. `refuse` answers a request that did not run and never will. */
+export const openClientConnections = (
+  server: Server,
+  refuse: (response: ServerResponse) => void,
+): ClientConnections => {
   const connections = new Map<Socket, Connection>();
   let unanswered = 0;
   let isRetired = false;
@@ -108,6 +113,10 @@
     breakOff: () => {
       for (const { open } of connections.values()) for (const { response } of [...open]) abortResponse(response);
     },
+    refuseUnanswered: () => {
+      for (const { open } of connections.values())
+        for (const { response } of [...open]) if (!response.headersSent) refuse(response);
+    },
     accept: take,
     unanswered: () => unanswered,
     closeAfterNewest: () => {
--- a/src/process/http/http-server.ts
+++ b/src/process/http/http-server.ts
@@ -6,7 +6,9 @@
 import type { Counters } from '../counters.js';
 import { openClientConnections, type ConnectionDrain } from './client-connections.js';
 import { openClientTimeLimits, type ClientTimeLimits } from './client-time-limits.js';
+import { clientLinkOverHttp } from './client-link-over-http.js';
 import { replyError } from './reply.js';
+import { retryAfterUs, stoppingError } from './stopping-error.js';
 import { typedError } from '../../common/typed-error.js';
 
 /** The HTTP server of a process. */
@@ -29,7 +31,9 @@
   const server = createServer();
   const timeLimits = openClientTimeLimits(server, requestTimeoutUs);
   timeLimits.apply(initialLimits);
-  const connections = openClientConnections(server);
+  const connections = openClientConnections(server, (response) =>
+    clientLinkOverHttp(response).refuse(stoppingError, undefined, retryAfterUs),
+  );
   const app = polka({
     server,
     onNoMatch: (_message, response) => replyError(response, 404, typedError('not-found', 'no such path or method')),
--- a/src/process/router/router-node.ts
+++ b/src/process/router/router-node.ts
@@ -10,7 +10,12 @@
 import type { Log } from '../log.js';
 import { openBodyMemory, type BodyMemory } from '../memory/body-memory.js';
 import { openResponseMemory } from '../memory/response-memory.js';
-import { linkOptionsOf, defaultMemoryBytes, type NodeSettings } from '../settings/node-settings.js';
+import {
+  defaultMemoryBytes,
+  defaultTerminationGraceUs,
+  linkOptionsOf,
+  type NodeSettings,
+} from '../settings/node-settings.js';
 import { openPollerTask } from '../poller-task.js';
 import { openGossipTask, type GossipTask } from '../gossip-task.js';
 import type { Surroundings } from '../surroundings/surroundings.js';
@@ -18,6 +23,7 @@
 import { openQuotaTask } from './quota-task.js';
 import { openRefreshGate } from './refresh-gate.js';
 import { openRouterTask, type RouterTask } from './router-task.js';
+import { stopScheduleOf } from './stop-schedule.js';
 
 /** A router node with all its tasks, but without its HTTP server. */
 export type RouterNode = {
@@ -36,7 +42,10 @@
   /** Whether the node is stopping, so that clients should use another one. */
   readonly isStopping: () => boolean;
   readonly start: () => Promise<void>;
-  /** Stops gracefully: reports unready, waits until the exchanges in flight are complete or the time limit passes, then ends. */
+  /**
+   * Stops gracefully: reports unready, waits until the exchanges in flight are complete, answers the remaining ones shortly before
+   * the process would be killed, then ends.
+   */
   readonly stop: (callers?: ConnectionDrain) => Promise<void>;
   /** Stops immediately; responses in flight are aborted. */
   readonly end: () => void;
@@ -55,10 +64,6 @@
 /** The interval of checks for a freeze; much shorter than the shortest freeze that counts. */
 const freezeCheckIntervalUs: Micros = 100_000;
 const drainPollIntervalUs: Micros = 20_000;
-/** Time after the node turns unready in which it still accepts requests, so that load balancers can notice. */
-const lameDuckUs: Micros = 1_000_000;
-/** Supervisors kill a stopping node after eight seconds; the clients of remaining exchanges are answered or disconnected before that. */
-const drainBudgetUs: Micros = 7_600_000;
 
 /** Wires the tasks of a router node; it joins the fleet at `start`. */
 export const openRouterNode = ({
@@ -184,16 +189,28 @@
       isStopping = true;
       callers?.closeAfterNewest();
       log.change('stopping', { inFlight: router.inFlight() });
-      const stopDueUs = clock.now() + drainBudgetUs;
-      await delay(clock, lameDuckUs);
+      const signalUs = clock.now();
+      const { acceptUntilUs, answerAtUs, endAtUs } = stopScheduleOf(
+        settings.terminationGraceUs ?? defaultTerminationGraceUs,
+      );
+      const unanswered = (): number => callers?.unanswered() ?? 0;
+      const isAnswered = (): boolean => router.inFlight() === 0 && unanswered() === 0;
+      const waitUntil = async (isDone: () => boolean, dueUs: () => Micros): Promise<void> => {
+        while (!isDone() && clock.now() < signalUs + dueUs()) await delay(clock, drainPollIntervalUs);
+      };
+      const answerDueUs = (): Micros => answerAtUs(Math.max(router.inFlight(), unanswered()));
+      await delay(clock, acceptUntilUs);
       callers?.closeIdle();
       isDraining = true;
       bodies.refuseWaiting();
-      while (admission.pendingCount() > 0 && clock.now() < stopDueUs) await delay(clock, drainPollIntervalUs);
+      await waitUntil(() => admission.pendingCount() === 0, answerDueUs);
       router.drain();
-      const isAnswered = (): boolean => router.inFlight() === 0 && (callers?.unanswered() ?? 0) === 0;
-      while (!isAnswered() && clock.now() < stopDueUs) await delay(clock, drainPollIntervalUs);
-      log.change('stopped', { cutOff: router.inFlight(), unanswered: callers?.unanswered() ?? 0 });
+      await waitUntil(isAnswered, answerDueUs);
+      const remaining = { inFlight: router.inFlight(), unanswered: unanswered() };
+      router.shutDown();
+      callers?.refuseUnanswered();
+      await waitUntil(isAnswered, () => endAtUs);
+      log.change('stopped', { ...remaining, cutOff: router.inFlight(), unread: unanswered() });
       end();
     },
     end,
--- a/src/process/router/router-task.ts
+++ b/src/process/router/router-task.ts
@@ -62,6 +62,8 @@
   ) => void;
   /** Notifies the decision machine that this node is stopping. */
   readonly drain: () => void;
+  /** Gives every exchange whose response has not started its final answer; no attempt begins from now on. */
+  readonly shutDown: () => void;
   /** Reports this node and the known routers to the decision machine, and starts the ticks. */
   readonly start: () => void;
   /** Stops the task and aborts the responses in flight. */
@@ -588,6 +590,7 @@
       addStep(exchange, 'refuse', { error: type, ...facts });
     },
     drain: () => dispatch({ type: 'drain', at: clock.now() }),
+    shutDown: () => dispatch({ type: 'shutdown', at: clock.now() }),
     start: () => {
       dispatch({ type: 'fleet', at: clock.now(), routers: spread.view().routers });
       dispatch({ type: 'node', at: clock.now(), node });
--- a/src/process/settings/check-settings.ts
+++ b/src/process/settings/check-settings.ts
@@ -34,6 +34,7 @@
     .min(16 << 20)
     .max(1e15)
     .optional(),
+  terminationGraceUs: number().integer().min(500_000).max(3_600_000_000).optional(),
   seeds: array(address())
     .required()
     .min(1, 'seeds must be one to three addresses')
--- a/src/process/settings/node-settings.ts
+++ b/src/process/settings/node-settings.ts
@@ -1,3 +1,4 @@
+import type { Micros } from '../../common/micros.js';
 import type { LinkOptions } from '../../spread/link/link-options.js';
 
 /** The settings that routers and control nodes have in common. */
@@ -15,9 +16,12 @@
   readonly fleet?: string;
   /** The memory that the process may use; `defaultMemoryBytes` by default. */
   readonly memoryBytes?: number;
+  /** The time after a stop signal at which the process is killed; `defaultTerminationGraceUs` by default. */
+  readonly terminationGraceUs?: Micros;
 };
 
 export const defaultMemoryBytes = 256 << 20;
+export const defaultTerminationGraceUs: Micros = 8_000_000;
 
 /** The options of the links between a node and its peers. */
 export const linkOptionsOf = ({ partnersListen, fleet }: NodeSettings): LinkOptions => ({
--- a/tests/mutants/router-mutants.ts
+++ b/tests/mutants/router-mutants.ts
@@ -34,8 +34,8 @@
   {
     name: 'a stopping router does not wait until its answers were read',
     file: 'src/process/router/router-node.ts',
-    find: ' && (callers?.unanswered() ?? 0) === 0;',
-    put: ';',
+    find: 'router.inFlight() === 0 && unanswered() === 0;',
+    put: 'router.inFlight() === 0;',
     by: test('tests/platform/pipelined.test.js'),
   },
   {
@@ -45,6 +45,20 @@
     put: 'heldBytes + bytes >= 0;',
     by: test('tests/platform/body-memory.test.js'),
   },
+  {
+    name: 'a stopping router leaves requests without a final answer',
+    file: 'src/process/router/router-node.ts',
+    find: '      router.shutDown();\n',
+    put: '',
+    by: test('tests/platform/stop-states.test.js'),
+  },
+  {
+    name: 'a stopping router leaves requests that it still reads without an answer',
+    file: 'src/process/router/router-node.ts',
+    find: '      callers?.refuseUnanswered();\n',
+    put: '',
+    by: test('tests/platform/stop-states.test.js'),
+  },
   {
     name: 'a stream whose position is not known is resumed',
     file: 'src/decision/machine/step/on-delivery.ts',
@@ -181,7 +195,7 @@
   {
     name: 'a draining node takes new exchanges and never ends them',
     file: 'src/process/router/router-node.ts',
-    find: '      while (!isAnswered() && clock.now() < stopDueUs) await delay(clock, drainPollIntervalUs);\n',
+    find: '      await waitUntil(isAnswered, answerDueUs);\n',
     put: '',
     by: seeds('rolling', 'planned-changes-cut-nothing', 2),
   },
--- a/tests/platform/raw/open-edge.ts
+++ b/tests/platform/raw/open-edge.ts
@@ -5,14 +5,14 @@
 import { dialServer } from '../../../platform/server/dial.js';
 import { delay } from '../../../src/common/clock/delay.js';
 import { monotonicClock } from '../../../src/common/clock/monotonic-clock.js';
-import { monotonicNow } from '../../../src/common/micros.js';
+import { monotonicNow, type Micros } from '../../../src/common/micros.js';
 import type { CoreReply } from '../../../src/control/machine/core-reply.js';
 import { applyCommand } from '../../../src/control/state/apply.js';
 import { emptyReplicatedState } from '../../../src/control/state/replicated-state.js';
 import type { CoreClient } from '../../../src/process/core-client.js';
 import type { Log } from '../../../src/process/log.js';
 import { openRouterNode, type RouterNode } from '../../../src/process/router/router-node.js';
-import { defaultMemoryBytes } from '../../../src/process/settings/node-settings.js';
+import { defaultMemoryBytes, defaultTerminationGraceUs } from '../../../src/process/settings/node-settings.js';
 import { realSurroundings } from '../../../src/process/surroundings/real-surroundings.js';
 import { freePorts } from '../../../src/rehearsal/launcher/free-ports.js';
 import type { ListedServer } from '../../../src/servers/list/listed-server.js';
@@ -162,12 +162,13 @@
   waitsForCore = true,
   log: Log = { change: () => undefined },
   memoryBytes: number = defaultMemoryBytes,
+  terminationGraceUs: Micros = defaultTerminationGraceUs,
 ): Promise<Edge> => {
   const [edgePort = 0, partnerPort] = await freePorts(2);
   const http = `127.0.0.1:${edgePort}`;
   const partners = `127.0.0.1:${partnerPort}`;
   const node = openRouterNode({
-    settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners], memoryBytes },
+    settings: { node: 'r1', locality: 'a', http, partners, seeds: [partners], memoryBytes, terminationGraceUs },
     log,
     surroundings: { ...realSurroundings, dial: dialServer, probesNothing: true },
     openCore: () => core,
--- a/tests/platform/settings.test.ts
+++ b/tests/platform/settings.test.ts
@@ -62,6 +62,7 @@
     partners: '10.1.0.12:7660',
     seeds: ['10.1.0.15:7660', '10.2.0.23:7660', '10.3.0.40:7660'],
     memoryBytes: 350 << 20,
+    terminationGraceUs: 8_000_000,
   });
   assert.equal(settings.binds, { edge: '10.1.0.12:8144', readyz: '10.1.0.12:8140', ctl: undefined });
   assert.equal(settings.provider, { addr: '10.200.0.4:8142', rateS: 40, delayMs: 800 });
--- a/tests/platform/soak/judge-soak.ts
+++ b/tests/platform/soak/judge-soak.ts
@@ -1,7 +1,7 @@
 import type { Micros } from '../../../src/common/micros.js';
 import { judge } from '../stand-in/judge.js';
 import { allowedOf } from './soak-document.js';
-import type { PipelinedRequest } from './pipelined-clients.js';
+import type { ClientTry } from '../stand-in/seen.js';
 import type { PutRecord, ReadRecord, SoakOperator } from './soak-operator.js';
 import { quiesceUs, type SoakRequest, type SoakWorld } from './soak-world.js';
 import { unservedOf } from './unserved.js';
@@ -89,17 +89,20 @@
   );
 
 /**
- * What a router passed on is answered, also where it was sent behind others and its router stops meanwhile. Requests whose
- * router was killed or frozen, or whose server broke off, do not count.
+ * What a router passed on is answered, whether its server has begun to work on it or not, also where it was sent behind others and
+ * its router stops meanwhile. Requests whose router was killed or frozen, or whose server broke off, do not count.
  */
-const lostFaults = ({ pipelined, seen, hits, fleet }: SoakWorld): readonly string[] => {
+const lostFaults = ({ seen, hits, fleet }: SoakWorld): readonly string[] => {
   const names = new Map(fleet.routers.map(({ edge, launched }) => [edge, launched.node]));
-  const ran = new Set(seen.arrivals.filter((arrival) => arrival.ran && !arrival.broken).map(({ attempt }) => attempt));
-  const isHit = ({ node, sentUs, endUs }: PipelinedRequest): boolean =>
+  const arrivals = new Map(seen.arrivals.map((arrival) => [arrival.attempt, arrival]));
+  const isHit = ({ node, sentUs, endUs }: ClientTry): boolean =>
     hits.some((hit) => hit.node === names.get(node) && hit.fromUs <= endUs && hit.untilUs + wakeUs >= sentUs);
-  return pipelined.requests
-    .filter((request) => request.status === 0 && ran.has(request.attempt) && !isHit(request))
-    .map(({ attempt, node, sentUs, endUs }) => `LOST ${attempt} ran, ${node} ended it after ${endUs - sentUs} us`);
+  return seen.tries.flatMap((made) => {
+    const arrival = arrivals.get(made.attempt);
+    if (made.isCutOff !== true || arrival === undefined || arrival.broken || isHit(made)) return [];
+    const state = arrival.ran ? 'ran' : 'was passed on';
+    return [`LOST ${made.attempt} ${state}, ${made.node} ended it after ${made.endUs - made.sentUs} us (${made.kind})`];
+  });
 };
 
 const memoryFaults = ({ mostResidentBytes }: SoakWorld): readonly string[] =>
--- a/tests/platform/soak/pipelined-clients.ts
+++ b/tests/platform/soak/pipelined-clients.ts
@@ -33,6 +33,8 @@
 const betweenUs: Micros = 60_000;
 const reconnectUs: Micros = 200_000;
 const answerUs: Micros = 8_000_000;
+/** A connection that ends so shortly before the client's time may have been ended by the client. */
+const lateUs: Micros = 500_000;
 const largeBodyBytes = 300_000;
 const largePercent = 6;
 const slowPercent = 8;
@@ -103,6 +105,7 @@
       bytes: answer?.body ?? '',
       whole: answer !== undefined,
       error: answer === undefined ? 'the connection ended' : undefined,
+      isCutOff: answer === undefined && endUs - sentUs < answerUs - lateUs,
     });
   };
 
--- a/tests/platform/soak/soak-troubles.ts
+++ b/tests/platform/soak/soak-troubles.ts
@@ -22,6 +22,8 @@
 };
 
 const second = 1_000_000;
+/** Longer than a stopping process may take. */
+const queueUs = 10 * second;
 
 const oneNode = ({ chance }: SoakWorld, nodes: readonly FleetNode[]): LaunchedNode | undefined =>
   randomItem(chance, nodes)?.launched;
@@ -108,6 +110,16 @@
         for (const node of launchedOf(fleet.routers)) await stopped(node);
       },
     },
+    {
+      name: 'stop the routers in turn while servers begin no work',
+      act: async (world) => {
+        for (const node of launchedOf(world.fleet.routers)) {
+          for (const server of world.servers()) server.stall(queueUs);
+          await world.pause(second / 2);
+          await stopped(node);
+        }
+      },
+    },
   ],
   [
     {
--- a/tests/platform/stand-in/open-clients.ts
+++ b/tests/platform/stand-in/open-clients.ts
@@ -84,7 +84,7 @@
     let seal: string | undefined;
     let retryUs = 0;
     const chunks: Buffer[] = [];
-    const ended = (whole: boolean, error?: string): readonly [ClientTry, number] => {
+    const ended = (whole: boolean, error?: string, isCutOff = false): readonly [ClientTry, number] => {
       const made: ClientTry = {
         ...base,
         endUs: monotonicNow(),
@@ -93,11 +93,13 @@
         bytes: Buffer.concat(chunks).toString('latin1'),
         whole,
         error,
+        isCutOff,
       };
       seen.tries.push(made);
       return [made, retryUs];
     };
     const leftUs = Math.max(1_000, dueUs - monotonicNow());
+    const signal = AbortSignal.timeout(toMillis(leftUs));
     try {
       const answered = await dispatcher.request({
         origin: `http://${node}`,
@@ -120,7 +122,7 @@
           ...(lastEventId > 0 ? { 'Last-Event-Id': idText(body, lastEventId) } : {}),
         },
         body: Buffer.from(body, 'latin1'),
-        signal: AbortSignal.timeout(toMillis(leftUs)),
+        signal,
       });
       status = answered.statusCode;
       const given = answered.headers['ledgehill-server-seal'];
@@ -129,7 +131,7 @@
       for await (const chunk of answered.body) if (Buffer.isBuffer(chunk)) chunks.push(chunk);
       return ended(true);
     } catch (thrown) {
-      return ended(false, messageOf(thrown));
+      return ended(false, messageOf(thrown), status === 0 && !signal.aborted);
     }
   };
 
--- a/tests/platform/stand-in/open-platform-server.ts
+++ b/tests/platform/stand-in/open-platform-server.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { buffer } from 'node:stream/consumers';
 import { parsePromptPrefix } from '../../../platform/client/parse-prompt-prefix.js';
+import { delay } from '../../../src/common/clock/delay.js';
 import { monotonicClock } from '../../../src/common/clock/monotonic-clock.js';
 import { monotonicNow, type Micros } from '../../../src/common/micros.js';
 import { addressParts } from '../../../src/spread/link/address-parts.js';
@@ -22,6 +23,8 @@
   /** Misbehaves with its next answers, one after the other. */
   readonly misbehave: (...misdeeds: readonly AnyMisdeed[]) => void;
   readonly misdeedsLeft: () => number;
+  /** Begins no work for so long: requests wait, as in a long queue. */
+  readonly stall: (spanUs: Micros) => void;
   readonly drain: () => void;
   readonly isDraining: () => boolean;
   readonly version: () => number;
@@ -57,6 +60,7 @@
   let isDraining = false;
   let version = 1;
   let seals = 0;
+  let stalledUntilUs: Micros = 0;
   const underWay = new Set<ServerArrival>();
   /** Connections that carried more than was asked for. */
   const spoiled = new WeakSet<Socket>();
@@ -248,6 +252,8 @@
     underWay.add(arrival);
     response.once('close', () => underWay.delete(arrival));
     seen.arrivals.push(arrival);
+    if (monotonicNow() < stalledUntilUs) await delay(monotonicClock, stalledUntilUs - monotonicNow());
+    if (response.destroyed) return;
     const wanted = textOf(message, 'ledgehill-want-server');
     const wantedVersion = textOf(message, 'ledgehill-want-version');
     if (attempt === undefined) turnAway(response, 400, '');
@@ -283,6 +289,9 @@
     slots,
     misbehave: (...more) => void misdeeds.push(...more),
     misdeedsLeft: () => misdeeds.length,
+    stall: (spanUs) => {
+      stalledUntilUs = monotonicNow() + spanUs;
+    },
     drain: () => {
       isDraining = true;
     },
--- a/tests/platform/stand-in/seen.ts
+++ b/tests/platform/stand-in/seen.ts
@@ -35,6 +35,8 @@
   /** Whether the answer came to its end. */
   readonly whole: boolean;
   readonly error: string | undefined;
+  /** Whether its connection ended, other than by the client, before any of the answer came. */
+  readonly isCutOff?: boolean;
 };
 
 /** All that clients and servers saw. */
